--- /dev/null
+++ b/crates/sandstile-policy/src/terms.rs
@@ -0,0 +1,123 @@
+//! Plain types that pass between the decisions and whatever hosts them. Times are seconds.
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Idempotent,
+    Deduplicated,
+    NonIdempotent,
+}
+
+/// Which database hosts drop the repeats of a deduplicated statement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DedupScope {
+    All,
+    Zone,
+    Group,
+}
+
+/// What a statement needs to see.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Consistency {
+    Write,
+    Fresh,
+    Session,
+    Bounded,
+    Any,
+}
+
+#[derive(Clone, Debug)]
+pub struct Workload {
+    pub slo: f64,
+    pub importance: f64,
+    pub late_share: f64,
+    pub effect: Effect,
+    pub scope: DedupScope,
+    pub window: f64,
+    pub consistency: Consistency,
+    pub bound: f64,
+}
+
+/// The terms of a deployment, as handed to an instance at its start.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub workloads: Vec<Workload>,
+    pub tick: f64,
+    pub most_executions: usize,
+    pub second_copies: bool,
+    pub may_recall: bool,
+    pub may_probe: bool,
+    /// 0 where a rejection cannot name a time.
+    pub max_return: f64,
+    pub on_request: bool,
+    pub ask_within: f64,
+    pub drain_grace: f64,
+    pub drain_binds_alone: bool,
+    pub cold_from: f64,
+    pub cold_s: f64,
+    /// Database hosts judge a read's class themselves.
+    pub checked: bool,
+    /// Every answer carries a position.
+    pub stamped: bool,
+    pub tokens_remembered: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Readiness {
+    Active,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Debug)]
+pub struct Member {
+    pub host: usize,
+    pub group: usize,
+    pub zone: usize,
+    pub primary: bool,
+    pub since: f64,
+    pub readiness: Readiness,
+}
+
+/// A statement as it arrives.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub workload: usize,
+    pub group: usize,
+    pub session: Option<usize>,
+    pub time_left: f64,
+    /// Seconds since the session's last write, where the client carries it.
+    pub token_age: Option<f64>,
+    pub retry: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Completed,
+    Error,
+    Full,
+    TimedOut,
+    ConnectFailed,
+    Reset,
+    Cancelled,
+    Moot,
+    Miss,
+}
+
+/// What an answer or a probe tells of its database host; the position is a time on the instance's clock.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Note {
+    pub position: Option<f64>,
+    pub primary: Option<bool>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    Send { stmt: u64, host: usize, time_out: f64 },
+    Reject { stmt: u64, return_after: f64 },
+    Abort { stmt: u64 },
+    Recall { stmt: u64, execution: usize },
+    Probe { host: usize },
+    Subscribe,
+    Fetch,
+    Log(String),
+}
