--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -22,6 +22,8 @@
 const STUCK: f64 = 3.0;
 /// A host this many times slower than its peers rests.
 const SLOW: f64 = 2.2;
+/// Share of an SLO time that may pass before an answer, as the bound on what is in flight has it.
+const QUEUE: f64 = 0.5;
 /// Share of sends that second copies may add.
 const COPIES: f64 = 0.06;
 
@@ -66,10 +68,12 @@
     rate: f64,
     window: (f64, f64),
     pace: f64,
+    crowd: f64,
     failing: f64,
     strikes: i32,
     rests_until: f64,
     mute: bool,
+    full: bool,
     unreachable_since: Option<f64>,
 }
 
@@ -94,7 +98,9 @@
     slo: f64,
     importance: f64,
     late_share: f64,
+    /// Usual seconds from send to answer, and the least they have been: what the work takes without a crowd.
     usual: f64,
+    base: f64,
 }
 
 #[derive(PartialEq, PartialOrd)]
@@ -122,7 +128,6 @@
     checked: bool,
     stamped: bool,
     remembered: bool,
-    queue_time: f64,
     ask_every: Option<f64>,
     ask_at: f64,
     hosts: Vec<Option<Host>>,
@@ -152,9 +157,9 @@
                 importance: w.importance,
                 late_share: w.late_share,
                 usual: w.slo / 4.0,
+                base: w.slo / 4.0,
             })
             .collect();
-        let tightest = kinds.iter().map(|k| k.slo).fold(f64::MAX, f64::min);
         Instance {
             now,
             chance: Rand32::new(seed),
@@ -171,7 +176,6 @@
             checked: terms.checked,
             stamped: terms.stamped,
             remembered: terms.tokens_remembered,
-            queue_time: 0.75 * tightest,
             ask_every: terms.on_request.then_some(terms.ask_within / 4.0),
             ask_at: now,
             hosts: Vec::new(),
@@ -218,10 +222,12 @@
                 rate: 0.0,
                 window: (now, 0.0),
                 pace: 1.0,
+                crowd: 1.0,
                 failing: 0.0,
                 strikes: 0,
                 rests_until: f64::NEG_INFINITY,
                 mute: false,
+                full: false,
                 unreachable_since: None,
             });
             if m.since > host.fresh_since && m.since > 0.0 {
@@ -324,6 +330,7 @@
         if matches!(verdict, Completed | Error | Full | Miss) {
             host.answered_at = now;
             host.mute = false;
+            host.full = verdict == Full;
             if host.unreachable_since.take().is_some_and(|t| now - t > 1.0) {
                 // Back after a spell of no connections: most likely a restart the list has yet to tell.
                 host.fresh_since = host.fresh_since.max(now);
@@ -346,6 +353,8 @@
                 }
                 let ratio = took / kind.usual;
                 kind.usual += 0.03 * (took.min(4.0 * kind.usual) - kind.usual);
+                kind.base = kind.usual.min(kind.base + 0.0005 * (kind.usual - kind.base));
+                host.crowd += 0.12 * ((took / kind.base).min(10.0) - host.crowd);
                 let weight = if host.strikes > 0 { 0.5 } else { 0.12 };
                 host.pace += weight * (ratio.min(8.0) - host.pace);
                 host.failing *= 0.85;
@@ -359,7 +368,6 @@
                 }
             }
             Error | Reset => host.failing += 0.15 * (1.0 - host.failing),
-            Full => host.rests_until = host.rests_until.max(now + 0.05),
             Miss if !write && !self.stamped && need.is_finite() => host.stood = (need - 0.1, now),
             ConnectFailed => {
                 host.unreachable_since.get_or_insert(now);
@@ -367,7 +375,7 @@
             }
             _ => {}
         }
-        let sick = host.pace > SLOW || host.failing > 0.35 || matches!(verdict, ConnectFailed | Reset);
+        let sick = host.pace > SLOW || host.failing > 0.35 || matches!(verdict, ConnectFailed | Reset | Full);
         if sick && host.rests_until < now {
             host.strikes += 1;
             host.rests_until = now + 0.25 * f64::powi(2.0, host.strikes.min(4));
@@ -486,12 +494,14 @@
         let ran = s.executions.iter().any(|e| e.ended.is_some() && e.may_have_run);
         let stuck_write = k.effect == Effect::NonIdempotent && ran && open == 0;
         let worn = open == 0 && s.executions.len() >= self.most;
+        // What cannot come in time any more would only take the place of what can.
+        let spent = spent || (k.late_share == 0.0 && open == 0 && now > s.slo_at - 0.7 * k.usual);
         if now >= s.end - self.margin || (spent && k.effect == Effect::Idempotent) || stuck_write || worn {
             return self.answer(id);
         }
         let mut look = s.end - self.margin;
         if k.late_share == 0.0 && k.effect == Effect::Idempotent {
-            look = look.min(s.slo_at);
+            look = look.min(if open == 0 { s.slo_at - 0.7 * k.usual } else { s.slo_at });
         }
         let mut wants_copy = false;
         for e in s.executions.iter().filter(|e| e.ended.is_none()) {
@@ -619,8 +629,16 @@
         fits && h.group == s.group && self.sendable(h) && (self.share(index) >= 1.0 || h.credit >= 1.0)
     }
 
-    fn room(&self, h: &Host, share: f64) -> bool {
-        (h.open.len() as f64) < (h.rate * self.queue_time * share).max(3.0)
+    /// Rate x time. The time is what the SLO leaves for a queue, of the tightest workload that is worth as much,
+    /// but never under twice what the work takes alone, or a bound once small could not grow again.
+    fn room(&self, h: &Host, workload: usize, share: f64) -> bool {
+        let k = &self.kinds[workload];
+        let denser =
+            |o: &&Kind| o.importance * k.base >= k.importance * o.base && o.consistency != Consistency::Write;
+        let slo = self.kinds.iter().filter(denser).map(|o| o.slo).fold(k.slo, f64::min);
+        let slo = if k.consistency == Consistency::Write { k.slo } else { slo };
+        let time = (QUEUE * slo).max(2.0 * k.base);
+        (h.open.len() as f64) < (h.rate * time * share).max((4.0 / h.crowd).max(1.0))
     }
 
     fn pick(&mut self, id: u64) -> Option<usize> {
@@ -632,8 +650,8 @@
         if matches!(k.consistency, Consistency::Write | Consistency::Fresh) {
             if let Some(p) = primary {
                 let h = self.hosts[p].as_ref()?;
-                if self.sendable(h) && !(h.mute && h.rests_until > now) {
-                    return (self.room(h, 1.0) && self.lawful(s, p)).then_some(p);
+                if self.sendable(h) && !((h.mute || h.full) && h.rests_until > now) {
+                    return (self.room(h, s.workload, 1.0) && self.lawful(s, p)).then_some(p);
                 }
             } else if s.executions.len() < (self.most / 2).max(1) {
                 let fresh =
@@ -670,7 +688,7 @@
             if h.rests_until > now {
                 continue;
             }
-            if !self.room(h, 1.0) {
+            if !self.room(h, s.workload, 1.0) {
                 full = true;
                 continue;
             }
@@ -693,7 +711,7 @@
             let tried = s.executions.iter().any(|e| e.host == p && e.ended.is_none());
             let usable = !h.mute && !tried && self.lawful(s, p) && (self.checked || h.maybe_primary);
             let spare = if full { 0.5 } else { 0.8 };
-            if usable && self.room(h, spare) {
+            if usable && self.room(h, s.workload, spare) {
                 return Some(p);
             }
         } else {
@@ -765,11 +783,11 @@
     }
 }
 
-/// Completions a second, held at its recent best so that a lull does not shrink the bound.
+/// Completions a second, smoothed over about a second.
 fn roll(h: &mut Host, now: f64) {
     let span = now - h.window.0;
     if span >= 0.5 {
-        h.rate = (h.window.1 / span).max(h.rate * f64::powf(0.8, span / 0.5));
+        h.rate += (span / (span + 0.5)) * (h.window.1 / span - h.rate);
         h.window = (now, 0.0);
     }
 }
