Let a running read go on past its SLO time; second copies only from ill hosts

Guards also against any retry storm fed by late reads. Could harm where cancelled work is truly freed and clients do not retry.

--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -496,12 +496,12 @@
         let worn = open == 0 && s.executions.len() >= self.most;
         // What cannot come in time any more would only take the place of what can.
         let spent = spent || (k.late_share == 0.0 && open == 0 && now > s.slo_at - 0.7 * k.usual);
-        if now >= s.end - self.margin || (spent && k.effect == Effect::Idempotent) || stuck_write || worn {
+        if now >= s.end - self.margin || (spent && open == 0 && k.effect == Effect::Idempotent) || stuck_write || worn {
             return self.answer(id);
         }
         let mut look = s.end - self.margin;
-        if k.late_share == 0.0 && k.effect == Effect::Idempotent {
-            look = look.min(if open == 0 { s.slo_at - 0.7 * k.usual } else { s.slo_at });
+        if k.late_share == 0.0 && k.effect == Effect::Idempotent && open == 0 {
+            look = look.min(s.slo_at - 0.7 * k.usual);
         }
         let mut wants_copy = false;
         for e in s.executions.iter().filter(|e| e.ended.is_none()) {
@@ -517,7 +517,7 @@
                 self.groups[h.group].touched = true;
             }
             let hedge = e.sent + STUCK * k.usual;
-            wants_copy |= now >= hedge || h.mute;
+            wants_copy |= (now >= hedge && h.pace > 1.6) || h.mute;
             for at in [heard + patience, hedge] {
                 if at > now {
                     look = look.min(at);
