--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -96,6 +96,8 @@
     scope: DedupScope,
     window: f64,
     slo: f64,
+    timeout: f64,
+    longest_try: f64,
     importance: f64,
     late_share: f64,
     /// Usual seconds from send to answer, and the least they have been: what the work takes without a crowd.
@@ -128,6 +130,7 @@
     checked: bool,
     stamped: bool,
     remembered: bool,
+    marked: bool,
     ask_every: Option<f64>,
     ask_at: f64,
     hosts: Vec<Option<Host>>,
@@ -154,6 +157,8 @@
                 scope: w.scope,
                 window: w.window,
                 slo: w.slo,
+                timeout: w.timeout,
+                longest_try: 0.0,
                 importance: w.importance,
                 late_share: w.late_share,
                 usual: w.slo / 4.0,
@@ -176,6 +181,7 @@
             checked: terms.checked,
             stamped: terms.stamped,
             remembered: terms.tokens_remembered,
+            marked: terms.marked_retries,
             ask_every: terms.on_request.then_some(terms.ask_within / 4.0),
             ask_at: now,
             hosts: Vec::new(),
@@ -265,6 +271,11 @@
         while self.groups.len() <= a.group {
             self.groups.push(Group::default());
         }
+        let k = &mut self.kinds[a.workload];
+        k.longest_try = k.longest_try.max(a.time_left);
+        // A try shorter than the longest seen is a later one: its client has waited since the first already.
+        let elapsed =
+            if a.time_left < k.longest_try - 0.01 { (k.timeout - a.time_left).max(0.0) } else { 0.0 };
         let mut need = f64::NEG_INFINITY;
         if self.kinds[a.workload].consistency == Consistency::Session {
             if !self.remembered {
@@ -280,7 +291,7 @@
             workload: a.workload,
             group: a.group,
             need,
-            slo_at: now + self.kinds[a.workload].slo,
+            slo_at: now + self.kinds[a.workload].slo - elapsed,
             end: now + a.time_left,
             executions: Vec::new(),
             answered: false,
@@ -496,7 +507,11 @@
         let worn = open == 0 && s.executions.len() >= self.most;
         // What cannot come in time any more would only take the place of what can.
         let spent = spent || (k.late_share == 0.0 && open == 0 && now > s.slo_at - 0.7 * k.usual);
-        if now >= s.end - self.margin || (spent && open == 0 && k.effect == Effect::Idempotent) || stuck_write || worn {
+        if now >= s.end - self.margin
+            || (spent && open == 0 && k.effect == Effect::Idempotent)
+            || stuck_write
+            || worn
+        {
             return self.answer(id);
         }
         let mut look = s.end - self.margin;
--- a/crates/sandstile-policy/src/terms.rs
+++ b/crates/sandstile-policy/src/terms.rs
@@ -28,6 +28,8 @@
 #[derive(Clone, Debug)]
 pub struct Workload {
     pub slo: f64,
+    /// The statement timeout: the client's wait over all its tries.
+    pub timeout: f64,
     pub importance: f64,
     pub late_share: f64,
     pub effect: Effect,
@@ -59,6 +61,8 @@
     /// Every answer carries a position.
     pub stamped: bool,
     pub tokens_remembered: bool,
+    /// Clients flag their later tries.
+    pub marked_retries: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/sandstile-wirehost/src/instance.rs
+++ b/crates/sandstile-wirehost/src/instance.rs
@@ -71,6 +71,7 @@
             let deadline = seconds(&path("deadlineMs"), 1000.0)?;
             workloads.push(Workload {
                 slo: seconds(&path("aimMs"), deadline * 1000.0)?,
+                timeout: deadline,
                 importance: number(&path("credit"), 1.0)?,
                 late_share: number(&path("lateWorth"), 0.0)?,
                 effect: match word(&path("effect")) {
@@ -114,6 +115,7 @@
             cold_s: seconds("rules.coldMs", 0.0)?,
             checked: word("specifics.guards") != "off",
             stamped: yes("specifics.answersStamped", false),
+            marked_retries: yes("clients.marksRetry", false),
             tokens_remembered: word("specifics.tokens") == "router",
         };
         Ok(Hosted {
