--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -274,8 +274,8 @@
         let k = &mut self.kinds[a.workload];
         k.longest_try = k.longest_try.max(a.time_left);
         // A try shorter than the longest seen is a later one: its client has waited since the first already.
-        let elapsed =
-            if a.time_left < k.longest_try - 0.01 { (k.timeout - a.time_left).max(0.0) } else { 0.0 };
+        let later = (a.retry || !self.marked) && a.time_left < k.longest_try - 0.01;
+        let elapsed = if later { (k.timeout - a.time_left).max(0.0) } else { 0.0 };
         let mut need = f64::NEG_INFINITY;
         if self.kinds[a.workload].consistency == Consistency::Session {
             if !self.remembered {
