--- a/crates/sandstile-policy/src/terms.rs
+++ b/crates/sandstile-policy/src/terms.rs
@@ -1,4 +1,5 @@
-//! Plain types that pass between the decisions and whatever hosts them. Times are seconds.
+//! Plain types that pass between the decisions and whatever hosts them. Times are seconds on a
+//! clock that the host starts far above zero, so that 0 stands for long ago.
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
@@ -52,7 +53,6 @@
     pub max_return: f64,
     pub on_request: bool,
     pub ask_within: f64,
-    pub drain_grace: f64,
     pub drain_binds_alone: bool,
     pub cold_from: f64,
     pub cold_s: f64,
@@ -65,8 +65,9 @@
     pub marked_retries: bool,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Readiness {
+    #[default]
     Active,
     Draining,
     Gone,
@@ -122,6 +123,5 @@
     Recall { stmt: u64, execution: usize },
     Probe { host: usize },
     Subscribe,
-    Fetch,
     Log(String),
 }
--- /dev/null
+++ b/crates/sandstile-policy/tests/rules.rs
@@ -0,0 +1,178 @@
+//! Random runs that hold every decision against the rules, and a few plain cases.
+mod world;
+
+use quickcheck::{Gen, QuickCheck};
+use sandstile_policy::terms::*;
+use world::{terms, World, HOSTS};
+
+const VERDICTS: [Verdict; 9] = [
+    Verdict::Completed,
+    Verdict::Miss,
+    Verdict::Error,
+    Verdict::Full,
+    Verdict::TimedOut,
+    Verdict::ConnectFailed,
+    Verdict::Reset,
+    Verdict::Cancelled,
+    Verdict::Moot,
+];
+
+/// Each number is one input: arrivals, outcomes (late and doubled ones too), lists, probes, time.
+fn rules_hold(flags: u16, inputs: Vec<(u8, u16)>) -> bool {
+    let mut w = World::new(terms(flags));
+    for (what, n) in inputs {
+        let n = n as usize;
+        match what % 16 {
+            0..=4 => {
+                w.arrive(n % 5, 0.05 + (n % 90) as f64 / 100.0);
+            }
+            5..=10 => {
+                let sent: Vec<(u64, usize)> =
+                    w.open.iter().flat_map(|(id, o)| (0..o.sent.len()).map(|e| (*id, e))).collect();
+                if !sent.is_empty() {
+                    let (stmt, e) = sent[sent.len() - 1 - n % sent.len().min(12)];
+                    let verdict = VERDICTS[if n.is_multiple_of(3) { 0 } else { n / 3 % 9 }];
+                    w.end(
+                        stmt,
+                        e,
+                        verdict,
+                        [None, Some(true), Some(false)][n / 7 % 3],
+                        (n % 40) as f64 / 20.0,
+                    );
+                }
+            }
+            11 => {
+                let host = n % HOSTS;
+                w.list[host].readiness =
+                    [Readiness::Active, Readiness::Draining, Readiness::Gone, Readiness::Active][n / 5 % 4];
+                if n.is_multiple_of(11) {
+                    w.list[host].since = w.now;
+                    w.list[host].readiness = Readiness::Active;
+                }
+                w.relist();
+            }
+            12 => {
+                let position = w.terms.stamped.then_some(w.now - (n % 30) as f64 / 10.0);
+                if let Some(p) = position.filter(|_| !n.is_multiple_of(5)) {
+                    w.reached[n % HOSTS] = w.reached[n % HOSTS].max(p);
+                }
+                w.policy.probed(
+                    w.now,
+                    n % HOSTS,
+                    !n.is_multiple_of(5),
+                    Note { position, primary: Some(n.is_multiple_of(3)) },
+                );
+            }
+            13 => {
+                let id = w.open.keys().copied().nth(n % w.open.len().max(1));
+                if let Some(id) = id.filter(|_| n.is_multiple_of(4)) {
+                    w.policy.client_gone(w.now, id);
+                    w.open.get_mut(&id).expect("just found").over = true;
+                }
+            }
+            _ => w.step(0.005 * (n % 8) as f64),
+        }
+        w.step(0.005);
+    }
+    while w.open.values().any(|o| !o.over) {
+        w.step(0.005);
+    }
+    true
+}
+
+#[test]
+fn every_decision_of_a_random_run_keeps_the_rules() {
+    for seed in 0..4 {
+        QuickCheck::new()
+            .rng(Gen::from_size_and_seed(400, seed))
+            .tests(150)
+            .quickcheck(rules_hold as fn(u16, Vec<(u8, u16)>) -> bool);
+    }
+}
+
+#[test]
+fn reads_rotate_over_replicas_and_writes_go_to_the_primary() {
+    let mut w = World::new(terms(0b110_0111));
+    for _ in 0..4 {
+        w.arrive(0, 1.0);
+    }
+    let write = w.arrive(2, 1.0);
+    w.step(0.005);
+    assert_eq!(w.sends(), [(0, 0), (1, 1), (2, 3), (3, 4), (write, 2)]);
+}
+
+#[test]
+fn a_refused_read_moves_to_the_next_replica_and_at_last_to_the_primary() {
+    let mut w = World::new(terms(0b110_0111));
+    let read = w.arrive(1, 1.0);
+    for execution in 0..4 {
+        w.step(0.005);
+        w.end(read, execution, Verdict::Miss, Some(false), 2.0);
+    }
+    w.step(0.005);
+    let hosts: Vec<usize> = w.sends().iter().map(|s| s.1).collect();
+    assert_eq!(hosts, [0, 1, 3, 4, 2]);
+}
+
+#[test]
+fn a_write_that_may_have_run_is_aborted_at_once_and_never_resent() {
+    let mut w = World::new(terms(0b110_0111));
+    let write = w.arrive(2, 1.0);
+    w.step(0.005);
+    w.end(write, 0, Verdict::Error, Some(true), 0.0);
+    w.step(0.005);
+    assert!(w.decisions.contains(&Decision::Abort { stmt: write }));
+    assert_eq!(w.sends().len(), 1);
+}
+
+#[test]
+fn writes_are_held_after_half_their_executions_and_probes_find_the_new_primary() {
+    let mut w = World::new(terms(0b110_0111));
+    let write = w.arrive(2, 1.0);
+    for execution in 0..3 {
+        w.step(0.005);
+        w.end(write, execution, Verdict::Miss, Some(false), 0.0);
+    }
+    w.step(0.005);
+    assert_eq!(w.sends().len(), 3);
+    assert!(w.decisions.iter().any(|d| matches!(d, Decision::Probe { .. })));
+    w.policy.probed(w.now, 4, true, Note { position: None, primary: Some(true) });
+    w.step(0.02);
+    assert_eq!(w.sends().last(), Some(&(write, 4)));
+}
+
+#[test]
+fn a_mute_host_loses_its_reads_to_a_second_copy() {
+    let mut w = World::new(terms(0b110_0111));
+    let read = w.arrive(0, 1.0);
+    for _ in 0..66 {
+        w.step(0.005);
+    }
+    let hosts: Vec<usize> = w.sends().iter().map(|s| s.1).collect();
+    assert_eq!(hosts.len(), 2, "one copy of statement {read}");
+    assert_ne!(hosts[0], hosts[1]);
+}
+
+/// Cancelled at the SLO time, a read came back as a fresh try and its work was done anew.
+#[test]
+fn a_running_read_goes_on_past_its_slo_time() {
+    let mut w = World::new(terms(0b110_0111));
+    let read = w.arrive(0, 1.0);
+    for _ in 0..120 {
+        w.step(0.005);
+    }
+    assert!(!w.decisions.iter().any(|d| matches!(d, Decision::Reject { .. })));
+    w.end(read, 0, Verdict::Completed, Some(false), 0.0);
+    w.step(0.005);
+}
+
+/// Later tries that look fresh were served though nothing was left to earn.
+#[test]
+fn a_later_try_past_its_slo_time_is_rejected_at_once_and_named_a_time() {
+    let mut w = World::new(terms(0b110_0111));
+    w.arrive(0, 1.0);
+    w.step(0.005);
+    let later = w.arrive(0, 0.5);
+    w.step(0.005);
+    assert!(w.decisions.contains(&Decision::Reject { stmt: later, return_after: 0.5 }));
+}
--- /dev/null
+++ b/crates/sandstile-policy/tests/world/mod.rs
@@ -0,0 +1,240 @@
+//! One instance with random or scripted inputs, and the rules checked after every decision.
+use sandstile_policy::policy::Instance;
+use sandstile_policy::terms::*;
+use std::collections::BTreeMap;
+
+pub const START: f64 = 1e6;
+pub const HOSTS: usize = 5;
+
+pub struct Sent {
+    pub host: usize,
+    pub at: f64,
+    pub ended: Option<Verdict>,
+}
+
+pub struct Open {
+    pub arrival: Arrival,
+    pub at: f64,
+    pub need: f64,
+    pub sent: Vec<Sent>,
+    pub over: bool,
+}
+
+pub struct World {
+    pub now: f64,
+    pub terms: Terms,
+    pub policy: Instance,
+    pub list: Vec<Member>,
+    pub open: BTreeMap<u64, Open>,
+    pub reached: Vec<f64>,
+    pub ex_primary: Vec<bool>,
+    pub change_number: f64,
+    pub warm_sends: Vec<f64>,
+    pub cold_sends: Vec<f64>,
+    pub decisions: Vec<Decision>,
+    next: u64,
+}
+
+pub fn workload(consistency: Consistency, effect: Effect) -> Workload {
+    let scope = DedupScope::Zone;
+    let (slo, timeout, importance, late_share, window, bound) = (0.4, 1.0, 2.0, 0.0, 0.5, 0.8);
+    Workload { slo, timeout, importance, late_share, effect, scope, window, consistency, bound }
+}
+
+pub fn terms(flags: u16) -> Terms {
+    use Consistency::*;
+    let flag = |bit: u16| flags >> bit & 1 == 1;
+    Terms {
+        workloads: vec![
+            workload(Bounded, Effect::Idempotent),
+            workload(Session, Effect::Idempotent),
+            workload(Write, Effect::NonIdempotent),
+            workload(Write, Effect::Deduplicated),
+            workload(Any, Effect::Idempotent),
+        ],
+        tick: 0.005,
+        most_executions: 6,
+        second_copies: flag(0),
+        may_recall: flag(1),
+        may_probe: flag(2),
+        max_return: 0.5,
+        on_request: flag(3),
+        ask_within: 10.0,
+        drain_binds_alone: flag(4),
+        cold_from: 0.2,
+        cold_s: 10.0,
+        checked: flag(5),
+        stamped: flag(6),
+        tokens_remembered: flag(7),
+        marked_retries: flag(8),
+    }
+}
+
+impl World {
+    pub fn new(terms: Terms) -> Self {
+        let member = |host| Member {
+            host,
+            group: 0,
+            zone: host % 2,
+            primary: host == 2,
+            since: 0.0,
+            readiness: Readiness::Active,
+        };
+        let list: Vec<Member> = (0..HOSTS).map(member).collect();
+        let mut policy = Instance::new(&terms, 7, START);
+        policy.members(START, &list);
+        let mut ex_primary = vec![false; HOSTS];
+        ex_primary[2] = true;
+        World {
+            now: START,
+            terms,
+            policy,
+            list,
+            open: BTreeMap::new(),
+            reached: vec![0.0; HOSTS],
+            ex_primary,
+            change_number: 0.0,
+            warm_sends: vec![0.0; HOSTS],
+            cold_sends: vec![0.0; HOSTS],
+            decisions: Vec::new(),
+            next: 0,
+        }
+    }
+
+    pub fn arrive(&mut self, workload: usize, time_left: f64) -> u64 {
+        let arrival =
+            Arrival { workload, group: 0, session: Some(0), time_left, token_age: Some(0.3), retry: false };
+        let need = match self.terms.workloads[workload].consistency {
+            Consistency::Session if self.terms.tokens_remembered => self.change_number,
+            Consistency::Session => self.now - 0.3,
+            _ => 0.0,
+        };
+        self.policy.arrived(self.now, self.next, &arrival);
+        self.open.insert(self.next, Open { arrival, at: self.now, need, sent: Vec::new(), over: false });
+        self.next += 1;
+        self.next - 1
+    }
+
+    pub fn relist(&mut self) {
+        for m in &self.list {
+            if m.since > 0.0 && self.now - m.since < 0.001 {
+                (self.cold_sends[m.host], self.warm_sends[m.host]) = (0.0, 0.0);
+            }
+        }
+        self.policy.members(self.now, &self.list);
+    }
+
+    pub fn end(&mut self, stmt: u64, execution: usize, verdict: Verdict, primary: Option<bool>, lag: f64) {
+        let o = self.open.get_mut(&stmt).expect("a known statement");
+        let write = self.terms.workloads[o.arrival.workload].consistency == Consistency::Write;
+        let answered = matches!(verdict, Verdict::Completed | Verdict::Error | Verdict::Miss | Verdict::Full);
+        let position = (answered && self.terms.stamped).then_some(self.now - lag);
+        let note = Note { position, primary: primary.filter(|_| answered) };
+        let first = o.sent.get(execution).is_some_and(|s| s.ended.is_none());
+        if let Some(sent) = o.sent.get_mut(execution).filter(|_| first) {
+            sent.ended = Some(verdict);
+            if let (Some(p), false) = (position, write) {
+                self.reached[sent.host] = self.reached[sent.host].max(p);
+            }
+            if let (Some(p), true, Verdict::Completed) = (position, write, verdict) {
+                self.change_number = self.change_number.max(p);
+            }
+            if let Some(role) = note.primary {
+                self.ex_primary[sent.host] = role;
+            }
+        }
+        o.over |= verdict == Verdict::Completed && first;
+        let over = o.over;
+        self.policy.ended(self.now, stmt, execution, verdict, over, note);
+    }
+
+    /// Lets `seconds` pass and takes every decision, each held against the rules.
+    pub fn step(&mut self, seconds: f64) {
+        self.now += seconds;
+        self.policy.passed(self.now);
+        for count in 0.. {
+            assert!(count < 10_000, "decisions never end");
+            let Some(decision) = self.policy.decide() else { break };
+            self.check(&decision);
+            self.decisions.push(decision);
+        }
+        for (id, o) in &self.open {
+            let late = self.now >= o.at + o.arrival.time_left;
+            assert!(o.over || !late, "statement {id} had no final answer in time");
+        }
+    }
+
+    fn check(&mut self, decision: &Decision) {
+        match *decision {
+            Decision::Send { stmt, host, time_out } => {
+                let o = self.open.get_mut(&stmt).expect("a known statement");
+                let w = &self.terms.workloads[o.arrival.workload];
+                let m = &self.list[host];
+                assert!(!o.over, "sent after the final answer");
+                assert!(time_out > 0.0 && self.now + time_out <= o.at + o.arrival.time_left + 1e-9);
+                assert!(o.sent.len() < self.terms.most_executions, "too many executions");
+                let gone = self.terms.drain_binds_alone && m.readiness == Readiness::Gone;
+                assert!(m.readiness == Readiness::Active || gone, "sent to a draining or gone host");
+                for s in &o.sent {
+                    let ran = |v| {
+                        !matches!(v, Verdict::Full | Verdict::ConnectFailed | Verdict::Moot | Verdict::Miss)
+                    };
+                    let may_have_run = s.ended.is_none_or(ran);
+                    assert!(s.ended.is_some() || self.terms.second_copies, "two executions out at once");
+                    match w.effect {
+                        Effect::Idempotent => {}
+                        Effect::NonIdempotent => assert!(!may_have_run, "an effect may happen twice"),
+                        Effect::Deduplicated => {
+                            let near = self.list[s.host].zone == m.zone && self.now < s.at + w.window;
+                            assert!(!may_have_run || near, "resent outside its scope or window");
+                        }
+                    }
+                }
+                if !self.terms.checked && w.consistency != Consistency::Write && !self.ex_primary[host] {
+                    let need =
+                        if w.consistency == Consistency::Bounded { self.now - w.bound } else { o.need };
+                    assert!(self.reached[host] >= need, "a read may be answered stale");
+                }
+                if m.since > 0.0 && self.now < m.since + self.terms.cold_s {
+                    self.cold_sends[host] += 1.0;
+                    assert!(
+                        self.cold_sends[host] <= self.warm_sends[host],
+                        "a cold host got more than its peers"
+                    );
+                } else {
+                    self.warm_sends.iter_mut().for_each(|n| *n += 1.0);
+                }
+                o.sent.push(Sent { host, at: self.now, ended: None });
+            }
+            Decision::Reject { stmt, .. } | Decision::Abort { stmt } => {
+                let o = self.open.get_mut(&stmt).expect("a known statement");
+                assert!(!o.over, "a second final answer");
+                o.over = true;
+                let ran =
+                    |v| !matches!(v, Verdict::Full | Verdict::ConnectFailed | Verdict::Moot | Verdict::Miss);
+                let may_have_run = o.sent.iter().any(|s| s.ended.is_none_or(ran));
+                let effect = self.terms.workloads[o.arrival.workload].effect;
+                if matches!(decision, Decision::Reject { .. }) && effect != Effect::Idempotent {
+                    assert!(!may_have_run, "a rejection where an execution may have run");
+                }
+            }
+            Decision::Recall { stmt, execution } => {
+                assert!(self.terms.may_recall && execution < self.open[&stmt].sent.len());
+            }
+            Decision::Probe { host } => {
+                let told = self.list[host].readiness;
+                assert!(self.terms.may_probe && (told == Readiness::Active || self.terms.drain_binds_alone));
+            }
+            Decision::Subscribe => assert!(self.terms.on_request),
+            Decision::Log(_) => {}
+        }
+    }
+
+    pub fn sends(&self) -> Vec<(u64, usize)> {
+        let send = |d: &Decision| match d {
+            Decision::Send { stmt, host, .. } => Some((*stmt, *host)),
+            _ => None,
+        };
+        self.decisions.iter().filter_map(send).collect()
+    }
+}
--- a/crates/sandstile-wirehost/src/instance.rs
+++ b/crates/sandstile-wirehost/src/instance.rs
@@ -5,6 +5,9 @@
 use std::collections::{BTreeMap, HashMap};
 use std::io::{self, Write};
 
+/// The wire's clock may begin at any value; the decisions' clock starts far above zero.
+pub const EPOCH: f64 = 1e6;
+
 /// Indices for ids, in the order in which they were first seen.
 #[derive(Default)]
 struct Names {
@@ -23,11 +26,6 @@
     }
 }
 
-struct Open {
-    call: String,
-    session: Option<usize>,
-}
-
 pub struct Hosted {
     policy: Instance,
     workloads: HashMap<String, usize>,
@@ -38,7 +36,7 @@
     sessions: Names,
     list: BTreeMap<String, Member>,
     calls: HashMap<String, u64>,
-    open: HashMap<u64, Open>,
+    open: HashMap<u64, String>,
     next: u64,
     /// Statements that may be over once the decisions of this batch are out.
     ending: Vec<u64>,
@@ -109,7 +107,6 @@
             },
             on_request: word("discovery") == "on_request",
             ask_within: seconds("rules.askWithinMs", 10_000.0)?,
-            drain_grace: seconds("rules.drainGraceMs", 0.0)?,
             drain_binds_alone: yes("rules.drainBindsAlone", false),
             cold_from: number("rules.coldFrom", 1.0)?,
             cold_s: seconds("rules.coldMs", 0.0)?,
@@ -121,7 +118,7 @@
         Ok(Hosted {
             policy: Instance::new(&terms, seed, now),
             workloads: index,
-            base: seconds("specifics.baseTimeMs", 0.0)?,
+            base: EPOCH + seconds("specifics.baseTimeMs", 0.0)?,
             hosts: Names::default(),
             zones: Names::default(),
             groups: Names::default(),
@@ -178,7 +175,7 @@
                 let stmt = self.next;
                 self.next += 1;
                 self.calls.insert(call.to_string(), stmt);
-                self.open.insert(stmt, Open { call: call.to_string(), session });
+                self.open.insert(stmt, call.to_string());
                 let arrival = Arrival { workload, group, session, time_left, token_age: token, retry };
                 self.policy.arrived(now, stmt, &arrival);
             }
@@ -208,10 +205,9 @@
                     _ => None,
                 };
                 if let Some(&stmt) = self.calls.get(call) {
-                    let session = self.open.get(&stmt).and_then(|o| o.session);
                     let note = Note { position, primary };
                     self.ending.push(stmt);
-                    self.policy.ended(now, stmt, execution, verdict, over, note, session);
+                    self.policy.ended(now, stmt, execution, verdict, over, note);
                 }
             }
             "VANISHED" => {
@@ -264,7 +260,7 @@
                 group: self.groups.of(&line.group.to_string()),
                 zone: self.zones.of(&line.zone),
                 primary: line.primary,
-                since: line.since,
+                since: if line.since > 0.0 { EPOCH + line.since } else { 0.0 },
                 readiness: match line.readiness.as_str() {
                     "active" => Readiness::Active,
                     "leaving" => Readiness::Draining,
@@ -282,30 +278,29 @@
         while let Some(decision) = self.policy.decide() {
             match decision {
                 Decision::Send { stmt, host, time_out } => {
-                    let (call, host) = (&self.open[&stmt].call, &self.hosts.names[host]);
+                    let (call, host) = (&self.open[&stmt], &self.hosts.names[host]);
                     writeln!(out, "ISSUE {who} {call} {host} {:.3}", time_out * 1000.0)?;
                 }
                 Decision::Reject { stmt, return_after } => {
                     self.ending.push(stmt);
-                    writeln!(out, "TURN_AWAY {who} {} {:.3}", self.open[&stmt].call, return_after * 1000.0)?
+                    writeln!(out, "TURN_AWAY {who} {} {:.3}", self.open[&stmt], return_after * 1000.0)?
                 }
                 Decision::Abort { stmt } => {
                     self.ending.push(stmt);
-                    writeln!(out, "END_FAILED {who} {}", self.open[&stmt].call)?
+                    writeln!(out, "END_FAILED {who} {}", self.open[&stmt])?
                 }
                 Decision::Recall { stmt, execution } => {
-                    writeln!(out, "RECALL {who} {} {execution}", self.open[&stmt].call)?
+                    writeln!(out, "RECALL {who} {} {execution}", self.open[&stmt])?
                 }
                 Decision::Probe { host } => writeln!(out, "PING {who} {}", self.hosts.names[host])?,
                 Decision::Subscribe => writeln!(out, "KEEP_INFORMED {who} 1")?,
-                Decision::Fetch => writeln!(out, "RELOAD {who}")?,
                 Decision::Log(line) => writeln!(out, "EMIT {who} {line}")?,
             }
         }
         for stmt in self.ending.drain(..) {
             if !self.policy.holds(stmt) {
-                if let Some(open) = self.open.remove(&stmt) {
-                    self.calls.remove(&open.call);
+                if let Some(call) = self.open.remove(&stmt) {
+                    self.calls.remove(&call);
                 }
             }
         }
--- a/crates/sandstile-wirehost/src/main.rs
+++ b/crates/sandstile-wirehost/src/main.rs
@@ -3,7 +3,7 @@
 mod instance;
 mod wire;
 
-use instance::Hosted;
+use instance::{Hosted, EPOCH};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufWriter, Write};
 use std::process::ExitCode;
@@ -32,7 +32,7 @@
         let name = fields.text("a message name")?;
         let Some(clock) = now else {
             if name == "SYNC" {
-                now = Some(fields.seconds("the clock")?);
+                now = Some(EPOCH + fields.seconds("the clock")?);
                 continue;
             }
             if name.is_empty() {
