Count a withdrawn execution as in flight until a later one is answered

Also guards against time-outs on hosts that go on working. Could leave room unused for a moment where a withdrawal does stop the work.

--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -67,6 +67,8 @@
     stood: (f64, f64),
     reached: f64,
     open: Vec<(f64, u64)>,
+    /// Withdrawn or timed out, yet perhaps still queued or running there: when sent, and till when counted.
+    ghosts: Vec<(f64, f64)>,
     answered_at: f64,
     rate: f64,
     window: (f64, f64),
@@ -311,6 +313,7 @@
                 kind.base = kind.usual.min(kind.base + 0.0005 * (kind.usual - kind.base));
                 host.crowd += 0.12 * ((took / kind.base).min(10.0) - host.crowd);
                 host.pace += if host.strikes > 0 { 0.5 } else { 0.12 } * (ratio.min(8.0) - host.pace);
+                host.ghosts.retain(|g| g.0 > sent);
                 host.failing *= 0.85;
                 if host.pace < SLOW {
                     host.strikes = 0;
@@ -321,6 +324,8 @@
                     host.reached = host.reached.max(need);
                 }
             }
+            // A withdrawal may stop nothing: freeing its place at once would let a crowd of leaving clients fill hosts.
+            TimedOut | Cancelled => host.ghosts.push((sent, now + STUCK * kind.usual)),
             Error | Reset => host.failing += 0.15 * (1.0 - host.failing),
             Miss if !write && !self.stamped => host.stood = (need - 0.1, now),
             ConnectFailed => {
@@ -585,7 +590,8 @@
         };
         let slo = self.kinds.iter().filter(denser).map(|o| o.slo).fold(k.slo, f64::min);
         let time = (QUEUE * slo).max(2.0 * k.base);
-        (h.open.len() as f64) < (h.rate * time * share).max((4.0 / h.crowd).max(1.0))
+        let held = h.open.len() + h.ghosts.iter().filter(|g| g.1 > self.now).count();
+        (held as f64) < (h.rate * time * share).max((4.0 / h.crowd).max(1.0))
     }
 
     fn pick(&mut self, id: u64) -> Option<usize> {
@@ -709,6 +715,7 @@
 fn roll(h: &mut Host, now: f64) {
     let span = now - h.window.0;
     if span >= 0.5 {
+        h.ghosts.retain(|g| g.1 > now);
         h.rate += (span / (span + 0.5)) * (h.window.1 / span - h.rate);
         h.window = (now, 0.0);
     }
