--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -43,7 +43,6 @@
     session: Option<usize>,
     /// The position that a session read must reach; 0 where any will do.
     need: f64,
-    arrived: f64,
     slo_at: f64,
     end: f64,
     executions: Vec<Execution>,
@@ -120,8 +119,6 @@
     slo: f64,
     timeout: f64,
     longest_try: f64,
-    /// How long clients are seen to stay, the SLO time at most.
-    stays: f64,
     importance: f64,
     late_share: f64,
     /// Usual seconds from send to answer, and the least they have been: what the work takes without a crowd.
@@ -172,7 +169,6 @@
             slo: w.slo,
             timeout: w.timeout,
             longest_try: 0.0,
-            stays: w.slo,
             importance: w.importance,
             late_share: w.late_share,
             usual: w.slo / 4.0,
@@ -266,7 +262,6 @@
             group: a.group,
             session: a.session,
             need,
-            arrived: now,
             slo_at: now + k.slo - elapsed,
             end: now + a.time_left,
             executions: Vec::new(),
@@ -281,11 +276,6 @@
     pub fn client_gone(&mut self, now: f64, stmt: u64) {
         self.now = now;
         if let Some(s) = self.statements.get_mut(&stmt) {
-            let k = &mut self.kinds[s.workload];
-            if !s.answered && now < s.end - self.margin {
-                // Clients that leave early and ask again would fill the hosts with work that nobody waits for.
-                k.stays += 0.05 * ((now - s.arrived).min(k.slo) - k.stays);
-            }
             s.answered = true;
             self.due.push_back(stmt);
         }
@@ -318,7 +308,6 @@
         match verdict {
             Completed => {
                 let took = now - sent;
-                kind.stays += 0.005 * (kind.slo - kind.stays);
                 let ratio = took / kind.usual;
                 kind.usual += 0.03 * (took.min(4.0 * kind.usual) - kind.usual);
                 kind.base = kind.usual.min(kind.base + 0.0005 * (kind.usual - kind.base));
@@ -599,7 +588,7 @@
         let denser = |o: &&Kind| {
             !write && o.consistency != Consistency::Write && o.importance * k.base >= k.importance * o.base
         };
-        let slo = self.kinds.iter().filter(denser).map(|o| o.stays).fold(k.stays, f64::min);
+        let slo = self.kinds.iter().filter(denser).map(|o| o.slo).fold(k.slo, f64::min);
         let time = (QUEUE * slo).max(2.0 * k.base);
         let held = h.open.len() + h.ghosts.iter().filter(|g| g.1 > self.now).count();
         (held as f64) < (h.rate * time * share).max((4.0 / h.crowd).max(1.0))
