Share the starting bound among the routers; only answers deny a primary

Now a dozen in all, one to four each. Could slow a lone busy router among many for its first half second.

--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -62,7 +62,6 @@
     /// Has been named primary, and no answer has denied it since.
     maybe_primary: bool,
     denied_at: f64,
-    claimed_at: f64,
     /// It stood no further than `.0` at the time `.1`; and it has surely come to `reached`.
     stood: (f64, f64),
     reached: f64,
@@ -96,6 +95,16 @@
     fn resting(&self, now: f64) -> bool {
         self.rests_until > now
     }
+
+    /// Completions a second, smoothed over about a second.
+    fn roll(&mut self, now: f64) {
+        let span = now - self.window.0;
+        if span >= 0.5 {
+            self.ghosts.retain(|g| g.1 > now);
+            self.rate += (span / (span + 0.5)) * (self.window.1 / span - self.rate);
+            self.window = (now, 0.0);
+        }
+    }
 }
 
 #[derive(Clone, Default)]
@@ -131,6 +140,7 @@
     chance: Rand32,
     kinds: Vec<Kind>,
     margin: f64,
+    floor: f64,
     most: usize,
     copies: bool,
     may_recall: bool,
@@ -178,6 +188,8 @@
             now,
             chance: Rand32::new(seed),
             kinds: terms.workloads.iter().map(kind).collect(),
+            // What a host may hold for an instance that has yet to measure: a dozen in all.
+            floor: (12.0 / terms.routers.max(1) as f64).clamp(1.0, 4.0),
             margin: 1.5 * terms.tick + 0.001,
             most: terms.most_executions.max(1),
             copies: terms.second_copies,
@@ -225,8 +237,8 @@
             host.maybe_primary |= m.primary && host.denied_at == 0.0;
             let denied = host.denied_at > now - 5.0;
             let group = self.group(m.group);
-            group.members.push(m.host);
             group.touched = true;
+            group.members.push(m.host);
             // The list speaks late: it fills a gap, and never overrules what an answer has said.
             if m.primary && !denied && group.primary.is_none_or(|p| self.hosts[p].mute) {
                 self.groups[m.group].primary = Some(m.host);
@@ -318,7 +330,7 @@
                 if host.pace < SLOW {
                     host.strikes = 0;
                 }
-                roll(host, now);
+                host.roll(now);
                 host.window.1 += 1.0;
                 if self.checked {
                     host.reached = host.reached.max(need);
@@ -462,10 +474,7 @@
         if now >= s.end - self.margin || (spent && now > worth_until) || no_more {
             return Some(self.answer(id));
         }
-        let mut look = s.end - self.margin;
-        if spent {
-            look = look.min(worth_until);
-        }
+        let mut look = if spent { worth_until.min(s.end - self.margin) } else { s.end - self.margin };
         let patience = (STUCK * k.usual).clamp(REST, 4.0 * REST);
         let mut ill = false;
         for e in s.executions.iter().filter(|e| e.ended.is_none()) {
@@ -548,7 +557,7 @@
         if h.strikes > 0 {
             h.rest(now);
         }
-        roll(h, now);
+        h.roll(now);
         Decision::Send { stmt: id, host: index, time_out }
     }
 
@@ -591,7 +600,7 @@
         let slo = self.kinds.iter().filter(denser).map(|o| o.slo).fold(k.slo, f64::min);
         let time = (QUEUE * slo).max(2.0 * k.base);
         let held = h.open.len() + h.ghosts.iter().filter(|g| g.1 > self.now).count();
-        (held as f64) < (h.rate * time * share).max((4.0 / h.crowd).max(1.0))
+        (held as f64) < (h.rate * time * share).max((self.floor / h.crowd).max(1.0))
     }
 
     fn pick(&mut self, id: u64) -> Option<usize> {
@@ -619,10 +628,7 @@
             self.seek(s.group);
             return None;
         }
-        let least = match k.consistency {
-            Consistency::Bounded => now - k.bound,
-            _ => s.need,
-        };
+        let least = if k.consistency == Consistency::Bounded { now - k.bound } else { s.need };
         let n = g.members.len();
         let last = s.executions.len() + 1 >= self.most;
         let (mut behind, mut best, mut full) = (None, 0.0, false);
@@ -684,7 +690,6 @@
         let (group, mute) = (h.group, h.mute);
         let current = self.groups[group].primary;
         if primary && (answer || h.denied_at < now - 1.0) {
-            h.claimed_at = now;
             h.maybe_primary |= answer;
             let trusted = current.is_some_and(|c| !self.hosts[c].mute && self.sendable(&self.hosts[c]));
             if current != Some(index) && (answer || !(trusted || mute)) {
@@ -692,10 +697,8 @@
                 self.groups[group].touched = true;
                 self.log(format!("group {group}: primary is now host {index}"));
             }
-        } else if !primary && (answer || h.claimed_at < now - 1.0) {
-            if answer {
-                (h.denied_at, h.maybe_primary) = (now, false);
-            }
+        } else if !primary && answer {
+            (h.denied_at, h.maybe_primary) = (now, false);
             if current == Some(index) {
                 self.groups[group].primary = None;
                 self.groups[group].touched = true;
@@ -710,13 +713,3 @@
         }
     }
 }
-
-/// Completions a second, smoothed over about a second.
-fn roll(h: &mut Host, now: f64) {
-    let span = now - h.window.0;
-    if span >= 0.5 {
-        h.ghosts.retain(|g| g.1 > now);
-        h.rate += (span / (span + 0.5)) * (h.window.1 / span - h.rate);
-        h.window = (now, 0.0);
-    }
-}
--- a/crates/sandstile-policy/src/terms.rs
+++ b/crates/sandstile-policy/src/terms.rs
@@ -45,6 +45,8 @@
 pub struct Terms {
     pub workloads: Vec<Workload>,
     pub tick: f64,
+    /// Instances that share the database hosts, this one among them.
+    pub routers: usize,
     pub most_executions: usize,
     pub second_copies: bool,
     pub may_recall: bool,
--- a/crates/sandstile-policy/tests/world/mod.rs
+++ b/crates/sandstile-policy/tests/world/mod.rs
@@ -53,6 +53,7 @@
             workload(Any, Effect::Idempotent),
         ],
         tick: 0.005,
+        routers: 3,
         most_executions: 6,
         second_copies: flag(0),
         may_recall: flag(1),
--- a/crates/sandstile-wirehost/src/instance.rs
+++ b/crates/sandstile-wirehost/src/instance.rs
@@ -97,6 +97,7 @@
         let terms = Terms {
             workloads,
             tick,
+            routers: number("peersTotal", 1.0)? as usize,
             most_executions: number("allowed.mostTries", 1.0)? as usize,
             second_copies: yes("allowed.secondCopies", false),
             may_recall: yes("allowed.mayCancel", false),
