--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -336,7 +336,7 @@
                     host.reached = host.reached.max(need);
                 }
             }
-            // A withdrawal may stop nothing: freeing its place at once would let a crowd of leaving clients fill hosts.
+            // A withdrawal may stop nothing: if it freed its place at once, leaving clients would fill the hosts.
             TimedOut | Cancelled => host.ghosts.push((sent, now + STUCK * kind.usual)),
             Error | Reset => host.failing += 0.15 * (1.0 - host.failing),
             Miss if !write && !self.stamped => host.stood = (need - 0.1, now),
