--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -598,7 +598,7 @@
             !write && o.consistency != Consistency::Write && o.importance * k.base >= k.importance * o.base
         };
         let slo = self.kinds.iter().filter(denser).map(|o| o.slo).fold(k.slo, f64::min);
-        let time = (QUEUE * slo).max(2.0 * k.base);
+        let time = (QUEUE * slo).max(1.5 * k.base);
         let held = h.open.len() + h.ghosts.iter().filter(|g| g.1 > self.now).count();
         (held as f64) < (h.rate * time * share).max((self.floor / h.crowd).max(1.0))
     }
