--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -417,7 +417,8 @@
             }
             let mut order = std::mem::take(&mut self.groups[g].waiting);
             order.retain(|id| self.statements.get(id).is_some_and(|s| s.waiting && !s.answered));
-            order.sort_by(|a, b| self.density(*b).total_cmp(&self.density(*a)).then(a.cmp(b)));
+            // The newest first among equals: in a crowd the oldest would be sent just too late to be in time.
+            order.sort_by(|a, b| self.density(*b).total_cmp(&self.density(*a)).then(b.cmp(a)));
             self.groups[g].waiting = order.clone();
             if let Some(decision) = order.into_iter().find_map(|stmt| self.consider(stmt)) {
                 self.groups[g].touched = true;
