--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -230,8 +230,7 @@
             (host.group, host.zone, host.listed) = (m.group, m.zone, m.readiness);
             if m.since > host.fresh_since {
                 // A machine that replaces another is behind by seconds and cold, whatever it answers first.
-                (host.fresh_since, host.credit) = (m.since, 0.0);
-                (host.seen_draining, host.mute) = (false, false);
+                (host.fresh_since, host.credit, host.seen_draining, host.mute) = (m.since, 0.0, false, false);
             }
             host.seen_draining |= m.readiness == Readiness::Draining;
             host.maybe_primary |= m.primary && host.denied_at == 0.0;
@@ -278,11 +277,14 @@
             end: now + a.time_left,
             executions: Vec::new(),
             answered: false,
-            waiting: false,
+            waiting: true,
             retry: a.retry,
         };
         self.statements.insert(stmt, s);
-        self.due.push_back(stmt);
+        // Through the waiting ones, or a fresh statement would take the place of one worth more.
+        let group = self.group(a.group);
+        group.waiting.push(stmt);
+        group.touched = true;
     }
 
     pub fn client_gone(&mut self, now: f64, stmt: u64) {
@@ -307,9 +309,7 @@
         let write = kind.consistency == Consistency::Write;
         let need = if kind.consistency == Consistency::Bounded { sent - kind.bound } else { s.need };
         let host = &mut self.hosts[index];
-        if let Some(at) = host.open.iter().position(|o| *o == (sent, stmt)) {
-            host.open.remove(at);
-        }
+        host.open.retain(|o| *o != (sent, stmt));
         if matches!(verdict, Completed | Error | Full | Miss) {
             (host.answered_at, host.mute, host.full) = (now, false, verdict == Full);
             if host.unreachable_since.take().is_some_and(|t| now - t > 1.0) {
@@ -332,9 +332,7 @@
                 }
                 host.roll(now);
                 host.window.1 += 1.0;
-                if self.checked {
-                    host.reached = host.reached.max(need);
-                }
+                host.reached = host.reached.max(if self.checked { need } else { 0.0 });
             }
             // A withdrawal may stop nothing: if it freed its place at once, leaving clients would fill the hosts.
             TimedOut | Cancelled => host.ghosts.push((sent, now + STUCK * kind.usual)),
--- a/crates/sandstile-policy/tests/rules.rs
+++ b/crates/sandstile-policy/tests/rules.rs
@@ -95,6 +95,7 @@
     let mut w = World::new(terms(0b110_0111));
     for _ in 0..4 {
         w.arrive(0, 1.0);
+        w.step(0.005);
     }
     let write = w.arrive(2, 1.0);
     w.step(0.005);
@@ -176,3 +177,37 @@
     w.step(0.005);
     assert!(w.decisions.contains(&Decision::Reject { stmt: later, return_after: 0.5 }));
 }
+
+/// Withdrawn executions freed their places on hosts that went on working, and the hosts filled up.
+#[test]
+fn a_withdrawn_execution_keeps_its_place_until_a_later_one_is_answered() {
+    let mut w = World::new(terms(0b110_0111));
+    let reads: Vec<u64> = (0..16).map(|_| w.arrive(4, 1.0)).collect();
+    w.step(0.005);
+    assert_eq!(w.sends().len(), 16, "four on each of four replicas");
+    for stmt in reads {
+        w.policy.client_gone(w.now, stmt);
+        w.open.get_mut(&stmt).expect("arrived").over = true;
+        w.end(stmt, 0, Verdict::Cancelled, None, 0.0);
+    }
+    w.arrive(4, 1.0);
+    w.step(0.005);
+    let to_replicas = w.sends()[16..].iter().filter(|s| s.1 != 2).count();
+    assert_eq!(to_replicas, 0);
+}
+
+/// Oldest first, each waiting read was sent just before its time was over, and all came late.
+#[test]
+fn the_newest_of_equal_waiting_reads_goes_first() {
+    let mut w = World::new(terms(0b110_0111));
+    let first: Vec<u64> = (0..30).map(|_| w.arrive(4, 1.0)).collect();
+    w.step(0.005);
+    let newest = w.arrive(4, 1.0);
+    w.step(0.005);
+    let sent = w.sends().len();
+    let (stmt, _) = w.sends()[0];
+    assert_eq!(stmt, first[29]);
+    w.end(stmt, 0, Verdict::Completed, Some(false), 0.0);
+    w.step(0.005);
+    assert_eq!(w.sends()[sent].0, newest);
+}
