Judge a host's silence by its rate of answers too

Hung hosts with much traffic are found in 6 answers' time in place of three usual times. Could call a pausing host mute for the length of the pause.

--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -474,11 +474,12 @@
             return Some(self.answer(id));
         }
         let mut look = if spent { worth_until.min(s.end - self.margin) } else { s.end - self.margin };
-        let patience = (STUCK * k.usual).clamp(REST, 4.0 * REST);
         let mut ill = false;
         for e in s.executions.iter().filter(|e| e.ended.is_none()) {
             let h = &mut self.hosts[e.host];
             let heard = h.open.first().map_or(now, |o| o.0).max(h.answered_at);
+            // So long a silence would be a rare chance at the rate at which the host has answered.
+            let patience = (STUCK * k.usual).min(6.0 / h.rate).clamp(0.5 * REST, 4.0 * REST);
             if now - heard >= patience && !h.mute {
                 // Guards against a host that takes statements and answers none, whatever the list says of it.
                 h.mute = true;
