--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -23,7 +23,7 @@
 /// A host this many times slower than its peers rests, and from two thirds of it its reads get second copies.
 const SLOW: f64 = 2.2;
 /// Share of an SLO time that may pass before an answer, as the bound on what is in flight has it.
-const QUEUE: f64 = 0.5;
+const QUEUE: f64 = 0.35;
 /// Second copies as a share of sends.
 const COPIES: f64 = 0.06;
 /// The first rest of a sick host; it doubles with each further strike, four times at most.
@@ -34,6 +34,7 @@
     sent: f64,
     ended: Option<f64>,
     may_have_run: bool,
+    /// Withdrawn already, or not to be.
     recalled: bool,
 }
 
@@ -74,6 +75,8 @@
     /// Time to answer against what is usual now (`pace`) and against an idle fleet (`crowd`).
     pace: f64,
     crowd: f64,
+    /// The least `crowd` has been: a slower machine needs more time for the same work.
+    bare: f64,
     failing: f64,
     strikes: i32,
     rests_until: f64,
@@ -89,11 +92,7 @@
     }
 
     fn rest(&mut self, now: f64) {
-        self.rests_until = now + REST * f64::powi(2.0, self.strikes.min(4));
-    }
-
-    fn resting(&self, now: f64) -> bool {
-        self.rests_until > now
+        self.rests_until = now + REST * (f64::powi(2.0, self.strikes.min(4)) - 1.0);
     }
 
     /// Completions a second, smoothed over about a second.
@@ -135,6 +134,16 @@
     base: f64,
 }
 
+impl Kind {
+    fn writes(&self) -> bool {
+        self.consistency == Consistency::Write
+    }
+
+    fn density(&self) -> f64 {
+        self.importance / self.base
+    }
+}
+
 pub struct Instance {
     now: f64,
     chance: Rand32,
@@ -224,7 +233,7 @@
         self.groups.iter_mut().for_each(|g| g.members.clear());
         for m in list {
             if self.hosts.len() <= m.host {
-                self.hosts.resize(m.host + 1, Host { pace: 1.0, crowd: 1.0, ..Host::default() });
+                self.hosts.resize(m.host + 1, Host { pace: 1.0, crowd: 1.0, bare: 1.0, ..Host::default() });
             }
             let host = &mut self.hosts[m.host];
             (host.group, host.zone, host.listed) = (m.group, m.zone, m.readiness);
@@ -306,7 +315,7 @@
         e.may_have_run = !matches!(verdict, Full | ConnectFailed | Moot | Miss);
         let (index, sent, group) = (e.host, e.sent, s.group);
         let kind = &mut self.kinds[s.workload];
-        let write = kind.consistency == Consistency::Write;
+        let write = kind.writes();
         let need = if kind.consistency == Consistency::Bounded { sent - kind.bound } else { s.need };
         let host = &mut self.hosts[index];
         host.open.retain(|o| *o != (sent, stmt));
@@ -324,6 +333,7 @@
                 kind.usual += 0.03 * (took.min(4.0 * kind.usual) - kind.usual);
                 kind.base = kind.usual.min(kind.base + 0.0005 * (kind.usual - kind.base));
                 host.crowd += 0.12 * ((took / kind.base).min(10.0) - host.crowd);
+                host.bare = host.crowd.min(host.bare + 0.002 * (host.crowd - host.bare));
                 host.pace += if host.strikes > 0 { 0.5 } else { 0.12 } * (ratio.min(8.0) - host.pace);
                 host.ghosts.retain(|g| g.0 > sent);
                 host.failing *= 0.85;
@@ -339,13 +349,12 @@
             Error | Reset => host.failing += 0.15 * (1.0 - host.failing),
             Miss if !write && !self.stamped => host.stood = (need - 0.1, now),
             ConnectFailed => {
-                host.unreachable_since.get_or_insert(now);
-                host.mute = true;
+                (host.mute, host.unreachable_since) = (true, host.unreachable_since.or(Some(now)));
             }
             _ => {}
         }
         let sick = host.pace > SLOW || host.failing > 0.35 || matches!(verdict, ConnectFailed | Reset | Full);
-        if sick && !host.resting(now) {
+        if sick && host.rests_until <= now {
             host.strike(now);
         }
         let group = &mut self.groups[group];
@@ -393,8 +402,8 @@
 
     pub fn wake_at(&self) -> Option<f64> {
         let look = self.looks.peek().map_or(f64::INFINITY, |Reverse((t, _))| f64::from_bits(*t));
-        let scan =
-            if self.groups.iter().any(|g| !g.waiting.is_empty()) { self.now + 0.01 } else { f64::INFINITY };
+        let waits = self.groups.iter().any(|g| !g.waiting.is_empty());
+        let scan = if waits { self.now + 0.01 } else { f64::INFINITY };
         Some(look.min(scan).min(self.ask_at)).filter(|at| at.is_finite())
     }
 
@@ -451,9 +460,7 @@
         let s = self.statements.get_mut(&id)?;
         let open = s.executions.iter().filter(|e| e.ended.is_none()).count();
         if s.answered {
-            if let Some(i) =
-                s.executions.iter().position(|e| e.ended.is_none() && !e.recalled && self.may_recall)
-            {
+            if let Some(i) = s.executions.iter().position(|e| e.ended.is_none() && !e.recalled) {
                 s.executions[i].recalled = true;
                 return Some(Decision::Recall { stmt: id, execution: i });
             }
@@ -495,10 +502,7 @@
         let copy = ill && in_time && open == 1 && k.effect == Effect::Idempotent && self.copy_budget >= 1.0;
         let wanted = (open == 0 || (copy && self.copies)) && s.executions.len() < self.most;
         self.looks.push(Reverse((look.max(now + 0.002).to_bits(), id)));
-        if !wanted {
-            return None;
-        }
-        if let Some(host) = self.pick(id) {
+        if let Some(host) = wanted.then(|| self.pick(id)).flatten() {
             self.copy_budget -= if open > 0 { 1.0 } else { 0.0 };
             return Some(self.send(id, host));
         }
@@ -532,13 +536,8 @@
         let now = self.now;
         let s = self.statements.get_mut(&id).expect("a statement under consideration");
         s.waiting = false;
-        s.executions.push(Execution {
-            host: index,
-            sent: now,
-            ended: None,
-            may_have_run: true,
-            recalled: false,
-        });
+        let recalled = !self.may_recall;
+        s.executions.push(Execution { host: index, sent: now, ended: None, may_have_run: true, recalled });
         let (group, time_out) = (s.group, s.end - now);
         self.copy_budget = (self.copy_budget + COPIES).min(4.0);
         if self.share(index) >= 1.0 {
@@ -568,8 +567,7 @@
     }
 
     fn sendable(&self, h: &Host) -> bool {
-        let unbound = self.binds_alone && h.listed == Readiness::Gone && !h.seen_draining;
-        h.listed == Readiness::Active || unbound
+        h.listed == Readiness::Active || (self.binds_alone && h.listed == Readiness::Gone && !h.seen_draining)
     }
 
     /// Guards the rules at the point of choice: list, cold share, and the effect of what may have run.
@@ -590,17 +588,14 @@
     }
 
     /// Rate x time. The time is what the SLO of the tightest workload worth as much leaves for a queue,
-    /// but never under twice what the work takes alone, or a bound once small could not grow again.
+    /// but never under half more than the work takes alone there, or a bound once small could not grow again.
     fn room(&self, h: &Host, workload: usize, share: f64) -> bool {
         let k = &self.kinds[workload];
-        let write = k.consistency == Consistency::Write;
-        let denser = |o: &&Kind| {
-            !write && o.consistency != Consistency::Write && o.importance * k.base >= k.importance * o.base
-        };
-        let slo = self.kinds.iter().filter(denser).map(|o| o.slo).fold(k.slo, f64::min);
-        let time = (QUEUE * slo).max(1.5 * k.base);
+        let rival = |o: &&Kind| o.writes() == k.writes() && o.density() >= k.density();
+        let slo = self.kinds.iter().filter(rival).map(|o| o.slo).fold(k.slo, f64::min);
+        let time = (QUEUE * slo).max(1.5 * k.base * h.bare.max(1.0));
         let held = h.open.len() + h.ghosts.iter().filter(|g| g.1 > self.now).count();
-        (held as f64) < (h.rate * time * share).max((self.floor / h.crowd).max(1.0))
+        (held as f64) < (h.rate * time).max((self.floor / h.crowd).max(1.0)) * share
     }
 
     fn pick(&mut self, id: u64) -> Option<usize> {
@@ -615,7 +610,7 @@
         if matches!(k.consistency, Consistency::Write | Consistency::Fresh) {
             if let Some(p) = primary {
                 let h = &self.hosts[p];
-                if !((h.mute || h.full) && h.resting(now)) {
+                if !((h.mute || h.full) && h.rests_until > now) {
                     return (self.room(h, s.workload, 1.0) && self.lawful(s, p)).then_some(p);
                 }
             } else if s.executions.len() < (self.most / 2).max(1) {
@@ -635,8 +630,8 @@
         for at in (0..n).map(|step| (g.cursor + step) % n) {
             let m = g.members[at];
             let h = &self.hosts[m];
-            let known = self.checked || h.reached >= least;
-            if Some(m) == primary || last || tried(m, 0.1) || !self.lawful(s, m) || h.resting(now) || !known {
+            let ready = self.lawful(s, m) && !tried(m, 0.1) && h.rests_until <= now;
+            if Some(m) == primary || last || !ready || !(self.checked || h.reached >= least) {
                 continue;
             }
             let foretold = h.stood.0 + CATCH_UP * (now - h.stood.1);
@@ -656,7 +651,10 @@
         if let Some(p) = primary {
             let h = &self.hosts[p];
             let usable = !h.mute && !tried(p, 0.0) && self.lawful(s, p) && (self.checked || h.maybe_primary);
-            if usable && self.room(h, s.workload, if full { 0.5 } else { 0.8 }) {
+            // The primary's room belongs to the writes, as far as they are worth more for their work.
+            let writes = self.kinds.iter().filter(|o| o.writes()).map(Kind::density).fold(0.0, f64::max);
+            let share = (k.density() / writes).min(1.0) * if full { 0.5 } else { 0.8 };
+            if usable && self.room(h, s.workload, share) {
                 return Some(p);
             }
         }
