--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -126,7 +126,8 @@
     window: f64,
     slo: f64,
     timeout: f64,
-    longest_try: f64,
+    /// The time that most first tries have, and how sure that is.
+    first_try: (f64, i32),
     importance: f64,
     late_share: f64,
     /// Usual seconds from send to answer, and the least they have been: what the work takes without a crowd.
@@ -187,7 +188,7 @@
             window: w.window,
             slo: w.slo,
             timeout: w.timeout,
-            longest_try: 0.0,
+            first_try: (0.0, 0),
             importance: w.importance,
             late_share: w.late_share,
             usual: w.slo / 4.0,
@@ -264,9 +265,14 @@
         self.now = now;
         let number = self.group(a.group).change_number;
         let k = &mut self.kinds[a.workload];
-        k.longest_try = k.longest_try.max(a.time_left);
-        // A try shorter than the longest seen is a later one: its client has waited since the first already.
-        let later = (a.retry || !self.marked) && a.time_left < k.longest_try - 0.01;
+        let same = (a.time_left - k.first_try.0).abs() < 0.01;
+        k.first_try.1 = (k.first_try.1 + if same { 2 } else { -1 }).min(32);
+        if k.first_try.1 < 0 {
+            k.first_try = (a.time_left, 2);
+        }
+        // A try shorter than most is a later one: its client has waited since the first already. Most, not the
+        // longest, for a few clients that name more time must not make later tries of all the others.
+        let later = (a.retry || !self.marked) && a.time_left < k.first_try.0 - 0.01;
         let elapsed = if later { (k.timeout - a.time_left).max(0.0) } else { 0.0 };
         let need = match k.consistency {
             Consistency::Session if !self.remembered => a.token_age.map_or(0.0, |age| now - age),
