--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -341,16 +341,13 @@
                 host.crowd += 0.12 * ((took / kind.base).min(10.0) - host.crowd);
                 host.bare = host.crowd.min(host.bare + 0.002 * (host.crowd - host.bare));
                 host.pace += if host.strikes > 0 { 0.5 } else { 0.12 } * (ratio.min(8.0) - host.pace);
+                host.ghosts.retain(|g| g.0 > sent);
                 host.failing *= 0.85;
                 if host.pace < SLOW {
                     host.strikes = 0;
                 }
                 host.roll(now);
-                // A withdrawn execution that a later one has passed left the host as well; not counting it would let
-                // the bound sink, and the host idle, whenever clients leave early.
-                let ghosts = host.ghosts.len();
-                host.ghosts.retain(|g| g.0 > sent);
-                host.window.1 += 1.0 + (ghosts - host.ghosts.len()) as f64;
+                host.window.1 += 1.0;
                 host.reached = host.reached.max(if self.checked { need } else { 0.0 });
             }
             // A withdrawal may stop nothing: if it freed its place at once, leaving clients would fill the hosts.
