Cold hosts of a group with no warm member earn by the fleet's warm traffic

The sum over routers stays at a warm host's mean load x cold share. Could load a cold primary above that mean where one group has most of the writes; still under the multiple.

--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -270,8 +270,8 @@
         if k.first_try.1 < 0 {
             k.first_try = (a.time_left, 2);
         }
-        // A try shorter than most is a later one: its client has waited since the first already. Most, not the
-        // longest, for a few clients that name more time must not make later tries of all the others.
+        // A try shorter than most is a later one, its client has waited before. Most, not the longest, for a
+        // few clients that name more time must not make later tries of all the others.
         let later = (a.retry || !self.marked) && a.time_left < k.first_try.0 - 0.01;
         let elapsed = if later { (k.timeout - a.time_left).max(0.0) } else { 0.0 };
         let need = match k.consistency {
@@ -332,6 +332,7 @@
                 (host.fresh_since, host.credit) = (now, 0.0);
             }
         }
+        host.mute |= verdict == ConnectFailed;
         match verdict {
             Completed => {
                 let took = now - sent;
@@ -350,13 +351,11 @@
                 host.window.1 += 1.0;
                 host.reached = host.reached.max(if self.checked { need } else { 0.0 });
             }
-            // A withdrawal may stop nothing: if it freed its place at once, leaving clients would fill the hosts.
+            // A withdrawal may stop nothing: a place freed at once would let leaving clients fill the hosts.
             TimedOut | Cancelled => host.ghosts.push((sent, now + STUCK * kind.usual)),
             Error | Reset => host.failing += 0.15 * (1.0 - host.failing),
             Miss if !write && !self.stamped => host.stood = (need - 0.1, now),
-            ConnectFailed => {
-                (host.mute, host.unreachable_since) = (true, host.unreachable_since.or(Some(now)));
-            }
+            ConnectFailed => host.unreachable_since = host.unreachable_since.or(Some(now)),
             _ => {}
         }
         let sick = host.pace > SLOW || host.failing > 0.35 || matches!(verdict, ConnectFailed | Reset | Full);
@@ -526,11 +525,8 @@
         self.due.push_back(id);
         let k = &self.kinds[s.workload];
         let may_have_run = s.executions.iter().any(|e| e.ended.is_none() || e.may_have_run);
-        let harmless = match k.effect {
-            Effect::Idempotent => true,
-            Effect::Deduplicated => !may_have_run || k.scope == DedupScope::All,
-            Effect::NonIdempotent => !may_have_run,
-        };
+        let repeats = k.effect == Effect::Deduplicated && k.scope == DedupScope::All;
+        let harmless = k.effect == Effect::Idempotent || repeats || !may_have_run;
         match harmless {
             true => Decision::Reject { stmt: id, return_after: self.max_return },
             false => Decision::Abort { stmt: id },
@@ -546,13 +542,16 @@
         s.executions.push(Execution { host: index, sent: now, ended: None, may_have_run: true, recalled });
         let (group, time_out) = (s.group, s.end - now);
         self.copy_budget = (self.copy_budget + COPIES).min(4.0);
-        if self.share(index) >= 1.0 {
-            let members = self.groups[group].members.clone();
-            let warm = members.iter().filter(|m| self.share(**m) >= 1.0).count() as f64;
-            for m in members {
-                let share = self.share(m);
-                if share < 1.0 {
-                    self.hosts[m].credit = (self.hosts[m].credit + share / warm).min(2.0);
+        let warm = |h: &Host, me: &Self| me.share(h) >= 1.0 && me.sendable(h);
+        if warm(&self.hosts[index], self) && self.hosts.iter().any(|h| self.share(h) < 1.0) {
+            let peers: Vec<usize> = self.hosts.iter().filter(|h| warm(h, self)).map(|h| h.group).collect();
+            for m in 0..self.hosts.len() {
+                let (share, of) = (self.share(&self.hosts[m]), self.hosts[m].group);
+                // A group with no warm member left earns by the traffic to the warm hosts of all groups.
+                let near = peers.iter().filter(|g| **g == of).count();
+                let gain = share / if near == 0 { peers.len() } else { near } as f64;
+                if share < 1.0 && (near == 0 || of == group) {
+                    self.hosts[m].credit = (self.hosts[m].credit + gain).min(2.0);
                 }
             }
         }
@@ -567,8 +566,8 @@
     }
 
     /// The share of its capacity that a host may be taken to have; the list tells its start.
-    fn share(&self, index: usize) -> f64 {
-        let age = (self.now - self.hosts[index].fresh_since) / self.cold_s;
+    fn share(&self, h: &Host) -> f64 {
+        let age = (self.now - h.fresh_since) / self.cold_s;
         (self.cold_from + (1.0 - self.cold_from) * age).clamp(0.0, 1.0)
     }
 
@@ -589,7 +588,7 @@
                 near && self.now < e.sent + k.window - self.margin
             }
         };
-        let warm = self.share(index) >= 1.0 || h.credit >= 1.0;
+        let warm = self.share(h) >= 1.0 || h.credit >= 1.0;
         h.group == s.group && self.sendable(h) && warm && s.executions.iter().all(fits)
     }
 
--- a/crates/sandstile-policy/tests/rules.rs
+++ b/crates/sandstile-policy/tests/rules.rs
@@ -211,3 +211,37 @@
     w.step(0.005);
     assert_eq!(w.sends()[sent].0, newest);
 }
+
+/// Groups whose members had all restarted got nothing until they were warm.
+#[test]
+fn a_group_with_no_warm_member_earns_by_the_traffic_to_other_groups() {
+    let mut w = World::new(terms(0b110_0111));
+    w.now += 100.0;
+    for m in &mut w.list {
+        (m.group, m.since) = (m.host % 2, if m.host % 2 == 1 { w.now } else { 0.0 });
+    }
+    w.relist();
+    for _ in 0..40 {
+        w.arrive(4, 1.0);
+        w.step(0.005);
+        let (stmt, _) = *w.sends().last().expect("a warm group is served");
+        w.end(stmt, 0, Verdict::Completed, Some(false), 0.0);
+    }
+    let arrival =
+        Arrival { workload: 4, group: 1, session: None, time_left: 1.0, token_age: None, retry: false };
+    w.policy.arrived(w.now, 1000, &arrival);
+    w.policy.passed(w.now);
+    assert!(matches!(w.policy.decide(), Some(Decision::Send { stmt: 1000, .. })));
+}
+
+/// A few clients that named more time made all ordinary tries look late, and all were rejected unsent.
+#[test]
+fn a_few_long_tries_do_not_make_the_others_late() {
+    let mut w = World::new(terms(0b110_0111));
+    for n in 0..60 {
+        let read = w.arrive(4, if n % 6 == 5 { 0.9 } else { 0.5 });
+        w.step(0.005);
+        assert!(w.sends().iter().any(|s| s.0 == read), "statement {n} was sent");
+        w.end(read, 0, Verdict::Completed, Some(false), 0.0);
+    }
+}
