--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -304,10 +304,8 @@
 
     pub fn client_gone(&mut self, now: f64, stmt: u64) {
         self.now = now;
-        if let Some(s) = self.statements.get_mut(&stmt) {
-            s.answered = true;
-            self.due.push_back(stmt);
-        }
+        self.statements.entry(stmt).and_modify(|s| s.answered = true);
+        self.due.push_back(stmt);
     }
 
     pub fn ended(&mut self, now: f64, stmt: u64, execution: usize, verdict: Verdict, over: bool, note: Note) {
@@ -696,15 +694,13 @@
             h.maybe_primary |= answer;
             let trusted = current.is_some_and(|c| !self.hosts[c].mute && self.sendable(&self.hosts[c]));
             if current != Some(index) && (answer || !(trusted || mute)) {
-                self.groups[group].primary = Some(index);
-                self.groups[group].touched = true;
+                (self.groups[group].primary, self.groups[group].touched) = (Some(index), true);
                 self.log(format!("group {group}: primary is now host {index}"));
             }
         } else if !primary && answer {
             (h.denied_at, h.maybe_primary) = (now, false);
             if current == Some(index) {
-                self.groups[group].primary = None;
-                self.groups[group].touched = true;
+                (self.groups[group].primary, self.groups[group].touched) = (None, true);
             }
         }
     }
