--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -475,7 +475,7 @@
         let k = &self.kinds[s.workload];
         // What cannot come in time any more would only take the place of what can; but an execution that runs
         // goes on past the SLO time, for its client would ask again and have all of the work done anew.
-        let worth_until = s.slo_at - 0.7 * k.usual;
+        let worth_until = s.slo_at - 1.1 * k.usual;
         let spent = k.late_share == 0.0 && open == 0 && k.effect == Effect::Idempotent;
         let ran = s.executions.iter().any(|e| e.ended.is_some() && e.may_have_run);
         let no_more =
@@ -596,7 +596,7 @@
         let k = &self.kinds[workload];
         let rival = |o: &&Kind| o.writes() == k.writes() && o.density() >= k.density();
         let slo = self.kinds.iter().filter(rival).map(|o| o.slo).fold(k.slo, f64::min);
-        let time = (QUEUE * slo).max(1.5 * k.base * h.bare.max(1.0));
+        let time = (QUEUE * slo).max(1.25 * k.base * h.bare.max(1.0));
         let held = h.open.len() + h.ghosts.iter().filter(|g| g.1 > self.now).count();
         (held as f64) < (h.rate * time).max((self.floor / h.crowd).max(1.0)) * share
     }
