--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -6,9 +6,9 @@
 //! Beside it stand six mechanisms:
 //! 1. primary: found from answers, list and probes; writes held and members probed while none is usable;
 //! 2. lag memory: replicas known too far behind for a read are skipped, the primary is spared;
-//! 3. health: hosts that are mute, failing or slow against their peers rest, and return by trial traffic;
+//! 3. health: hosts that are mute, unreachable or full rest, and return by trial traffic;
 //! 4. in-flight bound: measured rate x time per host; when it is full, importance per work decides;
-//! 5. further executions and second copies: under a waste budget, and only where the effect allows;
+//! 5. further executions: while the statement can be in time and its effect allows, never two at once;
 //! 6. cold guard: sends to a fresh host stay under the own traffic to a warm peer x its cold share.
 
 use crate::terms::*;
@@ -20,12 +20,8 @@
 const CATCH_UP: f64 = 2.0;
 /// An execution out for this many times its workload's usual time is stuck, if its host answers nothing else.
 const STUCK: f64 = 3.0;
-/// A host this many times slower than its peers rests, and from two thirds of it its reads get second copies.
-const SLOW: f64 = 2.2;
 /// Share of an SLO time that may pass before an answer, as the bound on what is in flight has it.
 const QUEUE: f64 = 0.35;
-/// Second copies as a share of sends.
-const COPIES: f64 = 0.06;
 /// The first rest of a sick host; it doubles with each further strike, four times at most.
 const REST: f64 = 0.25;
 
@@ -72,12 +68,10 @@
     answered_at: f64,
     rate: f64,
     window: (f64, f64),
-    /// Time to answer against what is usual now (`pace`) and against an idle fleet (`crowd`).
-    pace: f64,
+    /// Time to answer against an idle fleet.
     crowd: f64,
     /// The least `crowd` has been: a slower machine needs more time for the same work.
     bare: f64,
-    failing: f64,
     strikes: i32,
     rests_until: f64,
     mute: bool,
@@ -152,7 +146,6 @@
     margin: f64,
     floor: f64,
     most: usize,
-    copies: bool,
     may_recall: bool,
     may_probe: bool,
     max_return: f64,
@@ -175,7 +168,6 @@
     probes: VecDeque<usize>,
     logs: VecDeque<String>,
     logged: usize,
-    copy_budget: f64,
 }
 
 impl Instance {
@@ -202,7 +194,6 @@
             floor: (12.0 / terms.routers.max(1) as f64).clamp(1.0, 4.0),
             margin: 1.5 * terms.tick + 0.001,
             most: terms.most_executions.max(1),
-            copies: terms.second_copies,
             may_recall: terms.may_recall,
             may_probe: terms.may_probe,
             max_return: terms.max_return,
@@ -224,7 +215,6 @@
             probes: VecDeque::new(),
             logs: VecDeque::new(),
             logged: 0,
-            copy_budget: 1.0,
         }
     }
 
@@ -234,7 +224,7 @@
         self.groups.iter_mut().for_each(|g| g.members.clear());
         for m in list {
             if self.hosts.len() <= m.host {
-                self.hosts.resize(m.host + 1, Host { pace: 1.0, crowd: 1.0, bare: 1.0, ..Host::default() });
+                self.hosts.resize(m.host + 1, Host { crowd: 1.0, bare: 1.0, ..Host::default() });
             }
             let host = &mut self.hosts[m.host];
             (host.group, host.zone, host.listed) = (m.group, m.zone, m.readiness);
@@ -334,30 +324,22 @@
         match verdict {
             Completed => {
                 let took = now - sent;
-                let ratio = took / kind.usual;
                 kind.usual += 0.03 * (took.min(4.0 * kind.usual) - kind.usual);
                 kind.base = kind.usual.min(kind.base + 0.0005 * (kind.usual - kind.base));
                 host.crowd += 0.12 * ((took / kind.base).min(10.0) - host.crowd);
                 host.bare = host.crowd.min(host.bare + 0.002 * (host.crowd - host.bare));
-                host.pace += if host.strikes > 0 { 0.5 } else { 0.12 } * (ratio.min(8.0) - host.pace);
-                host.ghosts.retain(|g| g.0 > sent);
-                host.failing *= 0.85;
-                if host.pace < SLOW {
-                    host.strikes = 0;
-                }
+                host.strikes = 0;
                 host.roll(now);
                 host.window.1 += 1.0;
                 host.reached = host.reached.max(if self.checked { need } else { 0.0 });
             }
             // A withdrawal may stop nothing: a place freed at once would let leaving clients fill the hosts.
             TimedOut | Cancelled => host.ghosts.push((sent, now + STUCK * kind.usual)),
-            Error | Reset => host.failing += 0.15 * (1.0 - host.failing),
             Miss if !write && !self.stamped => host.stood = (need - 0.1, now),
             ConnectFailed => host.unreachable_since = host.unreachable_since.or(Some(now)),
             _ => {}
         }
-        let sick = host.pace > SLOW || host.failing > 0.35 || matches!(verdict, ConnectFailed | Reset | Full);
-        if sick && host.rests_until <= now {
+        if matches!(verdict, ConnectFailed | Reset | Full) && host.rests_until <= now {
             host.strike(now);
         }
         let group = &mut self.groups[group];
@@ -484,7 +466,6 @@
             return Some(self.answer(id));
         }
         let mut look = if spent { worth_until.min(s.end - self.margin) } else { s.end - self.margin };
-        let mut ill = false;
         for e in s.executions.iter().filter(|e| e.ended.is_none()) {
             let h = &mut self.hosts[e.host];
             let heard = h.open.first().map_or(now, |o| o.0).max(h.answered_at);
@@ -495,22 +476,19 @@
                 h.mute = true;
                 h.strike(now);
                 self.groups[h.group].touched = true;
+            } else if !h.mute {
+                look = look.min(heard + patience);
             }
-            // A long wait alone is mostly the statement's own work, which a copy would have to do again.
-            let stuck_at = e.sent + STUCK * k.usual;
-            ill |= h.mute || (now >= stuck_at && h.pace > SLOW / 1.5);
-            look = [heard + patience, stuck_at].into_iter().filter(|at| *at > now).fold(look, f64::min);
-        }
-        let in_time = now + 0.5 * k.usual < s.slo_at;
-        let copy = ill && in_time && open == 1 && k.effect == Effect::Idempotent && self.copy_budget >= 1.0;
-        let wanted = (open == 0 || (copy && self.copies)) && s.executions.len() < self.most;
+        }
         self.looks.push(Reverse((look.max(now + 0.002).to_bits(), id)));
-        if let Some(host) = wanted.then(|| self.pick(id)).flatten() {
-            self.copy_budget -= if open > 0 { 1.0 } else { 0.0 };
+        if open > 0 {
+            return None;
+        }
+        if let Some(host) = self.pick(id) {
             return Some(self.send(id, host));
         }
         let s = self.statements.get_mut(&id)?;
-        if open == 0 && !std::mem::replace(&mut s.waiting, true) {
+        if !std::mem::replace(&mut s.waiting, true) {
             self.groups[s.group].waiting.push(id);
         }
         None
@@ -539,7 +517,6 @@
         let recalled = !self.may_recall;
         s.executions.push(Execution { host: index, sent: now, ended: None, may_have_run: true, recalled });
         let (group, time_out) = (s.group, s.end - now);
-        self.copy_budget = (self.copy_budget + COPIES).min(4.0);
         let warm = |h: &Host, me: &Self| me.share(h) >= 1.0 && me.sendable(h);
         if warm(&self.hosts[index], self) && self.hosts.iter().any(|h| self.share(h) < 1.0) {
             let peers: Vec<usize> = self.hosts.iter().filter(|h| warm(h, self)).map(|h| h.group).collect();
@@ -578,7 +555,7 @@
         let (h, k) = (&self.hosts[index], &self.kinds[s.workload]);
         let fits = |e: &Execution| match k.effect {
             _ if e.ended.is_some() && !e.may_have_run => true,
-            _ if e.ended.is_none() && !self.copies => false,
+            _ if e.ended.is_none() => false,
             Effect::Idempotent => true,
             Effect::NonIdempotent => false,
             Effect::Deduplicated => {
--- a/crates/sandstile-policy/src/terms.rs
+++ b/crates/sandstile-policy/src/terms.rs
@@ -48,7 +48,6 @@
     /// Instances that share the database hosts, this one among them.
     pub routers: usize,
     pub most_executions: usize,
-    pub second_copies: bool,
     pub may_recall: bool,
     pub may_probe: bool,
     /// 0 where a rejection cannot name a time.
--- a/crates/sandstile-wirehost/src/instance.rs
+++ b/crates/sandstile-wirehost/src/instance.rs
@@ -99,7 +99,6 @@
             tick,
             routers: number("peersTotal", 1.0)? as usize,
             most_executions: number("allowed.mostTries", 1.0)? as usize,
-            second_copies: yes("allowed.secondCopies", false),
             may_recall: yes("allowed.mayCancel", false),
             may_probe: yes("allowed.probes", false),
             max_return: match yes("allowed.retryAfter", false) {
