Guard unchecked fresh reads, probe unchecked replicas for position, subscribe once

Found by reading for settings that no site uses yet: a fresh read could go to a host named primary by a probe only where hosts do not check; replicas whose position had aged were never used again there; a standing subscription was asked for every 2.5 s. Random runs now hold fresh reads too.

--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -108,6 +108,7 @@
     change_number: f64,
     waiting: Vec<u64>,
     touched: bool,
+    seeks: bool,
     probe_at: f64,
 }
 
@@ -221,6 +222,10 @@
     /// The whole list as it now stands, sorted by id; hosts that left it are handed as gone.
     pub fn members(&mut self, now: f64, list: &[Member]) {
         self.now = now;
+        if self.ask_at > now {
+            // The answer to a call already made: the subscription stands until the service says otherwise.
+            self.ask_at = f64::INFINITY;
+        }
         self.groups.iter_mut().for_each(|g| g.members.clear());
         for m in list {
             if self.hosts.len() <= m.host {
@@ -417,6 +422,11 @@
                 return Some(decision);
             }
         }
+        for g in 0..self.groups.len() {
+            if std::mem::take(&mut self.groups[g].seeks) {
+                self.seek(g);
+            }
+        }
         while let Some(host) = self.probes.pop_front() {
             if self.may_probe && self.sendable(&self.hosts[host]) {
                 return Some(Decision::Probe { host });
@@ -564,7 +574,9 @@
             }
         };
         let warm = self.share(h) >= 1.0 || h.credit >= 1.0;
-        h.group == s.group && self.sendable(h) && warm && s.executions.iter().all(fits)
+        // Where hosts do not check, only one that list or answer calls primary surely holds the present.
+        let current = self.checked || k.consistency != Consistency::Fresh || h.maybe_primary;
+        current && h.group == s.group && self.sendable(h) && warm && s.executions.iter().all(fits)
     }
 
     /// Rate x time. The time is what the SLO of the tightest workload worth as much leaves for a queue,
@@ -600,18 +612,20 @@
                     return Some(next);
                 }
             }
-            self.seek(s.group);
+            self.groups[s.group].seeks = true;
             return None;
         }
         let least = if k.consistency == Consistency::Bounded { now - k.bound } else { s.need };
         let n = g.members.len();
         let last = s.executions.len() + 1 >= self.most;
-        let (mut behind, mut best, mut full) = (None, 0.0, false);
+        let (mut behind, mut best, mut full, mut unknown) = (None, 0.0, false, false);
         for at in (0..n).map(|step| (g.cursor + step) % n) {
             let m = g.members[at];
             let h = &self.hosts[m];
             let ready = self.lawful(s, m) && !tried(m, 0.1) && h.rests_until <= now;
-            if Some(m) == primary || last || !ready || !(self.checked || h.reached >= least) {
+            let known = self.checked || h.reached >= least;
+            unknown |= !known;
+            if Some(m) == primary || last || !ready || !known {
                 continue;
             }
             let foretold = h.stood.0 + CATCH_UP * (now - h.stood.1);
@@ -628,6 +642,8 @@
         if k.consistency == Consistency::Bounded && s.executions.is_empty() && behind.is_some() {
             return behind;
         }
+        self.groups[s.group].seeks |= unknown || primary.is_none();
+        let g = &self.groups[s.group];
         if let Some(p) = primary {
             let h = &self.hosts[p];
             let usable = !h.mute && !tried(p, 0.0) && self.lawful(s, p) && (self.checked || h.maybe_primary);
@@ -645,19 +661,19 @@
             self.groups[s.group].cursor += 1;
             return found;
         }
-        if primary.is_none() {
-            self.seek(s.group);
-        }
         None
     }
 
-    /// Probes a group's members for its primary, a few times a second while none is usable.
+    /// Probes a group's members a few times a second, for their role while no primary is usable, or for their
+    /// position where hosts do not check reads and none is known to have come far enough.
     fn seek(&mut self, group: usize) {
         let g = &mut self.groups[group];
         if self.now >= g.probe_at {
             g.probe_at = self.now + 0.2 + 0.2 * self.chance.rand_float() as f64;
             self.probes.extend(g.members.iter().copied());
-            self.log(format!("group {group}: no usable primary, probing its members"));
+            if g.primary.is_none() {
+                self.log(format!("group {group}: no usable primary, probing its members"));
+            }
         }
     }
 
--- a/crates/sandstile-policy/tests/rules.rs
+++ b/crates/sandstile-policy/tests/rules.rs
@@ -24,7 +24,7 @@
         let n = n as usize;
         match what % 16 {
             0..=4 => {
-                w.arrive(n % 5, 0.05 + (n % 90) as f64 / 100.0);
+                w.arrive(n % 6, 0.05 + (n % 90) as f64 / 100.0);
             }
             5..=10 => {
                 let sent: Vec<(u64, usize)> =
@@ -249,3 +249,32 @@
         w.end(read, 0, Verdict::Completed, Some(false), 0.0);
     }
 }
+
+/// A standing subscription was asked for again and again, each call a load on the list service.
+#[test]
+fn on_request_the_list_is_asked_for_once_and_again_only_after_a_failure() {
+    let mut w = World::new(terms(0b110_1111));
+    w.step(0.005);
+    w.relist();
+    w.step(30.0);
+    let asked = |w: &World| w.decisions.iter().filter(|d| **d == Decision::Subscribe).count();
+    assert_eq!(asked(&w), 1);
+    w.policy.list_failed(w.now);
+    w.step(1.0);
+    assert_eq!(asked(&w), 2);
+}
+
+/// Where hosts do not check and little is known, all reads stayed on the primary for good.
+#[test]
+fn unchecked_replicas_are_probed_for_their_position_and_then_used() {
+    let mut w = World::new(terms(0b100_0111));
+    w.arrive(0, 1.0);
+    w.step(0.005);
+    assert_eq!(w.sends()[0].1, 2);
+    assert!(w.decisions.contains(&Decision::Probe { host: 0 }));
+    w.reached[0] = w.now - 0.1;
+    w.policy.probed(w.now, 0, true, Note { position: Some(w.now - 0.1), primary: Some(false) });
+    w.arrive(0, 1.0);
+    w.step(0.005);
+    assert_eq!(w.sends()[1].1, 0);
+}
--- a/crates/sandstile-policy/tests/world/mod.rs
+++ b/crates/sandstile-policy/tests/world/mod.rs
@@ -51,6 +51,7 @@
             workload(Write, Effect::NonIdempotent),
             workload(Write, Effect::Deduplicated),
             workload(Any, Effect::Idempotent),
+            workload(Fresh, Effect::Idempotent),
         ],
         tick: 0.005,
         routers: 3,
@@ -191,8 +192,11 @@
                     }
                 }
                 if !self.terms.checked && w.consistency != Consistency::Write && !self.ex_primary[host] {
-                    let need =
-                        if w.consistency == Consistency::Bounded { self.now - w.bound } else { o.need };
+                    let need = match w.consistency {
+                        Consistency::Bounded => self.now - w.bound,
+                        Consistency::Fresh => f64::INFINITY,
+                        _ => o.need,
+                    };
                     assert!(self.reached[host] >= need, "a read may be answered stale");
                 }
                 if m.since > 0.0 && self.now < m.since + self.terms.cold_s {
