--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -22,8 +22,6 @@
 const STUCK: f64 = 3.0;
 /// Share of an SLO time that may pass before an answer, as the bound on what is in flight has it.
 const QUEUE: f64 = 0.35;
-/// Over so many seconds an instance learns what traffic it usually gets.
-const SHARE_TIME: f64 = 20.0;
 /// The first rest of a sick host; it doubles with each further strike, four times at most.
 const REST: f64 = 0.25;
 
@@ -47,8 +45,7 @@
     executions: Vec<Execution>,
     answered: bool,
     waiting: bool,
-    /// What its importance is worth beside that of its workload.
-    weight: f64,
+    retry: bool,
 }
 
 #[derive(Clone, Default)]
@@ -162,11 +159,6 @@
     marked: bool,
     ask_every: f64,
     ask_at: f64,
-    /// Each tenant's part of all shares, and its statements still within it.
-    tenants: Vec<(f64, f64)>,
-    over_share: f64,
-    /// Arrivals and the time they took, both fading over `SHARE_TIME`, and when last.
-    arrivals: (f64, f64, f64),
     hosts: Vec<Host>,
     groups: Vec<Group>,
     sessions: Vec<f64>,
@@ -215,9 +207,6 @@
             marked: terms.marked_retries,
             ask_every: terms.ask_within / 4.0,
             ask_at: if terms.on_request { now } else { f64::INFINITY },
-            tenants: terms.quotas.iter().map(|q| (q / terms.quotas.iter().sum::<f64>(), 0.0)).collect(),
-            over_share: terms.over_share,
-            arrivals: (0.0, 0.0, now),
             hosts: Vec::new(),
             groups: Vec::new(),
             sessions: Vec::new(),
@@ -270,7 +259,6 @@
     pub fn arrived(&mut self, now: f64, stmt: u64, a: &Arrival) {
         self.now = now;
         let number = self.group(a.group).change_number;
-        let weight = if a.retry { 0.5 } else { 1.0 } * self.within_share(a.tenant);
         let k = &mut self.kinds[a.workload];
         let same = (a.time_left - k.first_try.0).abs() < 0.01;
         k.first_try.1 = (k.first_try.1 + if same { 2 } else { -1 }).min(32);
@@ -300,7 +288,7 @@
             executions: Vec::new(),
             answered: false,
             waiting: true,
-            weight,
+            retry: a.retry,
         };
         self.statements.insert(stmt, s);
         // Through the waiting ones, or a fresh statement would take the place of one worth more.
@@ -309,24 +297,6 @@
         group.touched = true;
     }
 
-    /// What a tenant's statement keeps of its importance. The share is of all routers together; this one takes
-    /// as its part what it usually gets, so a tenant that swells alone is told from a load that grows as a whole.
-    fn within_share(&mut self, tenant: Option<usize>) -> f64 {
-        let span = self.now - self.arrivals.2;
-        let kept = f64::exp(-span / SHARE_TIME);
-        self.arrivals = (self.arrivals.0 * kept + 1.0, self.arrivals.1 * kept + span, self.now);
-        let usual = 1.2 * self.arrivals.0 / self.arrivals.1.max(0.1);
-        self.tenants.iter_mut().for_each(|t| t.1 = (t.1 + usual * t.0 * span).min(usual * t.0 + 1.0));
-        match tenant.and_then(|t| self.tenants.get_mut(t)) {
-            Some(t) if t.1 < 1.0 => self.over_share,
-            Some(t) => {
-                t.1 -= 1.0;
-                1.0
-            }
-            None => 1.0,
-        }
-    }
-
     pub fn client_gone(&mut self, now: f64, stmt: u64) {
         self.now = now;
         self.statements.entry(stmt).and_modify(|s| s.answered = true);
@@ -477,7 +447,7 @@
         let s = &self.statements[&stmt];
         let k = &self.kinds[s.workload];
         let late = if self.now > s.slo_at - 0.5 * k.usual { k.late_share } else { 1.0 };
-        k.importance * late * s.weight / k.usual
+        k.importance * late * if s.retry { 0.5 } else { 1.0 } / k.usual
     }
 
     fn consider(&mut self, id: u64) -> Option<Decision> {
--- a/crates/sandstile-policy/src/terms.rs
+++ b/crates/sandstile-policy/src/terms.rs
@@ -44,10 +44,6 @@
 #[derive(Clone, Debug)]
 pub struct Terms {
     pub workloads: Vec<Workload>,
-    /// Statements a second within each tenant's share, over all instances.
-    pub quotas: Vec<f64>,
-    /// What importance is left beyond the share.
-    pub over_share: f64,
     pub tick: f64,
     /// Instances that share the database hosts, this one among them.
     pub routers: usize,
@@ -93,7 +89,6 @@
 pub struct Arrival {
     pub workload: usize,
     pub group: usize,
-    pub tenant: Option<usize>,
     pub session: Option<usize>,
     pub time_left: f64,
     /// Seconds since the session's last write, where the client carries it.
--- a/crates/sandstile-policy/tests/rules.rs
+++ b/crates/sandstile-policy/tests/rules.rs
@@ -231,15 +231,8 @@
         let (stmt, _) = *w.sends().last().expect("a warm group is served");
         w.end(stmt, 0, Verdict::Completed, Some(false), 0.0);
     }
-    let arrival = Arrival {
-        workload: 4,
-        group: 1,
-        tenant: None,
-        session: None,
-        time_left: 1.0,
-        token_age: None,
-        retry: false,
-    };
+    let arrival =
+        Arrival { workload: 4, group: 1, session: None, time_left: 1.0, token_age: None, retry: false };
     w.policy.arrived(w.now, 1000, &arrival);
     w.policy.passed(w.now);
     assert!(matches!(w.policy.decide(), Some(Decision::Send { stmt: 1000, .. })));
--- a/crates/sandstile-policy/tests/world/mod.rs
+++ b/crates/sandstile-policy/tests/world/mod.rs
@@ -53,8 +53,6 @@
             workload(Any, Effect::Idempotent),
             workload(Fresh, Effect::Idempotent),
         ],
-        quotas: vec![10.0, 20.0],
-        over_share: 0.1,
         tick: 0.005,
         routers: 3,
         most_executions: 6,
@@ -105,15 +103,8 @@
     }
 
     pub fn arrive(&mut self, workload: usize, time_left: f64) -> u64 {
-        let arrival = Arrival {
-            workload,
-            group: 0,
-            tenant: Some(workload % 2),
-            session: Some(0),
-            time_left,
-            token_age: Some(0.3),
-            retry: false,
-        };
+        let arrival =
+            Arrival { workload, group: 0, session: Some(0), time_left, token_age: Some(0.3), retry: false };
         let need = match self.terms.workloads[workload].consistency {
             Consistency::Session if self.terms.tokens_remembered => self.change_number,
             Consistency::Session => self.now - 0.3,
--- a/crates/sandstile-wirehost/src/instance.rs
+++ b/crates/sandstile-wirehost/src/instance.rs
@@ -29,7 +29,6 @@
 pub struct Hosted {
     policy: Instance,
     workloads: HashMap<String, usize>,
-    tenants: HashMap<String, usize>,
     base: f64,
     hosts: Names,
     zones: Names,
@@ -95,16 +94,8 @@
             });
         }
         let tick = seconds("tickMs", 1.0)?;
-        let mut quotas = Vec::new();
-        let mut tenants = HashMap::new();
-        for i in 0..number("tenants.count", 0.0)? as usize {
-            tenants.insert(word(&format!("tenants.{i}.name")).to_string(), i);
-            quotas.push(number(&format!("tenants.{i}.quotaPerS"), 0.0)?);
-        }
         let terms = Terms {
             workloads,
-            quotas,
-            over_share: number("overShareWorth", 1.0)?,
             tick,
             routers: number("peersTotal", 1.0)? as usize,
             most_executions: number("allowed.mostTries", 1.0)? as usize,
@@ -127,7 +118,6 @@
         Ok(Hosted {
             policy: Instance::new(&terms, seed, now),
             workloads: index,
-            tenants,
             base: EPOCH + seconds("specifics.baseTimeMs", 0.0)?,
             hosts: Names::default(),
             zones: Names::default(),
@@ -175,7 +165,7 @@
                 let Some(&workload) = self.workloads.get(grade) else {
                     return Err(fields.wrong("a class of the settings"));
                 };
-                let tenant = fields.maybe("a tenant")?.and_then(|t| self.tenants.get(t).copied());
+                fields.maybe("a tenant")?;
                 let session = fields.maybe("a session")?.map(|s| self.sessions.of(s));
                 let time_left = fields.seconds("the time left")?;
                 fields.maybe("a hint")?;
@@ -186,8 +176,7 @@
                 self.next += 1;
                 self.calls.insert(call.to_string(), stmt);
                 self.open.insert(stmt, call.to_string());
-                let arrival =
-                    Arrival { workload, group, tenant, session, time_left, token_age: token, retry };
+                let arrival = Arrival { workload, group, session, time_left, token_age: token, retry };
                 self.policy.arrived(now, stmt, &arrival);
             }
             "SETTLED" => {
