--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -191,8 +191,8 @@
             now,
             chance: Rand32::new(seed),
             kinds: terms.workloads.iter().map(kind).collect(),
-            // What a host may hold for an instance that has yet to measure: a dozen in all.
-            floor: (12.0 / terms.routers.max(1) as f64).clamp(1.0, 4.0),
+            // What a host may hold for an instance that has yet to measure: eight in all.
+            floor: (8.0 / terms.routers.max(1) as f64).clamp(1.0, 4.0),
             margin: 1.5 * terms.tick + 0.001,
             most: terms.most_executions.max(1),
             may_recall: terms.may_recall,
