--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -587,7 +587,7 @@
         let slo = self.kinds.iter().filter(rival).map(|o| o.slo).fold(k.slo, f64::min);
         let time = (QUEUE * slo).max(1.25 * k.base * h.bare.max(1.0));
         let held = h.open.len() + h.ghosts.iter().filter(|g| g.1 > self.now).count();
-        (held as f64) < (h.rate * time).max((self.floor / h.crowd).max(1.0)) * share
+        (held as f64) < (h.rate * time).max((self.floor / h.crowd.powi(2)).max(1.0)) * share
     }
 
     fn pick(&mut self, id: u64) -> Option<usize> {
