--- a/crates/sandstile-policy/tests/rules.rs
+++ b/crates/sandstile-policy/tests/rules.rs
@@ -185,7 +185,7 @@
 /// Withdrawn executions freed their places on hosts that went on working, and the hosts filled up.
 #[test]
 fn a_withdrawn_execution_keeps_its_place_until_a_later_one_is_answered() {
-    let mut w = World::new(terms(0b110_0111));
+    let mut w = World::new(Terms { routers: 1, ..terms(0b110_0111) });
     let reads: Vec<u64> = (0..16).map(|_| w.arrive(4, 1.0)).collect();
     w.step(0.005);
     assert_eq!(w.sends().len(), 16, "four on each of four replicas");
