--- a/crates/sandstile-wirehost/src/instance.rs
+++ b/crates/sandstile-wirehost/src/instance.rs
@@ -66,10 +66,10 @@
         for i in 0..number("classes.count", 0.0)? as usize {
             let path = |key: &str| format!("classes.{i}.{key}");
             index.insert(word(&path("name")).to_string(), i);
-            let deadline = seconds(&path("deadlineMs"), 1000.0)?;
+            let timeout = seconds(&path("deadlineMs"), 1000.0)?;
             workloads.push(Workload {
-                slo: seconds(&path("aimMs"), deadline * 1000.0)?,
-                timeout: deadline,
+                slo: seconds(&path("aimMs"), timeout * 1000.0)?,
+                timeout,
                 importance: number(&path("credit"), 1.0)?,
                 late_share: number(&path("lateWorth"), 0.0)?,
                 effect: match word(&path("effect")) {
@@ -161,8 +161,8 @@
             }
             "INGRESS" => {
                 let call = fields.text("a request id")?;
-                let grade = fields.text("a class")?;
-                let Some(&workload) = self.workloads.get(grade) else {
+                let name = fields.text("a class")?;
+                let Some(&workload) = self.workloads.get(name) else {
                     return Err(fields.wrong("a class of the settings"));
                 };
                 fields.maybe("a tenant")?;
