--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -580,7 +580,7 @@
     }
 
     /// Rate x time. The time is what the SLO of the tightest workload worth as much leaves for a queue,
-    /// but never under a quarter more than the work takes alone there, or a bound once small could not grow again.
+    /// but never under a quarter more than the work takes alone there, or a small bound could not grow again.
     fn room(&self, h: &Host, workload: usize, share: f64) -> bool {
         let k = &self.kinds[workload];
         let rival = |o: &&Kind| o.writes() == k.writes() && o.density() >= k.density();
