A try counts as later only after a failed first try, three for each

Also guards against any other change of the clients' times. Could serve some later tries whose first failed at another router.

--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -46,6 +46,7 @@
     answered: bool,
     waiting: bool,
     retry: bool,
+    later: bool,
 }
 
 #[derive(Clone, Default)]
@@ -123,6 +124,8 @@
     timeout: f64,
     /// The time that most first tries have, and how sure that is.
     first_try: (f64, i32),
+    /// Later tries to be looked for: three for each first try that failed here.
+    owed: f64,
     importance: f64,
     late_share: f64,
     /// Usual seconds from send to answer, and the least they have been: what the work takes without a crowd.
@@ -182,6 +185,7 @@
             slo: w.slo,
             timeout: w.timeout,
             first_try: (0.0, 0),
+            owed: 0.0,
             importance: w.importance,
             late_share: w.late_share,
             usual: w.slo / 4.0,
@@ -265,9 +269,10 @@
         if k.first_try.1 < 0 {
             k.first_try = (a.time_left, 2);
         }
-        // A try shorter than most is a later one, its client has waited before. Most, not the longest, for a
-        // few clients that name more time must not make later tries of all the others.
-        let later = (a.retry || !self.marked) && a.time_left < k.first_try.0 - 0.01;
+        // A try shorter than most is a later one, if a first one failed: a few clients that name more time, or
+        // many that name less, must not make later tries of all the others.
+        let later = (a.retry || !self.marked) && a.time_left < k.first_try.0 - 0.01 && k.owed >= 1.0;
+        k.owed -= if later { 1.0 } else { 0.0 };
         let elapsed = if later { (k.timeout - a.time_left).max(0.0) } else { 0.0 };
         let need = match k.consistency {
             Consistency::Session if !self.remembered => a.token_age.map_or(0.0, |age| now - age),
@@ -289,6 +294,7 @@
             answered: false,
             waiting: true,
             retry: a.retry,
+            later,
         };
         self.statements.insert(stmt, s);
         // Through the waiting ones, or a fresh statement would take the place of one worth more.
@@ -299,7 +305,10 @@
 
     pub fn client_gone(&mut self, now: f64, stmt: u64) {
         self.now = now;
-        self.statements.entry(stmt).and_modify(|s| s.answered = true);
+        if let Some(s) = self.statements.get_mut(&stmt).filter(|s| !s.answered) {
+            s.answered = true;
+            self.kinds[s.workload].owed += if s.later { 0.0 } else { 3.0 };
+        }
         self.due.push_back(stmt);
     }
 
@@ -509,7 +518,8 @@
         let s = self.statements.get_mut(&id).expect("a statement under consideration");
         s.answered = true;
         self.due.push_back(id);
-        let k = &self.kinds[s.workload];
+        let k = &mut self.kinds[s.workload];
+        k.owed = (k.owed + if s.later { 0.0 } else { 3.0 }).min(64.0);
         let may_have_run = s.executions.iter().any(|e| e.ended.is_none() || e.may_have_run);
         let repeats = k.effect == Effect::Deduplicated && k.scope == DedupScope::All;
         let harmless = k.effect == Effect::Idempotent || repeats || !may_have_run;
