--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -269,8 +269,8 @@
         if k.first_try.1 < 0 {
             k.first_try = (a.time_left, 2);
         }
-        // A try shorter than most is a later one, if a first one failed: clients that take to naming more time
-        // or less must not make later tries of all the others.
+        // A try shorter than most is a later one, if a first one failed: clients that take to naming more
+        // time or less must not make later tries of all the others.
         let later = (a.retry || !self.marked) && a.time_left < k.first_try.0 - 0.01 && k.owed >= 1.0;
         k.owed -= if later { 1.0 } else { 0.0 };
         let elapsed = if later { (k.timeout - a.time_left).max(0.0) } else { 0.0 };
