--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -22,7 +22,7 @@
 const STUCK: f64 = 3.0;
 /// Share of an SLO time that may pass before an answer, as the bound on what is in flight has it.
 const QUEUE: f64 = 0.35;
-/// The first rest of a sick host; it doubles with each further strike, four times at most.
+/// The first rest of a sick host; three, seven, at last fifteen times as long with further strikes.
 const REST: f64 = 0.25;
 
 struct Execution {
@@ -462,30 +462,29 @@
     fn consider(&mut self, id: u64) -> Option<Decision> {
         let now = self.now;
         let s = self.statements.get_mut(&id)?;
-        let open = s.executions.iter().filter(|e| e.ended.is_none()).count();
+        let open = s.executions.last().is_some_and(|e| e.ended.is_none());
         if s.answered {
-            if let Some(i) = s.executions.iter().position(|e| e.ended.is_none() && !e.recalled) {
-                s.executions[i].recalled = true;
-                return Some(Decision::Recall { stmt: id, execution: i });
-            }
-            if open == 0 {
+            if !open {
                 self.statements.remove(&id);
+                return None;
             }
-            return None;
+            let execution = s.executions.len() - 1;
+            let recalled = std::mem::replace(&mut s.executions[execution].recalled, true);
+            return (!recalled).then_some(Decision::Recall { stmt: id, execution });
         }
         let k = &self.kinds[s.workload];
         // What cannot come in time any more would only take the place of what can; but an execution that runs
         // goes on past the SLO time, for its client would ask again and have all of the work done anew.
         let worth_until = s.slo_at - 1.1 * k.usual;
-        let spent = k.late_share == 0.0 && open == 0 && k.effect == Effect::Idempotent;
-        let ran = s.executions.iter().any(|e| e.ended.is_some() && e.may_have_run);
+        let spent = k.late_share == 0.0 && !open && k.effect == Effect::Idempotent;
+        let ran = s.executions.iter().any(|e| e.may_have_run);
         let no_more =
-            open == 0 && (s.executions.len() >= self.most || (ran && k.effect == Effect::NonIdempotent));
+            !open && (s.executions.len() >= self.most || (ran && k.effect == Effect::NonIdempotent));
         if now >= s.end - self.margin || (spent && now > worth_until) || no_more {
             return Some(self.answer(id));
         }
         let mut look = if spent { worth_until.min(s.end - self.margin) } else { s.end - self.margin };
-        for e in s.executions.iter().filter(|e| e.ended.is_none()) {
+        if let Some(e) = s.executions.last().filter(|_| open) {
             let h = &mut self.hosts[e.host];
             let heard = h.open.first().map_or(now, |o| o.0).max(h.answered_at);
             // So long a silence would be a rare chance at the rate at which the host has answered.
@@ -500,7 +499,7 @@
             }
         }
         self.looks.push(Reverse((look.max(now + 0.002).to_bits(), id)));
-        if open > 0 {
+        if open {
             return None;
         }
         if let Some(host) = self.pick(id) {
@@ -520,7 +519,7 @@
         self.due.push_back(id);
         let k = &mut self.kinds[s.workload];
         k.owed = (k.owed + if s.later { 0.0 } else { 3.0 }).min(64.0);
-        let may_have_run = s.executions.iter().any(|e| e.ended.is_none() || e.may_have_run);
+        let may_have_run = s.executions.iter().any(|e| e.may_have_run);
         let repeats = k.effect == Effect::Deduplicated && k.scope == DedupScope::All;
         let harmless = k.effect == Effect::Idempotent || repeats || !may_have_run;
         match harmless {
@@ -574,7 +573,7 @@
     fn lawful(&self, s: &Statement, index: usize) -> bool {
         let (h, k) = (&self.hosts[index], &self.kinds[s.workload]);
         let fits = |e: &Execution| match k.effect {
-            _ if e.ended.is_some() && !e.may_have_run => true,
+            _ if !e.may_have_run => true,
             _ if e.ended.is_none() => false,
             Effect::Idempotent => true,
             Effect::NonIdempotent => false,
