--- a/crates/sandstile-wirehost/src/instance.rs
+++ b/crates/sandstile-wirehost/src/instance.rs
@@ -238,11 +238,7 @@
                 }
             }
             "FIRST" | "HEARD" => {}
-            _ => {
-                return Err(
-                    format!("{} as a message name", fields.wrong("an event")).replace(" as a", "; no such")
-                )
-            }
+            _ => return Err(fields.wrong(&format!("an event in place of '{name}'"))),
         }
         Ok(())
     }
