Rotations begin at random; cold hosts earn by completions of warm peers

Also guards any start of many routers at once. Harm: a cold host earns more slowly while its peers complete little.

--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -162,6 +162,8 @@
     marked: bool,
     ask_every: f64,
     ask_at: f64,
+    /// When the last host that is cold now will be warm.
+    cold_until: f64,
     hosts: Vec<Host>,
     groups: Vec<Group>,
     sessions: Vec<f64>,
@@ -211,6 +213,7 @@
             marked: terms.marked_retries,
             ask_every: terms.ask_within / 4.0,
             ask_at: if terms.on_request { now } else { f64::INFINITY },
+            cold_until: 0.0,
             hosts: Vec::new(),
             groups: Vec::new(),
             sessions: Vec::new(),
@@ -241,6 +244,7 @@
                 // A machine that replaces another is behind by seconds and cold, whatever it answers first.
                 (host.fresh_since, host.credit, host.seen_draining, host.mute) = (m.since, 0.0, false, false);
             }
+            self.cold_until = self.cold_until.max(host.fresh_since + self.cold_s);
             host.seen_draining |= m.readiness == Readiness::Draining;
             host.maybe_primary |= m.primary && host.denied_at == 0.0;
             let denied = host.denied_at > now - 5.0;
@@ -332,6 +336,7 @@
             if host.unreachable_since.take().is_some_and(|t| now - t > 1.0) {
                 // Back after a spell of no connections: most likely a restart that the list has yet to tell.
                 (host.fresh_since, host.credit) = (now, 0.0);
+                self.cold_until = now + self.cold_s;
             }
         }
         host.mute |= verdict == ConnectFailed;
@@ -373,6 +378,9 @@
         if let Some(primary) = note.primary {
             self.role(index, primary, true);
         }
+        if verdict == Completed {
+            self.earn(index);
+        }
     }
 
     pub fn probed(&mut self, now: f64, host: usize, ok: bool, note: Note) {
@@ -445,8 +453,9 @@
     }
 
     fn group(&mut self, index: usize) -> &mut Group {
-        if self.groups.len() <= index {
-            self.groups.resize(index + 1, Group::default());
+        while self.groups.len() <= index {
+            // Each router starts its rotation elsewhere: in step, hundreds met at the same member of a group.
+            self.groups.push(Group { cursor: self.chance.rand_u32() as usize % 997, ..Group::default() });
         }
         &mut self.groups[index]
     }
@@ -535,20 +544,7 @@
         s.waiting = false;
         let recalled = !self.may_recall;
         s.executions.push(Execution { host: index, sent: now, ended: None, may_have_run: true, recalled });
-        let (group, time_out) = (s.group, s.end - now);
-        let warm = |h: &Host, me: &Self| me.share(h) >= 1.0 && me.sendable(h);
-        if warm(&self.hosts[index], self) && self.hosts.iter().any(|h| self.share(h) < 1.0) {
-            let peers: Vec<usize> = self.hosts.iter().filter(|h| warm(h, self)).map(|h| h.group).collect();
-            for m in 0..self.hosts.len() {
-                let (share, of) = (self.share(&self.hosts[m]), self.hosts[m].group);
-                // A group with no warm member left earns by the traffic to the warm hosts of all groups.
-                let near = peers.iter().filter(|g| **g == of).count();
-                let gain = share / if near == 0 { peers.len() } else { near } as f64;
-                if share < 1.0 && (near == 0 || of == group) {
-                    self.hosts[m].credit = (self.hosts[m].credit + gain).min(2.0);
-                }
-            }
-        }
+        let time_out = s.end - now;
         let h = &mut self.hosts[index];
         h.credit -= 1.0;
         h.open.push((now, id));
@@ -559,6 +555,29 @@
         Decision::Send { stmt: id, host: index, time_out }
     }
 
+    /// A completion at a warm host earns its cold peers their share of a send. Sends would not do: refused and
+    /// repeated ones outnumber by far what a peer can do.
+    fn earn(&mut self, index: usize) {
+        if self.cold_until <= self.now || self.share(&self.hosts[index]) < 1.0 {
+            return;
+        }
+        let of = self.hosts[index].group;
+        let warm = |m: usize| self.share(&self.hosts[m]) >= 1.0 && self.sendable(&self.hosts[m]);
+        let all = (0..self.hosts.len()).filter(|m| warm(*m)).count().max(1);
+        let mut gains = Vec::new();
+        for (g, group) in self.groups.iter().enumerate() {
+            // A group with no warm member left earns by the traffic to the warm hosts of all groups.
+            let near = group.members.iter().filter(|m| warm(**m)).count();
+            if near == 0 || g == of {
+                let peers = if near == 0 { all } else { near } as f64;
+                gains.extend(group.members.iter().map(|m| (*m, self.share(&self.hosts[*m]) / peers)));
+            }
+        }
+        for (m, gain) in gains {
+            self.hosts[m].credit = (self.hosts[m].credit + gain).min(2.0);
+        }
+    }
+
     /// The share of its capacity that a host may be taken to have; the list tells its start.
     fn share(&self, h: &Host) -> f64 {
         let age = (self.now - h.fresh_since) / self.cold_s;
