Try: replicas and primaries of a router as two pools, each with a window of its own

Cause: with hundreds of routers a host's own completions say nothing to one router, and one place for each router and host adds up to far more than a host can hold.

--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -27,7 +27,9 @@
 
 struct Execution {
     host: usize,
+    pool: usize,
     sent: f64,
+    stay: f64,
     ended: Option<f64>,
     may_have_run: bool,
     /// Withdrawn already, or not to be.
@@ -113,6 +115,38 @@
     probe_at: f64,
 }
 
+/// All replicas, or all primaries, as one router meets them: with hundreds of routers a host of its own says
+/// next to nothing to one of them.
+#[derive(Clone, Default)]
+struct Pool {
+    /// Till when each execution that was sent here keeps its place.
+    places: Vec<f64>,
+    /// How many may be out while completions are too few to tell; below one, sends keep a distance in time.
+    window: f64,
+    most: f64,
+    sent: f64,
+    cut: f64,
+    rate: f64,
+    span: (f64, f64),
+}
+
+impl Pool {
+    fn spare(&self, now: f64, time: f64, share: f64) -> bool {
+        let bound = (self.rate * time).max(self.window) * share;
+        let held = self.places.iter().filter(|until| **until > now).count();
+        (held as f64) < bound && (bound >= 1.0 || now >= self.sent + time / bound)
+    }
+
+    /// Answers in good time widen the window bit by bit, late and refused ones cut it once a while.
+    fn learn(&mut self, now: f64, pause: f64, good: bool) {
+        if good {
+            self.window = (self.window + 0.2).min(self.most);
+        } else if now > self.cut + pause {
+            (self.window, self.cut) = ((0.7 * self.window).max(0.05), now);
+        }
+    }
+}
+
 /// What a workload's settings come down to.
 struct Kind {
     consistency: Consistency,
@@ -149,6 +183,7 @@
     kinds: Vec<Kind>,
     margin: f64,
     floor: f64,
+    floor_all: f64,
     most: usize,
     may_recall: bool,
     may_probe: bool,
@@ -165,6 +200,7 @@
     /// When the last host that is cold now will be warm.
     cold_until: f64,
     hosts: Vec<Host>,
+    pools: [Pool; 2],
     groups: Vec<Group>,
     sessions: Vec<f64>,
     statements: BTreeMap<u64, Statement>,
@@ -199,6 +235,7 @@
             kinds: terms.workloads.iter().map(kind).collect(),
             // What a host may hold for an instance that has yet to measure: eight in all.
             floor: (8.0 / terms.routers.max(1) as f64).clamp(1.0, 4.0),
+            floor_all: 8.0 / terms.routers.max(1) as f64,
             margin: 1.5 * terms.tick + 0.001,
             most: terms.most_executions.max(1),
             may_recall: terms.may_recall,
@@ -215,6 +252,7 @@
             ask_at: if terms.on_request { now } else { f64::INFINITY },
             cold_until: 0.0,
             hosts: Vec::new(),
+            pools: Default::default(),
             groups: Vec::new(),
             sessions: Vec::new(),
             statements: BTreeMap::new(),
@@ -256,6 +294,12 @@
                 self.groups[m.group].primary = Some(m.host);
             }
         }
+        let replicas = list.len().saturating_sub(self.groups.len());
+        for (pool, hosts) in self.pools.iter_mut().zip([replicas, self.groups.len()]) {
+            let most = (self.floor_all * hosts as f64).max(2.0);
+            pool.window = if pool.most == 0.0 { most } else { pool.window.min(most) };
+            pool.most = most;
+        }
     }
 
     /// A call to the list service failed or its subscription dropped.
@@ -340,9 +384,28 @@
             }
         }
         host.mute |= verdict == ConnectFailed;
+        let (took, pool) = (now - sent, &mut self.pools[e.pool]);
+        if !matches!(verdict, TimedOut | Cancelled) {
+            let place = sent + e.stay;
+            pool.places.iter().position(|p| *p == place).map(|at| pool.places.swap_remove(at));
+        }
+        match verdict {
+            Completed if took > kind.slo => pool.learn(now, kind.usual, false),
+            Completed if took < 0.5 * kind.slo => pool.learn(now, 0.0, true),
+            TimedOut | Cancelled if took > kind.slo => pool.learn(now, kind.usual, false),
+            Full => pool.learn(now, kind.usual, false),
+            _ => {}
+        }
+        if verdict == Completed {
+            pool.span.1 += 1.0;
+        }
+        if now - pool.span.0 >= 0.5 {
+            let span = now - pool.span.0;
+            pool.rate += (span / (span + 0.5)) * (pool.span.1 / span - pool.rate);
+            pool.span = (now, 0.0);
+        }
         match verdict {
             Completed => {
-                let took = now - sent;
                 kind.usual += 0.03 * (took.min(4.0 * kind.usual) - kind.usual);
                 kind.base = kind.usual.min(kind.base + 0.0005 * (kind.usual - kind.base));
                 host.crowd += 0.12 * ((took / kind.base).min(10.0) - host.crowd);
@@ -543,8 +606,22 @@
         let s = self.statements.get_mut(&id).expect("a statement under consideration");
         s.waiting = false;
         let recalled = !self.may_recall;
-        s.executions.push(Execution { host: index, sent: now, ended: None, may_have_run: true, recalled });
+        let stay = STUCK * self.kinds[s.workload].usual;
+        let pool = usize::from(self.groups[s.group].primary == Some(index));
+        s.executions.push(Execution {
+            host: index,
+            pool,
+            stay,
+            sent: now,
+            ended: None,
+            may_have_run: true,
+            recalled,
+        });
         let time_out = s.end - now;
+        let p = &mut self.pools[pool];
+        p.places.retain(|until| *until > now);
+        p.places.push(now + stay);
+        p.sent = now;
         let h = &mut self.hosts[index];
         h.credit -= 1.0;
         h.open.push((now, id));
@@ -609,13 +686,19 @@
 
     /// Rate x time. The time is what the SLO of the tightest workload worth as much leaves for a queue,
     /// but never under a quarter more than the work takes alone there, or a small bound could not grow again.
-    fn room(&self, h: &Host, workload: usize, share: f64) -> bool {
+    fn room(&self, index: usize, workload: usize, share: f64) -> bool {
+        let h = &self.hosts[index];
         let k = &self.kinds[workload];
         let rival = |o: &&Kind| o.writes() == k.writes() && o.density() >= k.density();
         let slo = self.kinds.iter().filter(rival).map(|o| o.slo).fold(k.slo, f64::min);
         let time = (QUEUE * slo).max(1.25 * k.base * h.bare.max(1.0));
         let held = h.open.len() + h.ghosts.iter().filter(|g| g.1 > self.now).count();
         (held as f64) < (h.rate * time).max((self.floor / h.crowd.powi(2)).max(1.0)) * share
+            && self.pools[self.pool(index)].spare(self.now, time, share)
+    }
+
+    fn pool(&self, index: usize) -> usize {
+        usize::from(self.groups[self.hosts[index].group].primary == Some(index))
     }
 
     fn pick(&mut self, id: u64) -> Option<usize> {
@@ -631,7 +714,7 @@
             if let Some(p) = primary {
                 let h = &self.hosts[p];
                 if !((h.mute || h.full) && h.rests_until > now) {
-                    return (self.room(h, s.workload, 1.0) && self.lawful(s, p)).then_some(p);
+                    return (self.room(p, s.workload, 1.0) && self.lawful(s, p)).then_some(p);
                 }
             } else if s.executions.len() < (self.most / 2).max(1) {
                 let fresh = |m: usize| self.hosts[m].denied_at < now - 0.4 && !self.hosts[m].mute;
@@ -657,7 +740,7 @@
                 continue;
             }
             let foretold = h.stood.0 + CATCH_UP * (now - h.stood.1);
-            if !self.room(h, s.workload, 1.0) {
+            if !self.room(m, s.workload, 1.0) {
                 full = true;
             } else if foretold >= least {
                 self.groups[s.group].cursor = at + 1;
@@ -678,7 +761,7 @@
             // The primary's room belongs to the writes, as far as they are worth more for their work.
             let writes = self.kinds.iter().filter(|o| o.writes()).map(Kind::density).fold(0.0, f64::max);
             let share = (k.density() / writes).min(1.0) * if full { 0.5 } else { 0.8 };
-            if usable && self.room(h, s.workload, share) {
+            if usable && self.room(p, s.workload, share) {
                 return Some(p);
             }
         }
