--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -694,7 +694,7 @@
         let time = (QUEUE * slo).max(1.25 * k.base * h.bare.max(1.0));
         let held = h.open.len() + h.ghosts.iter().filter(|g| g.1 > self.now).count();
         (held as f64) < (h.rate * time).max((self.floor / h.crowd.powi(2)).max(1.0)) * share
-            && self.pools[self.pool(index)].spare(self.now, time, share)
+            && self.pools[self.pool(index)].spare(self.now, 4.0 * time, share)
     }
 
     fn pool(&self, index: usize) -> usize {
