--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -25,6 +25,9 @@
 /// The first rest of a sick host; three, seven, at last fifteen times as long with further strikes.
 const REST: f64 = 0.25;
 
+/// A host never heard of rests this many times as long: it may not exist.
+const UNHEARD: f64 = 8.0;
+
 struct Execution {
     host: usize,
     pool: usize,
@@ -45,6 +48,7 @@
     slo_at: f64,
     end: f64,
     executions: Vec<Execution>,
+    errors: i32,
     answered: bool,
     waiting: bool,
     retry: bool,
@@ -58,6 +62,9 @@
     listed: Readiness,
     seen_draining: bool,
     fresh_since: f64,
+    named_at: f64,
+    /// It has told its role, as all members do and none that a list invents.
+    heard: bool,
     credit: f64,
     /// Has been named primary, and no answer has denied it since.
     maybe_primary: bool,
@@ -89,7 +96,8 @@
     }
 
     fn rest(&mut self, now: f64) {
-        self.rests_until = now + REST * (f64::powi(2.0, self.strikes.min(4)) - 1.0);
+        let unknown = if self.heard { 1.0 } else { UNHEARD };
+        self.rests_until = now + unknown * REST * (f64::powi(2.0, self.strikes.min(4)) - 1.0);
     }
 
     /// Completions a second, smoothed over about a second.
@@ -177,6 +185,12 @@
     }
 }
 
+/// The list may name hosts that do not exist: after a bad word with one, its like are left alone for a while.
+fn beware(wary: &mut (i32, f64), now: f64) {
+    wary.0 = (wary.0 + 1).min(4);
+    wary.1 = now + UNHEARD * REST * (f64::powi(2.0, wary.0) - 1.0);
+}
+
 pub struct Instance {
     now: f64,
     chance: Rand32,
@@ -197,6 +211,9 @@
     marked: bool,
     ask_every: f64,
     ask_at: f64,
+    started: f64,
+    /// Strikes of newly named hosts that were never heard of, taken as one; and till when those are left alone.
+    wary: (i32, f64),
     /// When the last host that is cold now will be warm.
     cold_until: f64,
     hosts: Vec<Host>,
@@ -250,6 +267,8 @@
             marked: terms.marked_retries,
             ask_every: terms.ask_within / 4.0,
             ask_at: if terms.on_request { now } else { f64::INFINITY },
+            started: now,
+            wary: (0, 0.0),
             cold_until: 0.0,
             hosts: Vec::new(),
             pools: Default::default(),
@@ -282,6 +301,7 @@
                 // A machine that replaces another is behind by seconds and cold, whatever it answers first.
                 (host.fresh_since, host.credit, host.seen_draining, host.mute) = (m.since, 0.0, false, false);
             }
+            host.named_at = if host.named_at == 0.0 { now } else { host.named_at };
             self.cold_until = self.cold_until.max(host.fresh_since + self.cold_s);
             host.seen_draining |= m.readiness == Readiness::Draining;
             host.maybe_primary |= m.primary && host.denied_at == 0.0;
@@ -339,6 +359,7 @@
             slo_at: now + k.slo - elapsed,
             end: now + a.time_left,
             executions: Vec::new(),
+            errors: 0,
             answered: false,
             waiting: true,
             retry: a.retry,
@@ -383,7 +404,9 @@
                 self.cold_until = now + self.cold_s;
             }
         }
-        host.mute |= verdict == ConnectFailed;
+        // Only what is no member answers without a role: nothing it says of a statement is to be believed.
+        let foreign = note.primary.is_none() && matches!(verdict, Completed | Error | Full | Miss);
+        host.mute |= verdict == ConnectFailed || foreign;
         let (took, pool) = (now - sent, &mut self.pools[e.pool]);
         if !matches!(verdict, TimedOut | Cancelled) {
             let place = sent + e.stay;
@@ -421,9 +444,14 @@
             ConnectFailed => host.unreachable_since = host.unreachable_since.or(Some(now)),
             _ => {}
         }
-        if matches!(verdict, ConnectFailed | Reset | Full) && host.rests_until <= now {
+        if (foreign || matches!(verdict, ConnectFailed | Reset | Full)) && host.rests_until <= now {
             host.strike(now);
         }
+        let bad = !host.heard && host.mute;
+        s.errors += i32::from(verdict == Error && !foreign);
+        if bad {
+            beware(&mut self.wary, now);
+        }
         let group = &mut self.groups[group];
         group.touched = true;
         if let Some(p) = note.position {
@@ -550,8 +578,10 @@
         let worth_until = s.slo_at - 1.1 * k.usual;
         let spent = k.late_share == 0.0 && !open && k.effect == Effect::Idempotent;
         let ran = s.executions.iter().any(|e| e.may_have_run);
-        let no_more =
-            !open && (s.executions.len() >= self.most || (ran && k.effect == Effect::NonIdempotent));
+        let no_more = !open
+            && (s.executions.len() >= self.most
+                || s.errors >= 2
+                || (ran && k.effect == Effect::NonIdempotent));
         if now >= s.end - self.margin || (spent && now > worth_until) || no_more {
             return Some(self.answer(id));
         }
@@ -565,7 +595,11 @@
                 // Guards against a host that takes statements and answers none, whatever the list says of it.
                 h.mute = true;
                 h.strike(now);
-                self.groups[h.group].touched = true;
+                let (group, heard) = (h.group, h.heard);
+                self.groups[group].touched = true;
+                if !heard {
+                    beware(&mut self.wary, now);
+                }
             } else if !h.mute {
                 look = look.min(heard + patience);
             }
@@ -661,6 +695,10 @@
         (self.cold_from + (1.0 - self.cold_from) * age).clamp(0.0, 1.0)
     }
 
+    fn stranger(&self, h: &Host) -> bool {
+        !h.heard && h.named_at > self.started && self.now < self.wary.1
+    }
+
     fn sendable(&self, h: &Host) -> bool {
         h.listed == Readiness::Active || (self.binds_alone && h.listed == Readiness::Gone && !h.seen_draining)
     }
@@ -717,7 +755,13 @@
                     return (self.room(p, s.workload, 1.0) && self.lawful(s, p)).then_some(p);
                 }
             } else if s.executions.len() < (self.most / 2).max(1) {
-                let fresh = |m: usize| self.hosts[m].denied_at < now - 0.4 && !self.hosts[m].mute;
+                // An error from what is no member would leave a write that may have run.
+                let any = g.members.iter().any(|m| self.hosts[*m].heard);
+                let known = |h: &Host| h.heard || !any;
+                let fresh = |m: usize| {
+                    let h = &self.hosts[m];
+                    h.denied_at < now - 0.4 && !h.mute && known(h)
+                };
                 let open = |m: &usize| fresh(*m) && !tried(*m, f64::INFINITY) && self.lawful(s, *m);
                 if let Some(&next) = g.members.iter().find(|m| open(m)) {
                     return Some(next);
@@ -733,7 +777,7 @@
         for at in (0..n).map(|step| (g.cursor + step) % n) {
             let m = g.members[at];
             let h = &self.hosts[m];
-            let ready = self.lawful(s, m) && !tried(m, 0.1) && h.rests_until <= now;
+            let ready = self.lawful(s, m) && !tried(m, 0.1) && h.rests_until <= now && !self.stranger(h);
             let known = self.checked || h.reached >= least;
             unknown |= !known;
             if Some(m) == primary || last || !ready || !known {
@@ -792,6 +836,9 @@
     fn role(&mut self, index: usize, primary: bool, answer: bool) {
         let now = self.now;
         let h = &mut self.hosts[index];
+        if !std::mem::replace(&mut h.heard, true) {
+            self.wary = (0, 0.0);
+        }
         let (group, mute) = (h.group, h.mute);
         let current = self.groups[group].primary;
         if primary && (answer || h.denied_at < now - 1.0) {
