--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -76,6 +76,7 @@
     /// Withdrawn or timed out, yet perhaps still queued or running there: when sent, and till when counted.
     ghosts: Vec<(f64, f64)>,
     answered_at: f64,
+    sent: f64,
     rate: f64,
     window: (f64, f64),
     /// Time to answer against an idle fleet.
@@ -140,7 +141,7 @@
 
 impl Pool {
     fn spare(&self, now: f64, time: f64, share: f64) -> bool {
-        let bound = (self.rate * time).max(self.window) * share;
+        let bound = (self.rate * time * share).max(self.window - self.most * (1.0 - share));
         let held = self.places.iter().filter(|until| **until > now).count();
         (held as f64) < bound && (bound >= 1.0 || now >= self.sent + time / bound)
     }
@@ -396,6 +397,7 @@
         let need = if kind.consistency == Consistency::Bounded { sent - kind.bound } else { s.need };
         let host = &mut self.hosts[index];
         host.open.retain(|o| *o != (sent, stmt));
+        let heard = host.answered_at;
         if matches!(verdict, Completed | Error | Full | Miss) {
             (host.answered_at, host.mute, host.full) = (now, false, verdict == Full);
             if host.unreachable_since.take().is_some_and(|t| now - t > 1.0) {
@@ -431,7 +433,9 @@
             Completed => {
                 kind.usual += 0.03 * (took.min(4.0 * kind.usual) - kind.usual);
                 kind.base = kind.usual.min(kind.base + 0.0005 * (kind.usual - kind.base));
-                host.crowd += 0.12 * ((took / kind.base).min(10.0) - host.crowd);
+                // A host seldom met is judged by its last answer, for what was before is long past.
+                let weight = (0.12f64).max(1.0 - (-(now - heard)).exp());
+                host.crowd += weight * ((took / kind.base).min(10.0) - host.crowd);
                 host.bare = host.crowd.min(host.bare + 0.002 * (host.crowd - host.bare));
                 host.strikes = 0;
                 host.roll(now);
@@ -657,7 +661,7 @@
         p.places.push(now + stay);
         p.sent = now;
         let h = &mut self.hosts[index];
-        h.credit -= 1.0;
+        (h.credit, h.sent) = (h.credit - 1.0, now);
         h.open.push((now, id));
         if h.strikes > 0 {
             h.rest(now);
@@ -731,7 +735,10 @@
         let slo = self.kinds.iter().filter(rival).map(|o| o.slo).fold(k.slo, f64::min);
         let time = (QUEUE * slo).max(1.25 * k.base * h.bare.max(1.0));
         let held = h.open.len() + h.ghosts.iter().filter(|g| g.1 > self.now).count();
-        (held as f64) < (h.rate * time).max((self.floor / h.crowd.powi(2)).max(1.0)) * share
+        let bound = (h.rate * time).max(self.floor / h.crowd.powi(2)) * share;
+        let paced = bound >= 1.0 || self.now >= h.sent + time / bound;
+        paced
+            && (held as f64) < bound.max(share)
             && self.pools[self.pool(index)].spare(self.now, 4.0 * time, share)
     }
 
