--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -418,7 +418,6 @@
             Completed if took > kind.slo => pool.learn(now, kind.usual, false),
             Completed if took < 0.5 * kind.slo => pool.learn(now, 0.0, true),
             TimedOut | Cancelled if took > kind.slo => pool.learn(now, kind.usual, false),
-            Full => pool.learn(now, kind.usual, false),
             _ => {}
         }
         if verdict == Completed {
