--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -735,7 +735,8 @@
         let time = (QUEUE * slo).max(1.25 * k.base * h.bare.max(1.0));
         let held = h.open.len() + h.ghosts.iter().filter(|g| g.1 > self.now).count();
         let bound = (h.rate * time).max(self.floor / h.crowd.powi(2)) * share;
-        let paced = h.crowd < 2.0 || self.now >= h.sent + time * (h.crowd / 2.0).powi(2);
+        let gap = (time * (h.crowd / 2.0).powi(2)).min(1.0 / h.rate);
+        let paced = h.crowd < 2.0 || self.now >= h.sent + gap;
         paced
             && (held as f64) < bound.max(share)
             && self.pools[self.pool(index)].spare(self.now, 4.0 * time, share)
