--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -736,7 +736,7 @@
         let held = h.open.len() + h.ghosts.iter().filter(|g| g.1 > self.now).count();
         let bound = (h.rate * time).max(self.floor / h.crowd.powi(2)) * share;
         let gap = (time * (h.crowd / 2.0).powi(2)).min(1.0 / h.rate);
-        let paced = h.crowd < 2.0 || self.now >= h.sent + gap;
+        let paced = h.rate * time >= 1.0 || h.crowd < 2.0 || self.now >= h.sent + gap;
         paced
             && (held as f64) < bound.max(share)
             && self.pools[self.pool(index)].spare(self.now, 4.0 * time, share)
