--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -442,7 +442,10 @@
                 host.reached = host.reached.max(if self.checked { need } else { 0.0 });
             }
             // A withdrawal may stop nothing: a place freed at once would let leaving clients fill the hosts.
-            TimedOut | Cancelled => host.ghosts.push((sent, now + STUCK * kind.usual)),
+            TimedOut | Cancelled => {
+                host.crowd = host.crowd.max((took / kind.base).min(10.0));
+                host.ghosts.push((sent, now + STUCK * kind.usual));
+            }
             Miss if !write && !self.stamped => host.stood = (need - 0.1, now),
             ConnectFailed => host.unreachable_since = host.unreachable_since.or(Some(now)),
             _ => {}
@@ -606,6 +609,22 @@
             } else if !h.mute {
                 look = look.min(heard + patience);
             }
+            // Guards against a host that is slow, stuck or crowded, which one router of hundreds cannot learn in
+            // time: the read is withdrawn once and goes on elsewhere while that can still be in time.
+            let leave = e.sent + STUCK * k.usual;
+            let free =
+                k.effect == Effect::Idempotent && s.executions.iter().filter(|e| e.recalled).count() == 0;
+            if free && leave + k.usual < s.slo_at {
+                if now < leave {
+                    look = look.min(leave);
+                } else if self.pick(id).is_some() {
+                    let s = self.statements.get_mut(&id)?;
+                    let execution = s.executions.len() - 1;
+                    s.executions[execution].recalled = true;
+                    self.looks.push(Reverse((look.max(now + 0.002).to_bits(), id)));
+                    return Some(Decision::Recall { stmt: id, execution });
+                }
+            }
         }
         self.looks.push(Reverse((look.max(now + 0.002).to_bits(), id)));
         if open {
