Crowded hosts lose turns of the rotation, not only time

A router meets such a host once in 25 s, so a rest in seconds spares it nothing. Also guards slow and stalled hosts. Harm: one slow answer by chance costs a host a turn.

--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -117,6 +117,8 @@
     members: Vec<usize>,
     primary: Option<usize>,
     cursor: usize,
+    arrived_at: f64,
+    interval: f64,
     change_number: f64,
     waiting: Vec<u64>,
     touched: bool,
@@ -331,7 +333,12 @@
 
     pub fn arrived(&mut self, now: f64, stmt: u64, a: &Arrival) {
         self.now = now;
-        let number = self.group(a.group).change_number;
+        let g = self.group(a.group);
+        if g.arrived_at > 0.0 {
+            g.interval += 0.1 * (now - g.arrived_at - g.interval);
+        }
+        g.arrived_at = now;
+        let number = g.change_number;
         let k = &mut self.kinds[a.workload];
         let same = (a.time_left - k.first_try.0).abs() < 0.01;
         k.first_try.1 = (k.first_try.1 + if same { 2 } else { -1 }).min(32);
@@ -754,7 +761,10 @@
         let time = (QUEUE * slo).max(1.25 * k.base * h.bare.max(1.0));
         let held = h.open.len() + h.ghosts.iter().filter(|g| g.1 > self.now).count();
         let bound = (h.rate * time).max(self.floor / h.crowd.powi(2)) * share;
-        let gap = (time * (h.crowd / 2.0).powi(2)).min(1.0 / h.rate);
+        let g = &self.groups[h.group];
+        // Counted in turns too, or a router that comes round seldom would spare a jammed host nothing.
+        let turn = g.interval * g.members.len() as f64;
+        let gap = (time * (h.crowd / 2.0).powi(2)).min(1.0 / h.rate).max(turn * h.crowd / 2.0);
         let paced = h.rate * time >= 1.0 || h.crowd < 2.0 || self.now >= h.sent + gap;
         paced
             && (held as f64) < bound.max(share)
