--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -765,7 +765,7 @@
         // Counted in turns too, or a router that comes round seldom would spare a jammed host nothing.
         let turn = g.interval * g.members.len() as f64;
         let gap = (time * (h.crowd / 2.0).powi(2)).min(1.0 / h.rate).max(turn * h.crowd / 2.0);
-        let paced = h.rate * time >= 1.0 || h.crowd < 2.0 || self.now >= h.sent + gap;
+        let paced = h.rate * time >= 1.0 || h.crowd < 3.0 || self.now >= h.sent + gap;
         paced
             && (held as f64) < bound.max(share)
             && self.pools[self.pool(index)].spare(self.now, 4.0 * time, share)
