--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -768,7 +768,7 @@
         let paced = h.rate * time >= 1.0 || h.crowd < 3.0 || self.now >= h.sent + gap;
         paced
             && (held as f64) < bound.max(share)
-            && self.pools[self.pool(index)].spare(self.now, 4.0 * time, share)
+            && self.pools[self.pool(index)].spare(self.now, 8.0 * time, share)
     }
 
     fn pool(&self, index: usize) -> usize {
