--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -30,9 +30,7 @@
 
 struct Execution {
     host: usize,
-    pool: usize,
     sent: f64,
-    stay: f64,
     ended: Option<f64>,
     may_have_run: bool,
     /// Withdrawn already, or not to be.
@@ -77,8 +75,7 @@
     ghosts: Vec<(f64, f64)>,
     answered_at: f64,
     sent: f64,
-    rate: f64,
-    window: (f64, f64),
+    meter: Meter,
     /// Time to answer against an idle fleet.
     crowd: f64,
     /// The least `crowd` has been: a slower machine needs more time for the same work.
@@ -100,15 +97,24 @@
         let unknown = if self.heard { 1.0 } else { UNHEARD };
         self.rests_until = now + unknown * REST * (f64::powi(2.0, self.strikes.min(4)) - 1.0);
     }
+}
 
-    /// Completions a second, smoothed over about a second.
-    fn roll(&mut self, now: f64) {
-        let span = now - self.window.0;
+/// Completions a second, smoothed over about a second.
+#[derive(Clone, Default)]
+struct Meter {
+    rate: f64,
+    since: f64,
+    count: f64,
+}
+
+impl Meter {
+    fn roll(&mut self, now: f64, completed: bool) {
+        let span = now - self.since;
         if span >= 0.5 {
-            self.ghosts.retain(|g| g.1 > now);
-            self.rate += (span / (span + 0.5)) * (self.window.1 / span - self.rate);
-            self.window = (now, 0.0);
+            self.rate += (span / (span + 0.5)) * (self.count / span - self.rate);
+            (self.since, self.count) = (now, 0.0);
         }
+        self.count += f64::from(u8::from(completed));
     }
 }
 
@@ -126,38 +132,6 @@
     probe_at: f64,
 }
 
-/// All replicas, or all primaries, as one router meets them: with hundreds of routers a host of its own says
-/// next to nothing to one of them.
-#[derive(Clone, Default)]
-struct Pool {
-    /// Till when each execution that was sent here keeps its place.
-    places: Vec<f64>,
-    /// How many may be out while completions are too few to tell; below one, sends keep a distance in time.
-    window: f64,
-    most: f64,
-    sent: f64,
-    cut: f64,
-    rate: f64,
-    span: (f64, f64),
-}
-
-impl Pool {
-    fn spare(&self, now: f64, time: f64, share: f64) -> bool {
-        let bound = (self.rate * time * share).max(self.window - self.most * (1.0 - share));
-        let held = self.places.iter().filter(|until| **until > now).count();
-        (held as f64) < bound && (bound >= 1.0 || now >= self.sent + time / bound)
-    }
-
-    /// Answers in good time widen the window bit by bit, late and refused ones cut it once a while.
-    fn learn(&mut self, now: f64, pause: f64, good: bool) {
-        if good {
-            self.window = (self.window + 0.2).min(self.most);
-        } else if now > self.cut + pause {
-            (self.window, self.cut) = ((0.7 * self.window).max(0.05), now);
-        }
-    }
-}
-
 /// What a workload's settings come down to.
 struct Kind {
     consistency: Consistency,
@@ -200,7 +174,7 @@
     kinds: Vec<Kind>,
     margin: f64,
     floor: f64,
-    floor_all: f64,
+    share_all: f64,
     most: usize,
     may_recall: bool,
     may_probe: bool,
@@ -220,7 +194,12 @@
     /// When the last host that is cold now will be warm.
     cold_until: f64,
     hosts: Vec<Host>,
-    pools: [Pool; 2],
+    /// How many executions may be out on all primaries when reads join them, while completions are too few to
+    /// tell; the most it may be; and when it was narrowed last.
+    spill: f64,
+    spill_most: f64,
+    narrowed_at: f64,
+    primaries: Meter,
     groups: Vec<Group>,
     sessions: Vec<f64>,
     statements: BTreeMap<u64, Statement>,
@@ -255,7 +234,7 @@
             kinds: terms.workloads.iter().map(kind).collect(),
             // What a host may hold for an instance that has yet to measure: eight in all.
             floor: (8.0 / terms.routers.max(1) as f64).clamp(1.0, 4.0),
-            floor_all: 8.0 / terms.routers.max(1) as f64,
+            share_all: 8.0 / terms.routers.max(1) as f64,
             margin: 1.5 * terms.tick + 0.001,
             most: terms.most_executions.max(1),
             may_recall: terms.may_recall,
@@ -274,7 +253,10 @@
             wary: (0, 0.0),
             cold_until: 0.0,
             hosts: Vec::new(),
-            pools: Default::default(),
+            spill: 0.0,
+            spill_most: 0.0,
+            narrowed_at: 0.0,
+            primaries: Meter::default(),
             groups: Vec::new(),
             sessions: Vec::new(),
             statements: BTreeMap::new(),
@@ -317,12 +299,9 @@
                 self.groups[m.group].primary = Some(m.host);
             }
         }
-        let replicas = list.len().saturating_sub(self.groups.len());
-        for (pool, hosts) in self.pools.iter_mut().zip([replicas, self.groups.len()]) {
-            let most = (self.floor_all * hosts as f64).max(2.0);
-            pool.window = if pool.most == 0.0 { most } else { pool.window.min(most) };
-            pool.most = most;
-        }
+        let most = (self.share_all * self.groups.len() as f64).max(2.0);
+        self.spill = if self.spill_most == 0.0 { most } else { self.spill.min(most) };
+        self.spill_most = most;
     }
 
     /// A call to the list service failed or its subscription dropped.
@@ -416,24 +395,16 @@
         // Only what is no member answers without a role: nothing it says of a statement is to be believed.
         let foreign = note.primary.is_none() && matches!(verdict, Completed | Error | Full | Miss);
         host.mute |= verdict == ConnectFailed || foreign;
-        let (took, pool) = (now - sent, &mut self.pools[e.pool]);
-        if !matches!(verdict, TimedOut | Cancelled) {
-            let place = sent + e.stay;
-            pool.places.iter().position(|p| *p == place).map(|at| pool.places.swap_remove(at));
-        }
-        match verdict {
-            Completed if took > kind.slo => pool.learn(now, kind.usual, false),
-            Completed if took < 0.5 * kind.slo => pool.learn(now, 0.0, true),
-            TimedOut | Cancelled if took > kind.slo => pool.learn(now, kind.usual, false),
-            _ => {}
-        }
-        if verdict == Completed {
-            pool.span.1 += 1.0;
-        }
-        if now - pool.span.0 >= 0.5 {
-            let span = now - pool.span.0;
-            pool.rate += (span / (span + 0.5)) * (pool.span.1 / span - pool.rate);
-            pool.span = (now, 0.0);
+        let took = now - sent;
+        if self.groups[group].primary == Some(index) {
+            self.primaries.roll(now, verdict == Completed);
+            // Answers in good time widen what reads may have of the primaries bit by bit, late ones cut it.
+            let late = took > kind.slo && matches!(verdict, Completed | TimedOut | Cancelled);
+            if late && now > self.narrowed_at + kind.usual {
+                (self.spill, self.narrowed_at) = ((0.7 * self.spill).max(0.05), now);
+            } else if verdict == Completed && took < 0.5 * kind.slo {
+                self.spill = (self.spill + 0.2).min(self.spill_most);
+            }
         }
         match verdict {
             Completed => {
@@ -444,8 +415,8 @@
                 host.crowd += weight * ((took / kind.base).min(10.0) - host.crowd);
                 host.bare = host.crowd.min(host.bare + 0.002 * (host.crowd - host.bare));
                 host.strikes = 0;
-                host.roll(now);
-                host.window.1 += 1.0;
+                host.meter.roll(now, true);
+                host.ghosts.retain(|g| g.1 > now);
                 host.reached = host.reached.max(if self.checked { need } else { 0.0 });
             }
             // A withdrawal may stop nothing: a place freed at once would let leaving clients fill the hosts.
@@ -603,7 +574,7 @@
             let h = &mut self.hosts[e.host];
             let heard = h.open.first().map_or(now, |o| o.0).max(h.answered_at);
             // So long a silence would be a rare chance at the rate at which the host has answered.
-            let patience = (STUCK * k.usual).min(6.0 / h.rate).clamp(0.5 * REST, 4.0 * REST);
+            let patience = (STUCK * k.usual).min(6.0 / h.meter.rate).clamp(0.5 * REST, 4.0 * REST);
             if now - heard >= patience && !h.mute {
                 // Guards against a host that takes statements and answers none, whatever the list says of it.
                 h.mute = true;
@@ -669,29 +640,15 @@
         let s = self.statements.get_mut(&id).expect("a statement under consideration");
         s.waiting = false;
         let recalled = !self.may_recall;
-        let stay = STUCK * self.kinds[s.workload].usual;
-        let pool = usize::from(self.groups[s.group].primary == Some(index));
-        s.executions.push(Execution {
-            host: index,
-            pool,
-            stay,
-            sent: now,
-            ended: None,
-            may_have_run: true,
-            recalled,
-        });
+        s.executions.push(Execution { host: index, sent: now, ended: None, may_have_run: true, recalled });
         let time_out = s.end - now;
-        let p = &mut self.pools[pool];
-        p.places.retain(|until| *until > now);
-        p.places.push(now + stay);
-        p.sent = now;
         let h = &mut self.hosts[index];
         (h.credit, h.sent) = (h.credit - 1.0, now);
         h.open.push((now, id));
         if h.strikes > 0 {
             h.rest(now);
         }
-        h.roll(now);
+        h.meter.roll(now, false);
         Decision::Send { stmt: id, host: index, time_out }
     }
 
@@ -760,19 +717,25 @@
         let slo = self.kinds.iter().filter(rival).map(|o| o.slo).fold(k.slo, f64::min);
         let time = (QUEUE * slo).max(1.25 * k.base * h.bare.max(1.0));
         let held = h.open.len() + h.ghosts.iter().filter(|g| g.1 > self.now).count();
-        let bound = (h.rate * time).max(self.floor / h.crowd.powi(2)) * share;
+        let bound = (h.meter.rate * time).max(self.floor / h.crowd.powi(2)) * share;
         let g = &self.groups[h.group];
         // Counted in turns too, or a router that comes round seldom would spare a jammed host nothing.
         let turn = g.interval * g.members.len() as f64;
-        let gap = (time * (h.crowd / 2.0).powi(2)).min(1.0 / h.rate).max(turn * h.crowd / 2.0);
-        let paced = h.rate * time >= 1.0 || h.crowd < 3.0 || self.now >= h.sent + gap;
+        let gap = (time * (h.crowd / 2.0).powi(2)).min(1.0 / h.meter.rate).max(turn * h.crowd / 2.0);
+        let paced = h.meter.rate * time >= 1.0 || h.crowd < 3.0 || self.now >= h.sent + gap;
         paced
             && (held as f64) < bound.max(share)
-            && (k.writes() || self.pool(index) == 0 || self.pools[1].spare(self.now, 8.0 * time, share))
+            && (k.writes() || self.groups[h.group].primary != Some(index) || self.spills(16.0 * time, share))
     }
 
-    fn pool(&self, index: usize) -> usize {
-        usize::from(self.groups[self.hosts[index].group].primary == Some(index))
+    /// Reads on primaries, all groups as one: to one router of hundreds a single primary says next to nothing.
+    /// What is worth least for its work leaves first; below one place, sends keep a distance in time.
+    fn spills(&self, time: f64, share: f64) -> bool {
+        let primaries = || self.groups.iter().filter_map(|g| g.primary).map(|p| &self.hosts[p]);
+        let held: usize = primaries().map(|h| h.open.len()).sum();
+        let sent = primaries().map(|h| h.sent).fold(0.0, f64::max);
+        let bound = (self.primaries.rate * time * share).max(self.spill - self.spill_most * (1.0 - share));
+        (held as f64) < bound && (bound >= 1.0 || self.now >= sent + time / bound)
     }
 
     fn pick(&mut self, id: u64) -> Option<usize> {
