--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -25,9 +25,6 @@
 /// The first rest of a sick host; three, seven, at last fifteen times as long with further strikes.
 const REST: f64 = 0.25;
 
-/// A host never heard of rests this many times as long: it may not exist.
-const UNHEARD: f64 = 8.0;
-
 struct Execution {
     host: usize,
     sent: f64,
@@ -60,7 +57,6 @@
     listed: Readiness,
     seen_draining: bool,
     fresh_since: f64,
-    named_at: f64,
     /// It has told its role, as all members do and none that a list invents.
     heard: bool,
     credit: f64,
@@ -71,8 +67,6 @@
     stood: (f64, f64),
     reached: f64,
     open: Vec<(f64, u64)>,
-    /// Withdrawn or timed out, yet perhaps still queued or running there: when sent, and till when counted.
-    ghosts: Vec<(f64, f64)>,
     answered_at: f64,
     sent: f64,
     meter: Meter,
@@ -94,8 +88,7 @@
     }
 
     fn rest(&mut self, now: f64) {
-        let unknown = if self.heard { 1.0 } else { UNHEARD };
-        self.rests_until = now + unknown * REST * (f64::powi(2.0, self.strikes.min(4)) - 1.0);
+        self.rests_until = now + REST * (f64::powi(2.0, self.strikes.min(4)) - 1.0);
     }
 }
 
@@ -162,12 +155,6 @@
     }
 }
 
-/// The list may name hosts that do not exist: after a bad word with one, its like are left alone for a while.
-fn beware(wary: &mut (i32, f64), now: f64) {
-    wary.0 = (wary.0 + 1).min(4);
-    wary.1 = now + UNHEARD * REST * (f64::powi(2.0, wary.0) - 1.0);
-}
-
 pub struct Instance {
     now: f64,
     chance: Rand32,
@@ -188,9 +175,6 @@
     marked: bool,
     ask_every: f64,
     ask_at: f64,
-    started: f64,
-    /// Strikes of newly named hosts that were never heard of, taken as one; and till when those are left alone.
-    wary: (i32, f64),
     /// When the last host that is cold now will be warm.
     cold_until: f64,
     hosts: Vec<Host>,
@@ -249,8 +233,6 @@
             marked: terms.marked_retries,
             ask_every: terms.ask_within / 4.0,
             ask_at: if terms.on_request { now } else { f64::INFINITY },
-            started: now,
-            wary: (0, 0.0),
             cold_until: 0.0,
             hosts: Vec::new(),
             spill: 0.0,
@@ -286,7 +268,6 @@
                 // A machine that replaces another is behind by seconds and cold, whatever it answers first.
                 (host.fresh_since, host.credit, host.seen_draining, host.mute) = (m.since, 0.0, false, false);
             }
-            host.named_at = if host.named_at == 0.0 { now } else { host.named_at };
             self.cold_until = self.cold_until.max(host.fresh_since + self.cold_s);
             host.seen_draining |= m.readiness == Readiness::Draining;
             host.maybe_primary |= m.primary && host.denied_at == 0.0;
@@ -416,13 +397,11 @@
                 host.bare = host.crowd.min(host.bare + 0.002 * (host.crowd - host.bare));
                 host.strikes = 0;
                 host.meter.roll(now, true);
-                host.ghosts.retain(|g| g.1 > now);
                 host.reached = host.reached.max(if self.checked { need } else { 0.0 });
             }
-            // A withdrawal may stop nothing: a place freed at once would let leaving clients fill the hosts.
+            // Withdrawn unanswered: the host needs at least so long.
             TimedOut | Cancelled => {
                 host.crowd = host.crowd.max((took / kind.base).min(10.0));
-                host.ghosts.push((sent, now + STUCK * kind.usual));
             }
             Miss if !write && !self.stamped => host.stood = (need - 0.1, now),
             ConnectFailed => host.unreachable_since = host.unreachable_since.or(Some(now)),
@@ -431,11 +410,7 @@
         if (foreign || matches!(verdict, ConnectFailed | Reset | Full)) && host.rests_until <= now {
             host.strike(now);
         }
-        let bad = !host.heard && host.mute;
         s.errors += i32::from(verdict == Error && !foreign);
-        if bad {
-            beware(&mut self.wary, now);
-        }
         let group = &mut self.groups[group];
         group.touched = true;
         if let Some(p) = note.position {
@@ -579,30 +554,10 @@
                 // Guards against a host that takes statements and answers none, whatever the list says of it.
                 h.mute = true;
                 h.strike(now);
-                let (group, heard) = (h.group, h.heard);
-                self.groups[group].touched = true;
-                if !heard {
-                    beware(&mut self.wary, now);
-                }
+                self.groups[h.group].touched = true;
             } else if !h.mute {
                 look = look.min(heard + patience);
             }
-            // Guards against a host that is slow, stuck or crowded, which one router of hundreds cannot learn in
-            // time: the read is withdrawn once and goes on elsewhere while that can still be in time.
-            let leave = e.sent + STUCK * k.usual;
-            let free =
-                k.effect == Effect::Idempotent && s.executions.iter().filter(|e| e.recalled).count() == 0;
-            if free && leave + k.usual < s.slo_at {
-                if now < leave {
-                    look = look.min(leave);
-                } else if self.pick(id).is_some() {
-                    let s = self.statements.get_mut(&id)?;
-                    let execution = s.executions.len() - 1;
-                    s.executions[execution].recalled = true;
-                    self.looks.push(Reverse((look.max(now + 0.002).to_bits(), id)));
-                    return Some(Decision::Recall { stmt: id, execution });
-                }
-            }
         }
         self.looks.push(Reverse((look.max(now + 0.002).to_bits(), id)));
         if open {
@@ -681,10 +636,6 @@
         (self.cold_from + (1.0 - self.cold_from) * age).clamp(0.0, 1.0)
     }
 
-    fn stranger(&self, h: &Host) -> bool {
-        !h.heard && h.named_at > self.started && self.now < self.wary.1
-    }
-
     fn sendable(&self, h: &Host) -> bool {
         h.listed == Readiness::Active || (self.binds_alone && h.listed == Readiness::Gone && !h.seen_draining)
     }
@@ -716,7 +667,7 @@
         let rival = |o: &&Kind| o.writes() == k.writes() && o.density() >= k.density();
         let slo = self.kinds.iter().filter(rival).map(|o| o.slo).fold(k.slo, f64::min);
         let time = (QUEUE * slo).max(1.25 * k.base * h.bare.max(1.0));
-        let held = h.open.len() + h.ghosts.iter().filter(|g| g.1 > self.now).count();
+        let held = h.open.len();
         let bound = (h.meter.rate * time).max(self.floor / h.crowd.powi(2)) * share;
         let g = &self.groups[h.group];
         // Counted in turns too, or a router that comes round seldom would spare a jammed host nothing.
@@ -776,7 +727,7 @@
         for at in (0..n).map(|step| (g.cursor + step) % n) {
             let m = g.members[at];
             let h = &self.hosts[m];
-            let ready = self.lawful(s, m) && !tried(m, 0.1) && h.rests_until <= now && !self.stranger(h);
+            let ready = self.lawful(s, m) && !tried(m, 0.1) && h.rests_until <= now;
             let known = self.checked || h.reached >= least;
             unknown |= !known;
             if Some(m) == primary || last || !ready || !known {
@@ -835,9 +786,7 @@
     fn role(&mut self, index: usize, primary: bool, answer: bool) {
         let now = self.now;
         let h = &mut self.hosts[index];
-        if !std::mem::replace(&mut h.heard, true) {
-            self.wary = (0, 0.0);
-        }
+        h.heard = true;
         let (group, mute) = (h.group, h.mute);
         let current = self.groups[group].primary;
         if primary && (answer || h.denied_at < now - 1.0) {
