--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -116,7 +116,6 @@
     members: Vec<usize>,
     primary: Option<usize>,
     cursor: usize,
-    offset: usize,
     arrived_at: f64,
     interval: f64,
     change_number: f64,
@@ -176,7 +175,6 @@
     marked: bool,
     ask_every: f64,
     ask_at: f64,
-    idle_close: f64,
     /// When the last host that is cold now will be warm.
     cold_until: f64,
     hosts: Vec<Host>,
@@ -234,7 +232,6 @@
             remembered: terms.tokens_remembered,
             marked: terms.marked_retries,
             ask_every: terms.ask_within / 4.0,
-            idle_close: terms.idle_close,
             ask_at: if terms.on_request { now } else { f64::INFINITY },
             cold_until: 0.0,
             hosts: Vec::new(),
@@ -508,7 +505,7 @@
     fn group(&mut self, index: usize) -> &mut Group {
         while self.groups.len() <= index {
             // Each router starts its rotation elsewhere: in step, hundreds met at the same member of a group.
-            self.groups.push(Group { offset: self.chance.rand_u32() as usize % 997, ..Group::default() });
+            self.groups.push(Group { cursor: self.chance.rand_u32() as usize % 997, ..Group::default() });
         }
         &mut self.groups[index]
     }
@@ -727,11 +724,8 @@
         let n = g.members.len();
         let last = s.executions.len() + 1 >= self.most;
         let (mut behind, mut best, mut full, mut unknown) = (None, 0.0, false, false);
-        // A router that comes round too seldom to keep its connections begins with as many members as it can.
-        let ring = ((self.idle_close / g.interval.max(0.001)) as usize).clamp(n.min(2), n);
-        let turn = |step: usize| if step < ring { (g.cursor + step) % ring } else { step };
-        for step in 0..n {
-            let m = g.members[(g.offset + turn(step)) % n];
+        for at in (0..n).map(|step| (g.cursor + step) % n) {
+            let m = g.members[at];
             let h = &self.hosts[m];
             let ready = self.lawful(s, m) && !tried(m, 0.1) && h.rests_until <= now;
             let known = self.checked || h.reached >= least;
@@ -743,7 +737,7 @@
             if !self.room(m, s.workload, 1.0) {
                 full = true;
             } else if foretold >= least {
-                self.groups[s.group].cursor = (turn(step) + 1) % ring;
+                self.groups[s.group].cursor = at + 1;
                 return Some(m);
             } else if foretold > best {
                 (behind, best) = (Some(m), foretold);
--- a/crates/sandstile-policy/tests/world/mod.rs
+++ b/crates/sandstile-policy/tests/world/mod.rs
@@ -61,7 +61,6 @@
         max_return: 0.5,
         on_request: flag(3),
         ask_within: 10.0,
-        idle_close: 15.0,
         drain_binds_alone: flag(4),
         cold_from: 0.2,
         cold_s: 10.0,
