--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -82,13 +82,13 @@
 }
 
 impl Host {
-    fn strike(&mut self, now: f64) {
+    fn strike(&mut self, now: f64, turn: f64) {
         self.strikes += 1;
-        self.rest(now);
+        self.rest(now, turn);
     }
 
-    fn rest(&mut self, now: f64) {
-        self.rests_until = now + REST * (f64::powi(2.0, self.strikes.min(4)) - 1.0);
+    fn rest(&mut self, now: f64, turn: f64) {
+        self.rests_until = now + REST.max(turn.min(2.0)) * (f64::powi(2.0, self.strikes.min(4)) - 1.0);
     }
 }
 
@@ -125,6 +125,13 @@
     probe_at: f64,
 }
 
+impl Group {
+    /// The time in which the rotation comes round.
+    fn turn(&self) -> f64 {
+        self.interval * self.members.len() as f64
+    }
+}
+
 /// What a workload's settings come down to.
 struct Kind {
     consistency: Consistency,
@@ -362,6 +369,7 @@
         let kind = &mut self.kinds[s.workload];
         let write = kind.writes();
         let need = if kind.consistency == Consistency::Bounded { sent - kind.bound } else { s.need };
+        let turn = self.groups[group].turn();
         let host = &mut self.hosts[index];
         host.open.retain(|o| *o != (sent, stmt));
         let heard = host.answered_at;
@@ -408,7 +416,7 @@
             _ => {}
         }
         if (foreign || matches!(verdict, ConnectFailed | Reset | Full)) && host.rests_until <= now {
-            host.strike(now);
+            host.strike(now, turn);
         }
         s.errors += i32::from(verdict == Error && !foreign);
         let group = &mut self.groups[group];
@@ -546,6 +554,7 @@
         }
         let mut look = if spent { worth_until.min(s.end - self.margin) } else { s.end - self.margin };
         if let Some(e) = s.executions.last().filter(|_| open) {
+            let turn = self.groups[s.group].turn();
             let h = &mut self.hosts[e.host];
             let heard = h.open.first().map_or(now, |o| o.0).max(h.answered_at);
             // So long a silence would be a rare chance at the rate at which the host has answered.
@@ -553,7 +562,7 @@
             if now - heard >= patience && !h.mute {
                 // Guards against a host that takes statements and answers none, whatever the list says of it.
                 h.mute = true;
-                h.strike(now);
+                h.strike(now, turn);
                 self.groups[h.group].touched = true;
             } else if !h.mute {
                 look = look.min(heard + patience);
@@ -596,12 +605,12 @@
         s.waiting = false;
         let recalled = !self.may_recall;
         s.executions.push(Execution { host: index, sent: now, ended: None, may_have_run: true, recalled });
-        let time_out = s.end - now;
+        let (time_out, turn) = (s.end - now, self.groups[s.group].turn());
         let h = &mut self.hosts[index];
         (h.credit, h.sent) = (h.credit - 1.0, now);
         h.open.push((now, id));
         if h.strikes > 0 {
-            h.rest(now);
+            h.rest(now, turn);
         }
         h.meter.roll(now, false);
         Decision::Send { stmt: id, host: index, time_out }
@@ -669,9 +678,8 @@
         let time = (QUEUE * slo).max(1.25 * k.base * h.bare.max(1.0));
         let held = h.open.len();
         let bound = (h.meter.rate * time).max(self.floor / h.crowd.powi(2)) * share;
-        let g = &self.groups[h.group];
         // Counted in turns too, or a router that comes round seldom would spare a jammed host nothing.
-        let turn = g.interval * g.members.len() as f64;
+        let turn = self.groups[h.group].turn();
         let gap = (time * (h.crowd / 2.0).powi(2)).min(1.0 / h.meter.rate).max(turn * h.crowd / 2.0);
         let paced = h.meter.rate * time >= 1.0 || h.crowd < 3.0 || self.now >= h.sent + gap;
         paced
