Mute primaries get no writes until a probe finds them

Cause: in the incident of dead primaries writes went to the old, unreachable primary as trial traffic after each rest, and those on open connections were lost and aborted. What told it from a slow primary: it refused new connections while the list still called it active. Harm: a primary that hangs for a moment gets its writes back only after its rest and a probe.

--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -444,6 +444,8 @@
     pub fn probed(&mut self, now: f64, host: usize, ok: bool, note: Note) {
         self.now = now;
         let Some(h) = self.hosts.get_mut(host).filter(|_| ok) else { return };
+        // Some hung hosts answer probes all the same, so each failure keeps it mute for longer.
+        h.mute &= h.rests_until > now;
         if let Some(p) = note.position {
             h.reached = h.reached.max(p);
             h.stood = (h.reached, now);
@@ -709,7 +711,8 @@
         if matches!(k.consistency, Consistency::Write | Consistency::Fresh) {
             if let Some(p) = primary {
                 let h = &self.hosts[p];
-                if !((h.mute || h.full) && h.rests_until > now) {
+                // A write is no trial traffic: what a mute primary swallows is lost. Probes look for its return.
+                if !(h.mute || h.full && h.rests_until > now) {
                     return (self.room(p, s.workload, 1.0) && self.lawful(s, p)).then_some(p);
                 }
             } else if s.executions.len() < (self.most / 2).max(1) {
