--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -27,6 +27,7 @@
 
 struct Execution {
     host: usize,
+    pool: usize,
     sent: f64,
     ended: Option<f64>,
     may_have_run: bool,
@@ -125,6 +126,26 @@
     probe_at: f64,
 }
 
+/// All replicas, or all primaries: to one router of hundreds a single host says next to nothing.
+#[derive(Clone, Default)]
+struct Pool {
+    held: usize,
+    /// How many may be out when reads join them, while completions are too few to tell; and the most it may be.
+    window: f64,
+    most: f64,
+    narrowed_at: f64,
+    sent: f64,
+    meter: Meter,
+}
+
+impl Pool {
+    /// What is worth least for its work leaves a narrow pool first; below one place, sends keep a distance.
+    fn spare(&self, now: f64, time: f64, share: f64) -> bool {
+        let bound = (self.meter.rate * time * share).max(self.window - self.most * (1.0 - share));
+        (self.held as f64) < bound && (bound >= 1.0 || now >= self.sent + time / bound)
+    }
+}
+
 impl Group {
     /// The time in which the rotation comes round.
     fn turn(&self) -> f64 {
@@ -185,12 +206,7 @@
     /// When the last host that is cold now will be warm.
     cold_until: f64,
     hosts: Vec<Host>,
-    /// How many executions may be out on all primaries when reads join them, while completions are too few to
-    /// tell; the most it may be; and when it was narrowed last.
-    spill: f64,
-    spill_most: f64,
-    narrowed_at: f64,
-    primaries: Meter,
+    pools: [Pool; 2],
     groups: Vec<Group>,
     sessions: Vec<f64>,
     statements: BTreeMap<u64, Statement>,
@@ -242,10 +258,7 @@
             ask_at: if terms.on_request { now } else { f64::INFINITY },
             cold_until: 0.0,
             hosts: Vec::new(),
-            spill: 0.0,
-            spill_most: 0.0,
-            narrowed_at: 0.0,
-            primaries: Meter::default(),
+            pools: Default::default(),
             groups: Vec::new(),
             sessions: Vec::new(),
             statements: BTreeMap::new(),
@@ -287,9 +300,12 @@
                 self.groups[m.group].primary = Some(m.host);
             }
         }
-        let most = (self.share_all * self.groups.len() as f64).max(2.0);
-        self.spill = if self.spill_most == 0.0 { most } else { self.spill.min(most) };
-        self.spill_most = most;
+        let replicas = list.len().saturating_sub(self.groups.len());
+        for (pool, hosts) in self.pools.iter_mut().zip([replicas, self.groups.len()]) {
+            let most = (self.share_all * hosts as f64).max(2.0);
+            pool.window = if pool.most == 0.0 { most } else { pool.window.min(most) };
+            pool.most = most;
+        }
     }
 
     /// A call to the list service failed or its subscription dropped.
@@ -385,15 +401,15 @@
         let foreign = note.primary.is_none() && matches!(verdict, Completed | Error | Full | Miss);
         host.mute |= verdict == ConnectFailed || foreign;
         let took = now - sent;
-        if self.groups[group].primary == Some(index) {
-            self.primaries.roll(now, verdict == Completed);
-            // Answers in good time widen what reads may have of the primaries bit by bit, late ones cut it.
-            let late = took > kind.slo && matches!(verdict, Completed | TimedOut | Cancelled);
-            if late && now > self.narrowed_at + kind.usual {
-                (self.spill, self.narrowed_at) = ((0.7 * self.spill).max(0.05), now);
-            } else if verdict == Completed && took < 0.5 * kind.slo {
-                self.spill = (self.spill + 0.2).min(self.spill_most);
-            }
+        let pool = &mut self.pools[e.pool];
+        pool.held -= 1;
+        pool.meter.roll(now, verdict == Completed);
+        // Answers in good time widen a pool's window bit by bit, late ones cut it.
+        let late = took > kind.slo && matches!(verdict, Completed | TimedOut | Cancelled);
+        if late && now > pool.narrowed_at + kind.usual {
+            (pool.window, pool.narrowed_at) = ((0.7 * pool.window).max(0.05), now);
+        } else if verdict == Completed && took < 0.5 * kind.slo {
+            pool.window = (pool.window + 0.2).min(pool.most);
         }
         match verdict {
             Completed => {
@@ -606,7 +622,16 @@
         let s = self.statements.get_mut(&id).expect("a statement under consideration");
         s.waiting = false;
         let recalled = !self.may_recall;
-        s.executions.push(Execution { host: index, sent: now, ended: None, may_have_run: true, recalled });
+        let pool = usize::from(self.groups[s.group].primary == Some(index));
+        (self.pools[pool].held, self.pools[pool].sent) = (self.pools[pool].held + 1, now);
+        s.executions.push(Execution {
+            host: index,
+            pool,
+            sent: now,
+            ended: None,
+            may_have_run: true,
+            recalled,
+        });
         let (time_out, turn) = (s.end - now, self.groups[s.group].turn());
         let h = &mut self.hosts[index];
         (h.credit, h.sent) = (h.credit - 1.0, now);
@@ -686,17 +711,11 @@
         let paced = h.meter.rate * time >= 1.0 || h.crowd < 3.0 || self.now >= h.sent + gap;
         paced
             && (held as f64) < bound.max(share)
-            && (k.writes() || self.groups[h.group].primary != Some(index) || self.spills(16.0 * time, share))
+            && (k.writes() || self.pools[self.pool(index)].spare(self.now, 16.0 * time, share))
     }
 
-    /// Reads on primaries, all groups as one: to one router of hundreds a single primary says next to nothing.
-    /// What is worth least for its work leaves first; below one place, sends keep a distance in time.
-    fn spills(&self, time: f64, share: f64) -> bool {
-        let primaries = || self.groups.iter().filter_map(|g| g.primary).map(|p| &self.hosts[p]);
-        let held: usize = primaries().map(|h| h.open.len()).sum();
-        let sent = primaries().map(|h| h.sent).fold(0.0, f64::max);
-        let bound = (self.primaries.rate * time * share).max(self.spill - self.spill_most * (1.0 - share));
-        (held as f64) < bound && (bound >= 1.0 || self.now >= sent + time / bound)
+    fn pool(&self, index: usize) -> usize {
+        usize::from(self.groups[self.hosts[index].group].primary == Some(index))
     }
 
     fn pick(&mut self, id: u64) -> Option<usize> {
