--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -711,7 +711,23 @@
         let paced = h.meter.rate * time >= 1.0 || h.crowd < 3.0 || self.now >= h.sent + gap;
         paced
             && (held as f64) < bound.max(share)
-            && (k.writes() || self.pools[self.pool(index)].spare(self.now, 16.0 * time, share))
+            && (k.writes()
+                || self.pools[self.pool(index)].spare(
+                    self.now,
+                    16.0 * time,
+                    if self.pool(index) == 1 {
+                        share
+                    } else {
+                        (k.density()
+                            / self
+                                .kinds
+                                .iter()
+                                .filter(|o| !o.writes())
+                                .map(Kind::density)
+                                .fold(0.0, f64::max))
+                        .sqrt()
+                    },
+                ))
     }
 
     fn pool(&self, index: usize) -> usize {
