Records stand in their own file; probes of cold hosts cost credit; places of withdrawn are back

A host is foreign only where others have told a role, and unheard hosts are kept from writes only once one was foreign.

--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -6,11 +6,12 @@
 //! Beside it stand six mechanisms:
 //! 1. primary: found from answers, list and probes; writes held and members probed while none is usable;
 //! 2. lag memory: replicas known too far behind for a read are skipped, the primary is spared;
-//! 3. health: hosts that are mute, unreachable or full rest, and return by trial traffic;
-//! 4. in-flight bound: measured rate x time per host; when it is full, importance per work decides;
+//! 3. health: mute, unreachable, full or foreign hosts rest, in time and in turns, then get trial traffic;
+//! 4. in-flight bound: rate x time per host and per pool of hosts; when full, importance per work decides;
 //! 5. further executions: while the statement can be in time and its effect allows, never two at once;
-//! 6. cold guard: sends to a fresh host stay under the own traffic to a warm peer x its cold share.
+//! 6. cold guard: sends to a fresh host stay under the own completions at a warm peer x its cold share.
 
+use crate::state::*;
 use crate::terms::*;
 use oorandom::Rand32;
 use std::cmp::Reverse;
@@ -25,82 +26,13 @@
 /// The first rest of a sick host; three, seven, at last fifteen times as long with further strikes.
 const REST: f64 = 0.25;
 
-struct Execution {
-    host: usize,
-    pool: usize,
-    sent: f64,
-    ended: Option<f64>,
-    may_have_run: bool,
-    /// Withdrawn already, or not to be.
-    recalled: bool,
-}
-
-struct Statement {
-    workload: usize,
-    group: usize,
-    session: Option<usize>,
-    /// The position that a session read must reach; 0 where any will do.
-    need: f64,
-    slo_at: f64,
-    end: f64,
-    executions: Vec<Execution>,
-    errors: i32,
-    answered: bool,
-    waiting: bool,
-    retry: bool,
-    later: bool,
-}
-
-#[derive(Clone, Default)]
-struct Host {
-    group: usize,
-    zone: usize,
-    listed: Readiness,
-    seen_draining: bool,
-    fresh_since: f64,
-    /// It has told its role, as all members do and none that a list invents.
-    heard: bool,
-    credit: f64,
-    /// Has been named primary, and no answer has denied it since.
-    maybe_primary: bool,
-    denied_at: f64,
-    /// It stood no further than `.0` at the time `.1`; and it has surely come to `reached`.
-    stood: (f64, f64),
-    reached: f64,
-    open: Vec<(f64, u64)>,
-    answered_at: f64,
-    sent: f64,
-    meter: Meter,
-    /// Time to answer against an idle fleet.
-    crowd: f64,
-    /// The least `crowd` has been: a slower machine needs more time for the same work.
-    bare: f64,
-    strikes: i32,
-    rests_until: f64,
-    mute: bool,
-    full: bool,
-    unreachable_since: Option<f64>,
-}
-
 impl Host {
-    fn strike(&mut self, now: f64, turn: f64) {
-        self.strikes += 1;
-        self.rest(now, turn);
-    }
-
-    fn rest(&mut self, now: f64, turn: f64) {
+    fn rest(&mut self, now: f64, turn: f64, strikes: i32) {
+        self.strikes += strikes;
         self.rests_until = now + REST.max(turn.min(2.0)) * (f64::powi(2.0, self.strikes.min(4)) - 1.0);
     }
 }
 
-/// Completions a second, smoothed over about a second.
-#[derive(Clone, Default)]
-struct Meter {
-    rate: f64,
-    since: f64,
-    count: f64,
-}
-
 impl Meter {
     fn roll(&mut self, now: f64, completed: bool) {
         let span = now - self.since;
@@ -112,32 +44,6 @@
     }
 }
 
-#[derive(Clone, Default)]
-struct Group {
-    members: Vec<usize>,
-    primary: Option<usize>,
-    cursor: usize,
-    arrived_at: f64,
-    interval: f64,
-    change_number: f64,
-    waiting: Vec<u64>,
-    touched: bool,
-    seeks: bool,
-    probe_at: f64,
-}
-
-/// All replicas, or all primaries: to one router of hundreds a single host says next to nothing.
-#[derive(Clone, Default)]
-struct Pool {
-    held: usize,
-    /// How many may be out when reads join them, while completions are too few to tell; and the most it may be.
-    window: f64,
-    most: f64,
-    narrowed_at: f64,
-    sent: f64,
-    meter: Meter,
-}
-
 impl Pool {
     /// What is worth least for its work leaves a narrow pool first; below one place, sends keep a distance.
     fn spare(&self, now: f64, time: f64, share: f64) -> bool {
@@ -153,26 +59,6 @@
     }
 }
 
-/// What a workload's settings come down to.
-struct Kind {
-    consistency: Consistency,
-    bound: f64,
-    effect: Effect,
-    scope: DedupScope,
-    window: f64,
-    slo: f64,
-    timeout: f64,
-    /// The time that most first tries have, and how sure that is.
-    first_try: (f64, i32),
-    /// Later tries to be looked for: three for each first try that failed here.
-    owed: f64,
-    importance: f64,
-    late_share: f64,
-    /// Usual seconds from send to answer, and the least they have been: what the work takes without a crowd.
-    usual: f64,
-    base: f64,
-}
-
 impl Kind {
     fn writes(&self) -> bool {
         self.consistency == Consistency::Write
@@ -183,12 +69,12 @@
     }
 }
 
+#[derive(Default)]
 pub struct Instance {
     now: f64,
-    chance: Rand32,
+    chance: Chance,
     kinds: Vec<Kind>,
     margin: f64,
-    floor: f64,
     share_all: f64,
     most: usize,
     may_recall: bool,
@@ -203,6 +89,9 @@
     marked: bool,
     ask_every: f64,
     ask_at: f64,
+    /// Some host has told its role; some answer came without one.
+    told: bool,
+    lied: bool,
     /// When the last host that is cold now will be warm.
     cold_until: f64,
     hosts: Vec<Host>,
@@ -237,10 +126,9 @@
         };
         Instance {
             now,
-            chance: Rand32::new(seed),
+            chance: Chance(Rand32::new(seed)),
             kinds: terms.workloads.iter().map(kind).collect(),
             // What a host may hold for an instance that has yet to measure: eight in all.
-            floor: (8.0 / terms.routers.max(1) as f64).clamp(1.0, 4.0),
             share_all: 8.0 / terms.routers.max(1) as f64,
             margin: 1.5 * terms.tick + 0.001,
             most: terms.most_executions.max(1),
@@ -256,17 +144,7 @@
             marked: terms.marked_retries,
             ask_every: terms.ask_within / 4.0,
             ask_at: if terms.on_request { now } else { f64::INFINITY },
-            cold_until: 0.0,
-            hosts: Vec::new(),
-            pools: Default::default(),
-            groups: Vec::new(),
-            sessions: Vec::new(),
-            statements: BTreeMap::new(),
-            looks: BinaryHeap::new(),
-            due: VecDeque::new(),
-            probes: VecDeque::new(),
-            logs: VecDeque::new(),
-            logged: 0,
+            ..Instance::default()
         }
     }
 
@@ -311,16 +189,14 @@
     /// A call to the list service failed or its subscription dropped.
     pub fn list_failed(&mut self, now: f64) {
         self.now = now;
-        self.ask_at = now + 0.2 + 0.3 * self.chance.rand_float() as f64;
+        self.ask_at = now + 0.2 + 0.3 * self.chance.0.rand_float() as f64;
     }
 
     pub fn arrived(&mut self, now: f64, stmt: u64, a: &Arrival) {
         self.now = now;
         let g = self.group(a.group);
-        if g.arrived_at > 0.0 {
-            g.interval += 0.1 * (now - g.arrived_at - g.interval);
-        }
-        g.arrived_at = now;
+        let since = if g.arrived_at > 0.0 { now - g.arrived_at } else { 0.0 };
+        (g.interval, g.arrived_at) = (g.interval + 0.1 * (since - g.interval), now);
         let number = g.change_number;
         let k = &mut self.kinds[a.workload];
         let same = (a.time_left - k.first_try.0).abs() < 0.01;
@@ -349,12 +225,10 @@
             need,
             slo_at: now + k.slo - elapsed,
             end: now + a.time_left,
-            executions: Vec::new(),
-            errors: 0,
-            answered: false,
             waiting: true,
             retry: a.retry,
             later,
+            ..Statement::default()
         };
         self.statements.insert(stmt, s);
         // Through the waiting ones, or a fresh statement would take the place of one worth more.
@@ -381,7 +255,7 @@
         let Some(e) = s.executions.get_mut(execution).filter(|e| e.ended.is_none()) else { return };
         e.ended = Some(now);
         e.may_have_run = !matches!(verdict, Full | ConnectFailed | Moot | Miss);
-        let (index, sent, group) = (e.host, e.sent, s.group);
+        let (index, sent, took, group) = (e.host, e.sent, now - e.sent, s.group);
         let kind = &mut self.kinds[s.workload];
         let write = kind.writes();
         let need = if kind.consistency == Consistency::Bounded { sent - kind.bound } else { s.need };
@@ -390,7 +264,7 @@
         host.open.retain(|o| *o != (sent, stmt));
         let heard = host.answered_at;
         if matches!(verdict, Completed | Error | Full | Miss) {
-            (host.answered_at, host.mute, host.full) = (now, false, verdict == Full);
+            (host.answered_at, host.mute) = (now, false);
             if host.unreachable_since.take().is_some_and(|t| now - t > 1.0) {
                 // Back after a spell of no connections: most likely a restart that the list has yet to tell.
                 (host.fresh_since, host.credit) = (now, 0.0);
@@ -398,9 +272,10 @@
             }
         }
         // Only what is no member answers without a role: nothing it says of a statement is to be believed.
-        let foreign = note.primary.is_none() && matches!(verdict, Completed | Error | Full | Miss);
+        let foreign =
+            self.told && note.primary.is_none() && matches!(verdict, Completed | Error | Full | Miss);
         host.mute |= verdict == ConnectFailed || foreign;
-        let took = now - sent;
+        self.lied |= foreign;
         let pool = &mut self.pools[e.pool];
         pool.held -= 1;
         pool.meter.roll(now, verdict == Completed);
@@ -421,18 +296,20 @@
                 host.bare = host.crowd.min(host.bare + 0.002 * (host.crowd - host.bare));
                 host.strikes = 0;
                 host.meter.roll(now, true);
+                host.ghosts.retain(|until| *until > now);
                 host.reached = host.reached.max(if self.checked { need } else { 0.0 });
             }
-            // Withdrawn unanswered: the host needs at least so long.
+            // A withdrawal may stop nothing: a place freed at once would let leaving clients fill the hosts.
             TimedOut | Cancelled => {
                 host.crowd = host.crowd.max((took / kind.base).min(10.0));
+                host.ghosts.push(now + STUCK * kind.usual);
             }
             Miss if !write && !self.stamped => host.stood = (need - 0.1, now),
             ConnectFailed => host.unreachable_since = host.unreachable_since.or(Some(now)),
             _ => {}
         }
         if (foreign || matches!(verdict, ConnectFailed | Reset | Full)) && host.rests_until <= now {
-            host.strike(now, turn);
+            host.rest(now, turn, 1);
         }
         s.errors += i32::from(verdict == Error && !foreign);
         let group = &mut self.groups[group];
@@ -521,7 +398,11 @@
             }
         }
         while let Some(host) = self.probes.pop_front() {
-            if self.may_probe && self.sendable(&self.hosts[host]) {
+            // Hundreds of routers probe at once: a cold host's probes are paid from the same credit.
+            let cold = self.share(&self.hosts[host]) < 1.0;
+            let paid = !cold || self.hosts[host].credit >= 0.1;
+            if self.may_probe && paid && self.sendable(&self.hosts[host]) {
+                self.hosts[host].credit -= if cold { 0.1 } else { 0.0 };
                 return Some(Decision::Probe { host });
             }
         }
@@ -531,7 +412,7 @@
     fn group(&mut self, index: usize) -> &mut Group {
         while self.groups.len() <= index {
             // Each router starts its rotation elsewhere: in step, hundreds met at the same member of a group.
-            self.groups.push(Group { cursor: self.chance.rand_u32() as usize % 997, ..Group::default() });
+            self.groups.push(Group { cursor: self.chance.0.rand_u32() as usize % 997, ..Group::default() });
         }
         &mut self.groups[index]
     }
@@ -580,7 +461,7 @@
             if now - heard >= patience && !h.mute {
                 // Guards against a host that takes statements and answers none, whatever the list says of it.
                 h.mute = true;
-                h.strike(now, turn);
+                h.rest(now, turn, 1);
                 self.groups[h.group].touched = true;
             } else if !h.mute {
                 look = look.min(heard + patience);
@@ -621,42 +502,34 @@
         let now = self.now;
         let s = self.statements.get_mut(&id).expect("a statement under consideration");
         s.waiting = false;
-        let recalled = !self.may_recall;
-        let pool = usize::from(self.groups[s.group].primary == Some(index));
+        let (recalled, pool) = (!self.may_recall, usize::from(self.groups[s.group].primary == Some(index)));
         (self.pools[pool].held, self.pools[pool].sent) = (self.pools[pool].held + 1, now);
-        s.executions.push(Execution {
-            host: index,
-            pool,
-            sent: now,
-            ended: None,
-            may_have_run: true,
-            recalled,
-        });
+        let execution = Execution { host: index, pool, sent: now, ended: None, may_have_run: true, recalled };
+        s.executions.push(execution);
         let (time_out, turn) = (s.end - now, self.groups[s.group].turn());
         let h = &mut self.hosts[index];
         (h.credit, h.sent) = (h.credit - 1.0, now);
         h.open.push((now, id));
         if h.strikes > 0 {
-            h.rest(now, turn);
+            h.rest(now, turn, 0);
         }
         h.meter.roll(now, false);
         Decision::Send { stmt: id, host: index, time_out }
     }
 
-    /// A completion at a warm host earns its cold peers their share of a send. Sends would not do: refused and
-    /// repeated ones outnumber by far what a peer can do.
+    /// A completion at a warm host earns its cold peers their share of a send; sends would not do: refused
+    /// and repeated ones outnumber by far what a peer can do.
     fn earn(&mut self, index: usize) {
         if self.cold_until <= self.now || self.share(&self.hosts[index]) < 1.0 {
             return;
         }
-        let of = self.hosts[index].group;
         let warm = |m: usize| self.share(&self.hosts[m]) >= 1.0 && self.sendable(&self.hosts[m]);
         let all = (0..self.hosts.len()).filter(|m| warm(*m)).count().max(1);
         let mut gains = Vec::new();
         for (g, group) in self.groups.iter().enumerate() {
             // A group with no warm member left earns by the traffic to the warm hosts of all groups.
             let near = group.members.iter().filter(|m| warm(**m)).count();
-            if near == 0 || g == of {
+            if near == 0 || g == self.hosts[index].group {
                 let peers = if near == 0 { all } else { near } as f64;
                 gains.extend(group.members.iter().map(|m| (*m, self.share(&self.hosts[*m]) / peers)));
             }
@@ -703,31 +576,20 @@
         let rival = |o: &&Kind| o.writes() == k.writes() && o.density() >= k.density();
         let slo = self.kinds.iter().filter(rival).map(|o| o.slo).fold(k.slo, f64::min);
         let time = (QUEUE * slo).max(1.25 * k.base * h.bare.max(1.0));
-        let held = h.open.len();
-        let bound = (h.meter.rate * time).max(self.floor / h.crowd.powi(2)) * share;
+        let bound = (h.meter.rate * time).max(self.share_all.clamp(1.0, 4.0) / h.crowd.powi(2)) * share;
         // Counted in turns too, or a router that comes round seldom would spare a jammed host nothing.
         let turn = self.groups[h.group].turn();
         let gap = (time * (h.crowd / 2.0).powi(2)).min(1.0 / h.meter.rate).max(turn * h.crowd / 2.0);
         let paced = h.meter.rate * time >= 1.0 || h.crowd < 3.0 || self.now >= h.sent + gap;
-        paced
-            && (held as f64) < bound.max(share)
-            && (k.writes()
-                || self.pools[self.pool(index)].spare(
-                    self.now,
-                    16.0 * time,
-                    if self.pool(index) == 1 {
-                        share
-                    } else {
-                        (k.density()
-                            / self
-                                .kinds
-                                .iter()
-                                .filter(|o| !o.writes())
-                                .map(Kind::density)
-                                .fold(0.0, f64::max))
-                        .sqrt()
-                    },
-                ))
+        let pool = self.pool(index);
+        let part = if pool == 1 { share } else { (k.density() / self.densest(false)).sqrt() };
+        let pooled = k.writes() || self.pools[pool].spare(self.now, 16.0 * time, part);
+        let held = h.open.len() + h.ghosts.iter().filter(|until| **until > self.now).count();
+        paced && pooled && (held as f64) < bound.max(share)
+    }
+
+    fn densest(&self, writes: bool) -> f64 {
+        self.kinds.iter().filter(|o| o.writes() == writes).map(Kind::density).fold(0.0, f64::max)
     }
 
     fn pool(&self, index: usize) -> usize {
@@ -746,19 +608,16 @@
         if matches!(k.consistency, Consistency::Write | Consistency::Fresh) {
             if let Some(p) = primary {
                 let h = &self.hosts[p];
-                // A write is no trial traffic: what a mute primary swallows is lost. Probes look for its return.
-                if !(h.mute || h.full && h.rests_until > now) {
+                // A write is no trial traffic: a mute primary swallows it. Probes look for its return.
+                if !h.mute && h.rests_until <= now {
                     return (self.room(p, s.workload, 1.0) && self.lawful(s, p)).then_some(p);
                 }
             } else if s.executions.len() < (self.most / 2).max(1) {
                 // An error from what is no member would leave a write that may have run.
-                let any = g.members.iter().any(|m| self.hosts[*m].heard);
-                let known = |h: &Host| h.heard || !any;
-                let fresh = |m: usize| {
-                    let h = &self.hosts[m];
-                    h.denied_at < now - 0.4 && !h.mute && known(h)
-                };
-                let open = |m: &usize| fresh(*m) && !tried(*m, f64::INFINITY) && self.lawful(s, *m);
+                let known = |h: &Host| h.heard || !self.lied;
+                let fresh = |h: &Host| h.denied_at < now - 0.4 && !h.mute && known(h);
+                let open =
+                    |m: &usize| fresh(&self.hosts[*m]) && !tried(*m, f64::INFINITY) && self.lawful(s, *m);
                 if let Some(&next) = g.members.iter().find(|m| open(m)) {
                     return Some(next);
                 }
@@ -767,8 +626,7 @@
             return None;
         }
         let least = if k.consistency == Consistency::Bounded { now - k.bound } else { s.need };
-        let n = g.members.len();
-        let last = s.executions.len() + 1 >= self.most;
+        let (n, last) = (g.members.len(), s.executions.len() + 1 >= self.most);
         let (mut behind, mut best, mut full, mut unknown) = (None, 0.0, false, false);
         for at in (0..n).map(|step| (g.cursor + step) % n) {
             let m = g.members[at];
@@ -799,8 +657,7 @@
             let h = &self.hosts[p];
             let usable = !h.mute && !tried(p, 0.0) && self.lawful(s, p) && (self.checked || h.maybe_primary);
             // The primary's room belongs to the writes, as far as they are worth more for their work.
-            let writes = self.kinds.iter().filter(|o| o.writes()).map(Kind::density).fold(0.0, f64::max);
-            let share = (k.density() / writes).min(1.0) * if full { 0.5 } else { 0.8 };
+            let share = (k.density() / self.densest(true)).min(1.0) * if full { 0.5 } else { 0.8 };
             if usable && self.room(p, s.workload, share) {
                 return Some(p);
             }
@@ -820,7 +677,7 @@
     fn seek(&mut self, group: usize) {
         let g = &mut self.groups[group];
         if self.now >= g.probe_at {
-            g.probe_at = self.now + 0.2 + 0.2 * self.chance.rand_float() as f64;
+            g.probe_at = self.now + 0.2 + 0.2 * self.chance.0.rand_float() as f64;
             self.probes.extend(g.members.iter().copied());
             if g.primary.is_none() {
                 self.log(format!("group {group}: no usable primary, probing its members"));
@@ -832,7 +689,7 @@
     fn role(&mut self, index: usize, primary: bool, answer: bool) {
         let now = self.now;
         let h = &mut self.hosts[index];
-        h.heard = true;
+        (h.heard, self.told) = (true, true);
         let (group, mute) = (h.group, h.mute);
         let current = self.groups[group].primary;
         if primary && (answer || h.denied_at < now - 1.0) {
--- /dev/null
+++ b/crates/sandstile-policy/src/state.rs
@@ -0,0 +1,125 @@
+//! What an instance keeps, by how long it lives. Plain records; what is done with them stands in `policy.rs`.
+use crate::terms::*;
+use oorandom::Rand32;
+
+/// Begins with the seed that is handed to the instance; the default only lets the instance have one.
+pub struct Chance(pub Rand32);
+
+impl Default for Chance {
+    fn default() -> Self {
+        Chance(Rand32::new(0))
+    }
+}
+
+pub struct Execution {
+    pub host: usize,
+    pub pool: usize,
+    pub sent: f64,
+    pub ended: Option<f64>,
+    pub may_have_run: bool,
+    /// Withdrawn already, or not to be.
+    pub recalled: bool,
+}
+
+#[derive(Default)]
+pub struct Statement {
+    pub workload: usize,
+    pub group: usize,
+    pub session: Option<usize>,
+    /// The position that a session read must reach; 0 where any will do.
+    pub need: f64,
+    pub slo_at: f64,
+    pub end: f64,
+    pub executions: Vec<Execution>,
+    pub errors: i32,
+    pub answered: bool,
+    pub waiting: bool,
+    pub retry: bool,
+    pub later: bool,
+}
+
+#[derive(Clone, Default)]
+pub struct Host {
+    pub group: usize,
+    pub zone: usize,
+    pub listed: Readiness,
+    pub seen_draining: bool,
+    pub fresh_since: f64,
+    /// It has told its role, as all members do and none that a list invents.
+    pub heard: bool,
+    pub credit: f64,
+    /// Has been named primary, and no answer has denied it since.
+    pub maybe_primary: bool,
+    pub denied_at: f64,
+    /// It stood no further than `.0` at the time `.1`; and it has surely come to `reached`.
+    pub stood: (f64, f64),
+    pub reached: f64,
+    pub open: Vec<(f64, u64)>,
+    /// Withdrawn or timed out, yet perhaps still queued or running there: till when each is counted.
+    pub ghosts: Vec<f64>,
+    pub answered_at: f64,
+    pub sent: f64,
+    pub meter: Meter,
+    /// Time to answer against an idle fleet.
+    pub crowd: f64,
+    /// The least `crowd` has been: a slower machine needs more time for the same work.
+    pub bare: f64,
+    pub strikes: i32,
+    pub rests_until: f64,
+    pub mute: bool,
+    pub unreachable_since: Option<f64>,
+}
+
+/// Completions a second, smoothed over about a second.
+#[derive(Clone, Default)]
+pub struct Meter {
+    pub rate: f64,
+    pub since: f64,
+    pub count: f64,
+}
+
+#[derive(Clone, Default)]
+pub struct Group {
+    pub members: Vec<usize>,
+    pub primary: Option<usize>,
+    pub cursor: usize,
+    pub arrived_at: f64,
+    pub interval: f64,
+    pub change_number: f64,
+    pub waiting: Vec<u64>,
+    pub touched: bool,
+    pub seeks: bool,
+    pub probe_at: f64,
+}
+
+/// All replicas, or all primaries: to one router of hundreds a single host says next to nothing.
+#[derive(Clone, Default)]
+pub struct Pool {
+    pub held: usize,
+    /// How many may be out while completions are too few to tell; and the most it may be.
+    pub window: f64,
+    pub most: f64,
+    pub narrowed_at: f64,
+    pub sent: f64,
+    pub meter: Meter,
+}
+
+/// What a workload's settings come down to.
+pub struct Kind {
+    pub consistency: Consistency,
+    pub bound: f64,
+    pub effect: Effect,
+    pub scope: DedupScope,
+    pub window: f64,
+    pub slo: f64,
+    pub timeout: f64,
+    /// The time that most first tries have, and how sure that is.
+    pub first_try: (f64, i32),
+    /// Later tries to be looked for: three for each first try that failed here.
+    pub owed: f64,
+    pub importance: f64,
+    pub late_share: f64,
+    /// Usual seconds from send to answer, and the least they have been: what the work takes without a crowd.
+    pub usual: f64,
+    pub base: f64,
+}
