--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -46,8 +46,9 @@
 
 impl Pool {
     /// What is worth least for its work leaves a narrow pool first; below one place, sends keep a distance.
-    fn spare(&self, now: f64, time: f64, share: f64) -> bool {
-        let bound = (self.meter.rate * time * share).max(self.window - self.most * (1.0 - share));
+    fn spare(&self, now: f64, time: f64, share: f64, whole: f64) -> bool {
+        let window = whole * (self.window - self.most * (1.0 - share)) / share;
+        let bound = (self.meter.rate * time * share).max(window);
         (self.held as f64) < bound && (bound >= 1.0 || now >= self.sent + time / bound)
     }
 }
@@ -582,8 +583,9 @@
         let gap = (time * (h.crowd / 2.0).powi(2)).min(1.0 / h.meter.rate).max(turn * h.crowd / 2.0);
         let paced = h.meter.rate * time >= 1.0 || h.crowd < 3.0 || self.now >= h.sent + gap;
         let pool = self.pool(index);
+        // A wide pool of replicas is open to all reads, while the primaries' belongs to the writes.
         let part = if pool == 1 { share } else { (k.density() / self.densest(false)).sqrt() };
-        let pooled = k.writes() || self.pools[pool].spare(self.now, 16.0 * time, part);
+        let pooled = k.writes() || self.pools[pool].spare(self.now, 16.0 * time, part, share);
         let held = h.open.len() + h.ghosts.iter().filter(|until| **until > self.now).count();
         paced && pooled && (held as f64) < bound.max(share)
     }
