--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -534,8 +534,10 @@
                 gains.extend(group.members.iter().map(|m| (*m, self.share(&self.hosts[*m]) / peers)));
             }
         }
+        // Whole sends by chance: saved up in parts, none of hundreds of routers would have one in all the cold time.
         for (m, gain) in gains {
-            self.hosts[m].credit = (self.hosts[m].credit + gain).min(2.0);
+            let won = f64::from(self.chance.0.rand_float()) < gain;
+            self.hosts[m].credit = (self.hosts[m].credit + f64::from(u8::from(won))).min(2.0);
         }
     }
 
@@ -581,7 +583,7 @@
         let spared = self.groups[h.group].turn() * h.crowd / 2.0;
         let gap = (time * (h.crowd / 2.0).powi(2)).min(1.0 / h.meter.rate).max(spared);
         let paced = h.meter.rate * time >= 1.0 || h.crowd < 3.0 || self.now >= h.sent + gap;
-        let pool = self.pool(index);
+        let pool = usize::from(self.groups[h.group].primary == Some(index));
         // A wide pool of replicas is open to all reads, while the primaries' belongs to the writes.
         let part = if pool == 1 { share } else { (k.density() / self.densest(false)).sqrt() };
         let pooled = k.writes() || self.pools[pool].spare(self.now, 16.0 * time, part, share);
@@ -593,10 +595,6 @@
         self.kinds.iter().filter(|o| o.writes() == writes).map(Kind::density).fold(0.0, f64::max)
     }
 
-    fn pool(&self, index: usize) -> usize {
-        usize::from(self.groups[self.hosts[index].group].primary == Some(index))
-    }
-
     fn pick(&mut self, id: u64) -> Option<usize> {
         let now = self.now;
         let s = &self.statements[&id];
--- a/crates/sandstile-policy/tests/rules.rs
+++ b/crates/sandstile-policy/tests/rules.rs
@@ -34,8 +34,7 @@
                 w.list[host].readiness =
                     [Readiness::Active, Readiness::Draining, Readiness::Gone, Readiness::Active][n / 5 % 4];
                 if n.is_multiple_of(11) {
-                    w.list[host].since = w.now;
-                    w.list[host].readiness = Readiness::Active;
+                    (w.list[host].since, w.list[host].readiness) = (w.now, Readiness::Active);
                 }
                 w.relist();
             }
--- a/crates/sandstile-policy/tests/world/mod.rs
+++ b/crates/sandstile-policy/tests/world/mod.rs
@@ -29,7 +29,7 @@
     pub reached: Vec<f64>,
     pub ex_primary: Vec<bool>,
     pub change_number: f64,
-    pub warm_sends: Vec<f64>,
+    pub warm_completions: Vec<f64>,
     pub cold_sends: Vec<f64>,
     pub decisions: Vec<Decision>,
     pub group: usize,
@@ -100,7 +100,7 @@
             reached: vec![0.0; HOSTS],
             ex_primary,
             change_number: 0.0,
-            warm_sends: vec![0.0; HOSTS],
+            warm_completions: vec![0.0; HOSTS],
             cold_sends: vec![0.0; HOSTS],
             decisions: Vec::new(),
             group: 0,
@@ -128,7 +128,6 @@
         self.next - 1
     }
 
-    /// One statement from arrival to its outcome; where it went.
     pub fn serve(&mut self, workload: usize, verdict: Verdict, primary: Option<bool>) -> usize {
         let stmt = self.arrive(workload, 1.0);
         self.step(0.005);
@@ -140,7 +139,7 @@
     pub fn relist(&mut self) {
         for m in &self.list {
             if m.since > 0.0 && self.now - m.since < 0.001 {
-                (self.cold_sends[m.host], self.warm_sends[m.host]) = (0.0, 0.0);
+                (self.cold_sends[m.host], self.warm_completions[m.host]) = (0.0, 0.0);
             }
         }
         self.policy.members(self.now, &self.list);
@@ -155,6 +154,10 @@
         let first = o.sent.get(execution).is_some_and(|s| s.ended.is_none());
         if let Some(sent) = o.sent.get_mut(execution).filter(|_| first) {
             sent.ended = Some(verdict);
+            let since = self.list[sent.host].since;
+            if verdict == Verdict::Completed && (since == 0.0 || self.now >= since + self.terms.cold_s) {
+                self.warm_completions.iter_mut().for_each(|n| *n += 1.0);
+            }
             if let (Some(p), false) = (position, write) {
                 self.reached[sent.host] = self.reached[sent.host].max(p);
             }
@@ -170,7 +173,6 @@
         self.policy.ended(self.now, stmt, execution, verdict, over, note);
     }
 
-    /// Lets `seconds` pass and takes every decision, each held against the rules.
     pub fn step(&mut self, seconds: f64) {
         self.now += seconds;
         self.policy.passed(self.now);
@@ -223,11 +225,9 @@
                 if m.since > 0.0 && self.now < m.since + self.terms.cold_s {
                     self.cold_sends[host] += 1.0;
                     assert!(
-                        self.cold_sends[host] <= self.warm_sends[host],
+                        self.cold_sends[host] <= self.warm_completions[host],
                         "a cold host got more than its peers"
                     );
-                } else {
-                    self.warm_sends.iter_mut().for_each(|n| *n += 1.0);
                 }
                 o.sent.push(Sent { host, at: self.now, ended: None });
             }
