--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -517,28 +517,21 @@
         Decision::Send { stmt: id, host: index, time_out }
     }
 
-    /// A completion at a warm host earns its cold peers their share of a send; sends would not do: refused
-    /// and repeated ones outnumber by far what a peer can do.
+    /// A completion at a warm host earns the cold ones their share of the sends to a warm one; sends would not do:
+    /// refused and repeated ones outnumber by far what a host can do. Nor would the group's alone: where one warm
+    /// member is left, it is jammed and the cold ones that could relieve it earn nothing.
     fn earn(&mut self, index: usize) {
         if self.cold_until <= self.now || self.share(&self.hosts[index]) < 1.0 {
             return;
         }
-        let warm = |m: usize| self.share(&self.hosts[m]) >= 1.0 && self.sendable(&self.hosts[m]);
-        let all = (0..self.hosts.len()).filter(|m| warm(*m)).count().max(1);
-        let mut gains = Vec::new();
-        for (g, group) in self.groups.iter().enumerate() {
-            // A group with no warm member left earns by the traffic to the warm hosts of all groups.
-            let near = group.members.iter().filter(|m| warm(**m)).count();
-            if near == 0 || g == self.hosts[index].group {
-                let peers = if near == 0 { all } else { near } as f64;
-                gains.extend(group.members.iter().map(|m| (*m, self.share(&self.hosts[*m]) / peers)));
+        let warm = self.hosts.iter().filter(|h| self.share(h) >= 1.0 && self.sendable(h)).count().max(1);
+        for m in 0..self.hosts.len() {
+            let gain = self.share(&self.hosts[m]) / warm as f64;
+            // Whole sends by chance: saved up in parts, none of hundreds of routers has one in the cold time.
+            if f64::from(self.chance.0.rand_float()) < gain {
+                self.hosts[m].credit = (self.hosts[m].credit + 1.0).min(2.0);
             }
         }
-        // Whole sends by chance: saved up in parts, none of hundreds of routers would have one in all the cold time.
-        for (m, gain) in gains {
-            let won = f64::from(self.chance.0.rand_float()) < gain;
-            self.hosts[m].credit = (self.hosts[m].credit + f64::from(u8::from(won))).min(2.0);
-        }
     }
 
     /// The share of its capacity that a host may be taken to have; the list tells its start.
