--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -575,8 +575,7 @@
         // Counted in turns too, or a router that comes round seldom would spare a jammed host nothing.
         let spared = self.groups[h.group].turn() * h.crowd / 2.0;
         let gap = (time * (h.crowd / 2.0).powi(2)).min(1.0 / h.meter.rate).max(spared);
-        let calm = h.crowd < 1.0 + 2.0 * share;
-        let paced = h.meter.rate * time >= 1.0 || calm || self.now >= h.sent + gap / share;
+        let paced = h.meter.rate * time >= 1.0 || h.crowd < 3.0 || self.now >= h.sent + gap;
         let pool = usize::from(self.groups[h.group].primary == Some(index));
         // A wide pool of replicas is open to all reads, while the primaries' belongs to the writes.
         let part = if pool == 1 { share } else { (k.density() / self.densest(false)).sqrt() };
