--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -84,6 +84,8 @@
     binds_alone: bool,
     cold_from: f64,
     cold_s: f64,
+    /// Half of the stated multiple: the other half is for sizes of work and for what only knocks.
+    cold_ease: f64,
     checked: bool,
     stamped: bool,
     remembered: bool,
@@ -139,6 +141,7 @@
             binds_alone: terms.drain_binds_alone,
             cold_from: terms.cold_from,
             cold_s: terms.cold_s.max(0.001),
+            cold_ease: (terms.cold_multiple / 2.0).max(1.0),
             checked: terms.checked,
             stamped: terms.stamped,
             remembered: terms.tokens_remembered,
@@ -526,7 +529,7 @@
         }
         let warm = self.hosts.iter().filter(|h| self.share(h) >= 1.0 && self.sendable(h)).count().max(1);
         for m in 0..self.hosts.len() {
-            let gain = self.share(&self.hosts[m]) / warm as f64;
+            let gain = self.cold_ease * self.share(&self.hosts[m]) / warm as f64;
             // Whole sends by chance: saved up in parts, none of hundreds of routers has one in the cold time.
             if f64::from(self.chance.0.rand_float()) < gain {
                 self.hosts[m].credit = (self.hosts[m].credit + 1.0).min(2.0);
--- a/crates/sandstile-policy/src/terms.rs
+++ b/crates/sandstile-policy/src/terms.rs
@@ -57,6 +57,8 @@
     pub drain_binds_alone: bool,
     pub cold_from: f64,
     pub cold_s: f64,
+    /// A cold host falls over when sent this many times what it can do.
+    pub cold_multiple: f64,
     /// Database hosts judge a read's class themselves.
     pub checked: bool,
     /// Every answer carries a position.
--- a/crates/sandstile-policy/tests/world/mod.rs
+++ b/crates/sandstile-policy/tests/world/mod.rs
@@ -65,6 +65,7 @@
         drain_binds_alone: flag(4),
         cold_from: 0.2,
         cold_s: 10.0,
+        cold_multiple: 3.0,
         checked: flag(5),
         stamped: flag(6),
         tokens_remembered: flag(7),
--- a/crates/sandstile-wirehost/src/instance.rs
+++ b/crates/sandstile-wirehost/src/instance.rs
@@ -110,6 +110,7 @@
             drain_binds_alone: yes("rules.drainBindsAlone", false),
             cold_from: number("rules.coldFrom", 1.0)?,
             cold_s: seconds("rules.coldMs", 0.0)?,
+            cold_multiple: number("rules.tipMultiple", 1.0)?,
             checked: word("specifics.guards") != "off",
             stamped: yes("specifics.answersStamped", false),
             marked_retries: yes("clients.marksRetry", false),
