--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -1,7 +1,6 @@
 //! The decisions of one sandstile instance. A host of this module feeds it inputs (`members`, `arrived`,
 //! `ended`, `probed`, `client_gone`, `passed`), which only update what is known, then calls `decide` until it
 //! returns nothing, and `passed` again no later than `wake_at`. Interface types stand in `terms.rs`.
-//!
 //! The design (DBFarm's change numbers and round-robin, the host's class check) decides the ordinary path.
 //! Beside it stand six mechanisms:
 //! 1. primary: found from answers, list and probes; writes held and members probed while none is usable;
@@ -92,6 +91,8 @@
     marked: bool,
     ask_every: f64,
     ask_at: f64,
+    idle_close: f64,
+    refused_at: f64,
     /// Some host has told its role; some answer came without one.
     told: bool,
     lied: bool,
@@ -147,6 +148,7 @@
             remembered: terms.tokens_remembered,
             marked: terms.marked_retries,
             ask_every: terms.ask_within / 4.0,
+            idle_close: terms.idle_close,
             ask_at: if terms.on_request { now } else { f64::INFINITY },
             ..Instance::default()
         }
@@ -279,6 +281,7 @@
             self.told && note.primary.is_none() && matches!(verdict, Completed | Error | Full | Miss);
         host.mute |= verdict == ConnectFailed || foreign;
         self.lied |= foreign;
+        self.refused_at = if verdict == ConnectFailed { now } else { self.refused_at };
         let pool = &mut self.pools[e.pool];
         pool.held -= 1;
         pool.meter.roll(now, verdict == Completed);
@@ -520,9 +523,9 @@
         Decision::Send { stmt: id, host: index, time_out }
     }
 
-    /// A completion at a warm host earns the cold ones their share of the sends to a warm one; sends would not do:
-    /// refused and repeated ones outnumber by far what a host can do. Nor would the group's alone: where one warm
-    /// member is left, it is jammed and the cold ones that could relieve it earn nothing.
+    /// A completion at a warm host earns the cold ones their share of the sends to a warm one. Sends would not
+    /// do: refused and repeated ones outnumber by far what a host can do. Nor would the group's alone: where one
+    /// warm member is left, it is jammed and the cold ones that could relieve it earn nothing.
     fn earn(&mut self, index: usize) {
         if self.cold_until <= self.now || self.share(&self.hosts[index]) < 1.0 {
             return;
@@ -626,7 +629,9 @@
         for at in (0..n).map(|step| (g.cursor + step) % n) {
             let m = g.members[at];
             let h = &self.hosts[m];
-            let ready = self.lawful(s, m) && !tried(m, 0.1) && h.rests_until <= now;
+            // While hosts refuse connections, one that answered lately most likely has a line open still.
+            let line = now > self.refused_at + self.idle_close || now < h.answered_at + self.idle_close;
+            let ready = self.lawful(s, m) && !tried(m, 0.1) && h.rests_until <= now && line;
             let known = self.checked || h.reached >= least;
             unknown |= !known;
             if Some(m) == primary || last || !ready || !known {
--- a/crates/sandstile-policy/src/terms.rs
+++ b/crates/sandstile-policy/src/terms.rs
@@ -54,6 +54,8 @@
     pub max_return: f64,
     pub on_request: bool,
     pub ask_within: f64,
+    /// An idle connection is closed after so long.
+    pub idle_close: f64,
     pub drain_binds_alone: bool,
     pub cold_from: f64,
     pub cold_s: f64,
--- a/crates/sandstile-wirehost/src/instance.rs
+++ b/crates/sandstile-wirehost/src/instance.rs
@@ -107,6 +107,7 @@
             },
             on_request: word("discovery") == "on_request",
             ask_within: seconds("rules.askWithinMs", 10_000.0)?,
+            idle_close: seconds("allowed.idleCloseMs", 15_000.0)?,
             drain_binds_alone: yes("rules.drainBindsAlone", false),
             cold_from: number("rules.coldFrom", 1.0)?,
             cold_s: seconds("rules.coldMs", 0.0)?,
