--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -523,9 +523,9 @@
         Decision::Send { stmt: id, host: index, time_out }
     }
 
-    /// A completion at a warm host earns the cold ones their share of the sends to a warm one. Sends would not
-    /// do: refused and repeated ones outnumber by far what a host can do. Nor would the group's alone: where one
-    /// warm member is left, it is jammed and the cold ones that could relieve it earn nothing.
+    /// A completion at a warm host earns the cold ones their share of the sends to a warm one. Sends would
+    /// not do: refused and repeated ones outnumber by far what a host can do. Nor would the group's alone:
+    /// where one warm member is left, it is jammed and the cold ones that could relieve it earn nothing.
     fn earn(&mut self, index: usize) {
         if self.cold_until <= self.now || self.share(&self.hosts[index]) < 1.0 {
             return;
