--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -524,8 +524,7 @@
     }
 
     /// A completion at a warm host earns the cold ones their share of the sends to a warm one. Sends would
-    /// not do: refused and repeated ones outnumber by far what a host can do. Nor would the group's alone:
-    /// where one warm member is left, it is jammed and the cold ones that could relieve it earn nothing.
+    /// not do, for refused and repeated ones multiply; nor the group's alone, whose one warm host may be jammed.
     fn earn(&mut self, index: usize) {
         if self.cold_until <= self.now || self.share(&self.hosts[index]) < 1.0 {
             return;
@@ -625,7 +624,7 @@
         }
         let least = if k.consistency == Consistency::Bounded { now - k.bound } else { s.need };
         let (n, last) = (g.members.len(), s.executions.len() + 1 >= self.most);
-        let (mut behind, mut best, mut full, mut unknown) = (None, 0.0, false, false);
+        let (mut behind, mut best, mut full, mut unknown, mut up) = (None, 0.0, false, false, false);
         for at in (0..n).map(|step| (g.cursor + step) % n) {
             let m = g.members[at];
             let h = &self.hosts[m];
@@ -633,11 +632,11 @@
             let line = now > self.refused_at + self.idle_close || now < h.answered_at + self.idle_close;
             let ready = self.lawful(s, m) && !tried(m, 0.1) && h.rests_until <= now && line;
             let known = self.checked || h.reached >= least;
-            unknown |= !known;
+            let foretold = h.stood.0 + CATCH_UP * (now - h.stood.1);
+            (unknown, up) = (unknown || !known, up || (foretold >= least && Some(m) != primary));
             if Some(m) == primary || last || !ready || !known {
                 continue;
             }
-            let foretold = h.stood.0 + CATCH_UP * (now - h.stood.1);
             if !self.room(m, s.workload, 1.0) {
                 full = true;
             } else if foretold >= least {
@@ -648,7 +647,8 @@
             }
         }
         // Every replica is known to lag: by the design a bounded read's first send still goes to the nearest.
-        if k.consistency == Consistency::Bounded && s.executions.is_empty() && behind.is_some() {
+        let held = behind.is_some() || (full && !up);
+        if k.consistency == Consistency::Bounded && s.executions.is_empty() && held {
             return behind;
         }
         self.groups[s.group].seeks |= unknown || primary.is_none();
