--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -524,7 +524,7 @@
     }
 
     /// A completion at a warm host earns the cold ones their share of the sends to a warm one. Sends would
-    /// not do, for refused and repeated ones multiply; nor the group's alone, whose one warm host may be jammed.
+    /// not do, for refused ones multiply; nor the group's alone, whose one warm host may be jammed.
     fn earn(&mut self, index: usize) {
         if self.cold_until <= self.now || self.share(&self.hosts[index]) < 1.0 {
             return;
