Fold two repeats: what counts as an answer, and the pool of a member

The list of answering verdicts stood twice in ended, the pool's index in send and in room. The group's two plain figures now stand with its record.

--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -52,13 +52,6 @@
     }
 }
 
-impl Group {
-    /// The time in which the rotation comes round.
-    fn turn(&self) -> f64 {
-        self.interval * self.members.len() as f64
-    }
-}
-
 impl Kind {
     fn writes(&self) -> bool {
         self.consistency == Consistency::Write
@@ -268,7 +261,8 @@
         let host = &mut self.hosts[index];
         host.open.retain(|o| *o != (sent, stmt));
         let heard = host.answered_at;
-        if matches!(verdict, Completed | Error | Full | Miss) {
+        let answered = matches!(verdict, Completed | Error | Full | Miss);
+        if answered {
             (host.answered_at, host.mute) = (now, false);
             if host.unreachable_since.take().is_some_and(|t| now - t > 1.0) {
                 // Back after a spell of no connections: most likely a restart that the list has yet to tell.
@@ -277,8 +271,7 @@
             }
         }
         // Only what is no member answers without a role: nothing it says of a statement is to be believed.
-        let foreign =
-            self.told && note.primary.is_none() && matches!(verdict, Completed | Error | Full | Miss);
+        let foreign = answered && self.told && note.primary.is_none();
         host.mute |= verdict == ConnectFailed || foreign;
         self.lied |= foreign;
         self.refused_at = if verdict == ConnectFailed { now } else { self.refused_at };
@@ -508,7 +501,7 @@
         let now = self.now;
         let s = self.statements.get_mut(&id).expect("a statement under consideration");
         s.waiting = false;
-        let (recalled, pool) = (!self.may_recall, usize::from(self.groups[s.group].primary == Some(index)));
+        let (recalled, pool) = (!self.may_recall, self.groups[s.group].pool(index));
         (self.pools[pool].held, self.pools[pool].sent) = (self.pools[pool].held + 1, now);
         let execution = Execution { host: index, pool, sent: now, ended: None, may_have_run: true, recalled };
         s.executions.push(execution);
@@ -581,7 +574,7 @@
         let spared = self.groups[h.group].turn() * h.crowd / 2.0;
         let gap = (time * (h.crowd / 2.0).powi(2)).min(1.0 / h.meter.rate).max(spared);
         let paced = h.meter.rate * time >= 1.0 || h.crowd < 3.0 || self.now >= h.sent + gap;
-        let pool = usize::from(self.groups[h.group].primary == Some(index));
+        let pool = self.groups[h.group].pool(index);
         // A wide pool of replicas is open to all reads, while the primaries' belongs to the writes.
         let part = if pool == 1 { share } else { (k.density() / self.densest(false)).sqrt() };
         let pooled = k.writes() || self.pools[pool].spare(self.now, 16.0 * time, part, share);
--- a/crates/sandstile-policy/src/state.rs
+++ b/crates/sandstile-policy/src/state.rs
@@ -92,6 +92,18 @@
     pub probe_at: f64,
 }
 
+impl Group {
+    /// The time in which the rotation comes round.
+    pub fn turn(&self) -> f64 {
+        self.interval * self.members.len() as f64
+    }
+
+    /// The pool of a member: 0 for replicas, 1 for primaries.
+    pub fn pool(&self, host: usize) -> usize {
+        usize::from(self.primary == Some(host))
+    }
+}
+
 /// All replicas, or all primaries: to one router of hundreds a single host says next to nothing.
 #[derive(Clone, Default)]
 pub struct Pool {
