--- /dev/null
+++ b/crates/sandstile-router/src/budget.rs
@@ -0,0 +1,116 @@
+//! One budget of descriptors for clients and links. What is idle is on record here, so that the oldest can be
+//! told to go when a descriptor is wanted: links first, for a client's connection costs the client a new one.
+use std::collections::BTreeMap;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Holder {
+    Link,
+    Client,
+}
+
+type Leave = Box<dyn FnOnce() + Send>;
+
+#[derive(Default)]
+struct Held {
+    links: usize,
+    clients: usize,
+    idle: BTreeMap<(Holder, u64), Leave>,
+    next: u64,
+}
+
+pub struct Budget {
+    held: Mutex<Held>,
+    freed: Condvar,
+    most: usize,
+    most_clients: usize,
+}
+
+/// One descriptor; given back when dropped.
+pub struct Slot {
+    budget: Arc<Budget>,
+    holder: Holder,
+}
+
+/// The record that something is idle; struck out when dropped.
+pub struct Idle {
+    budget: Arc<Budget>,
+    key: (Holder, u64),
+}
+
+/// One that was told to go may be in use again by then; another is told after so long.
+const ASK_AGAIN: Duration = Duration::from_millis(20);
+
+impl Budget {
+    pub fn new(most: usize, most_clients: usize) -> Arc<Self> {
+        Arc::new(Budget { held: Mutex::default(), freed: Condvar::new(), most, most_clients })
+    }
+
+    fn held(&self) -> MutexGuard<'_, Held> {
+        self.held.lock().expect("no holder panics under the lock")
+    }
+
+    /// Waits so long at most, while idle ones are told to go, the oldest first.
+    pub fn take(self: &Arc<Self>, holder: Holder, wait: Duration) -> Option<Slot> {
+        let until = Instant::now() + wait;
+        let mut held = self.held();
+        loop {
+            let crowd = holder == Holder::Client && held.clients >= self.most_clients;
+            if !crowd && held.links + held.clients < self.most {
+                match holder {
+                    Holder::Link => held.links += 1,
+                    Holder::Client => held.clients += 1,
+                }
+                return Some(Slot { budget: self.clone(), holder });
+            }
+            let helps = |key: &&(Holder, u64)| !crowd || key.0 == Holder::Client;
+            let oldest = held.idle.keys().find(helps).copied();
+            if let Some(leave) = oldest.and_then(|key| held.idle.remove(&key)) {
+                drop(held);
+                leave();
+                held = self.held();
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return None;
+            }
+            held = self.freed.wait_timeout(held, left.min(ASK_AGAIN)).expect("no holder panics").0;
+        }
+    }
+
+    /// `leave` is called at most once, while the record stands.
+    pub fn idle(self: &Arc<Self>, holder: Holder, leave: impl FnOnce() + Send + 'static) -> Idle {
+        let mut held = self.held();
+        held.next += 1;
+        let key = (holder, held.next);
+        held.idle.insert(key, Box::new(leave));
+        Idle { budget: self.clone(), key }
+    }
+
+    pub fn wait_for_no_clients(&self) {
+        let mut held = self.held();
+        while held.clients > 0 {
+            held = self.freed.wait(held).expect("no holder panics");
+        }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let mut held = self.budget.held();
+        match self.holder {
+            Holder::Link => held.links -= 1,
+            Holder::Client => held.clients -= 1,
+        }
+        self.budget.freed.notify_all();
+    }
+}
+
+impl Drop for Idle {
+    fn drop(&mut self) {
+        let leave = self.budget.held().idle.remove(&self.key);
+        // What it holds may be the last of a socket, whose slot wants the lock.
+        drop(leave);
+    }
+}
--- /dev/null
+++ b/crates/sandstile-router/src/desk.rs
@@ -0,0 +1,221 @@
+//! The module's actor, the only caller of the decisions. It takes all that waits in its mailbox, lets the
+//! decisions say what follows, and sleeps until they want to look again. It never touches a socket and knows no
+//! protocol: facts of a statement come in with an opaque parcel and a one-use reply.
+use crate::clock::Clock;
+use crate::counters::Counters;
+use crate::discovery::Update;
+use crate::ending::{Ending, Outcome};
+use crate::peer::{Errand, Job, Peers};
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
+use sandstile_intake::list::List;
+use sandstile_intake::names::Names;
+use sandstile_policy::policy::Instance;
+use sandstile_policy::terms::{Arrival, Decision};
+use slog::{info, Logger};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What goes to a database host; `wait` is how long this router will wait for the answer.
+pub trait Parcel: Send + Sync {
+    fn message(&self, wait: f64) -> Vec<u8>;
+}
+
+#[derive(Debug, PartialEq)]
+pub enum Answer {
+    Completed(Vec<u8>),
+    /// Trying again is harmless, best after so many seconds where above 0.
+    Rejected(f64),
+    Aborted,
+}
+
+/// Takes the one final answer. A client that has left no longer reads it.
+pub struct Reply(pub Sender<Answer>);
+
+impl Reply {
+    fn give(self, answer: Answer) {
+        let _ = self.0.try_send(answer);
+    }
+}
+
+pub struct Asked {
+    pub stmt: u64,
+    pub workload: usize,
+    pub group: String,
+    pub session: Option<String>,
+    /// When the client's time is up.
+    pub until: f64,
+    /// When the session last wrote, where the client says so.
+    pub after: Option<f64>,
+    pub retry: bool,
+    pub parcel: Arc<dyn Parcel>,
+    pub reply: Reply,
+}
+
+pub enum Mail {
+    Asked(Asked),
+    ClientGone(u64),
+    Ended { stmt: u64, execution: usize, outcome: Outcome },
+    Probed { host: usize, outcome: Outcome },
+    Listed(Update),
+}
+
+/// A statement until the decisions let go of it.
+struct Open {
+    parcel: Arc<dyn Parcel>,
+    reply: Option<Reply>,
+    /// The database host of each execution.
+    hosts: Vec<usize>,
+}
+
+pub struct Desk {
+    policy: Instance,
+    clock: Clock,
+    counters: Arc<Counters>,
+    log: Logger,
+    hosts: Names,
+    groups: Names,
+    sessions: Names,
+    list: List,
+    peers: Peers,
+    open: BTreeMap<u64, Open>,
+    /// Statements that may be over once the decisions of this round are out.
+    ending: Vec<u64>,
+}
+
+/// Timers of the platform are no finer; a sleep of nothing would spin.
+const SHORTEST_SLEEP: Duration = Duration::from_millis(1);
+
+impl Desk {
+    pub fn new(policy: Instance, clock: Clock, counters: Arc<Counters>, log: Logger, peers: Peers) -> Self {
+        Desk {
+            policy,
+            clock,
+            counters,
+            log,
+            peers,
+            hosts: Names::default(),
+            groups: Names::default(),
+            sessions: Names::default(),
+            list: List::default(),
+            open: BTreeMap::new(),
+            ending: Vec::new(),
+        }
+    }
+
+    /// Runs until nobody can write to it any more.
+    pub fn run(mut self, mailbox: Receiver<Mail>) {
+        loop {
+            let sleep = self.policy.wake_at().map(|at| self.clock.until(at).max(SHORTEST_SLEEP));
+            let first = match sleep {
+                Some(sleep) => mailbox.recv_timeout(sleep),
+                None => mailbox.recv().map_err(RecvTimeoutError::from),
+            };
+            match first {
+                Ok(mail) => self.take(mail),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            while let Ok(mail) = mailbox.try_recv() {
+                self.take(mail);
+            }
+            self.decide();
+        }
+    }
+
+    fn take(&mut self, mail: Mail) {
+        let now = self.clock.now();
+        match mail {
+            Mail::Asked(asked) => {
+                self.counters.taken.add();
+                let arrival = Arrival {
+                    workload: asked.workload,
+                    group: self.groups.of(&asked.group),
+                    session: asked.session.map(|name| self.sessions.of(&name)),
+                    time_left: asked.until - now,
+                    token_age: asked.after.map(|at| (now - at).max(0.0)),
+                    retry: asked.retry,
+                };
+                let open = Open { parcel: asked.parcel, reply: Some(asked.reply), hosts: Vec::new() };
+                self.open.insert(asked.stmt, open);
+                self.policy.arrived(now, asked.stmt, &arrival);
+            }
+            Mail::ClientGone(stmt) => {
+                if let Some(open) = self.open.get_mut(&stmt).filter(|o| o.reply.is_some()) {
+                    self.counters.clients_gone.add();
+                    open.reply = None;
+                    self.ending.push(stmt);
+                    self.policy.client_gone(now, stmt);
+                }
+            }
+            Mail::Ended { stmt, execution, outcome } => {
+                let Some(open) = self.open.get_mut(&stmt) else { return };
+                if outcome.ending == Ending::Completed {
+                    if let Some(reply) = open.reply.take() {
+                        self.counters.completed.add();
+                        reply.give(Answer::Completed(outcome.rows));
+                    }
+                }
+                let over = open.reply.is_none();
+                self.ending.push(stmt);
+                self.policy.ended(now, stmt, execution, outcome.ending.verdict(), over, outcome.note);
+            }
+            Mail::Probed { host, outcome } => {
+                self.policy.probed(now, host, outcome.ending == Ending::Completed, outcome.note);
+            }
+            Mail::Listed(update) => {
+                for (name, address) in update.addresses {
+                    let host = self.hosts.of(&name);
+                    self.peers.at(host, &name, address);
+                }
+                let list = self.list.merge(update.whole, &update.entries, &mut self.hosts, &mut self.groups);
+                self.policy.members(now, &list);
+            }
+        }
+    }
+
+    fn decide(&mut self) {
+        let now = self.clock.now();
+        self.policy.passed(now);
+        while let Some(decision) = self.policy.decide() {
+            match decision {
+                Decision::Send { stmt, host, time_out } => {
+                    let Some(open) = self.open.get_mut(&stmt) else { continue };
+                    let errand =
+                        Errand::Statement { stmt, execution: open.hosts.len(), parcel: open.parcel.clone() };
+                    open.hosts.push(host);
+                    self.peers.send(host, Job { errand, until: now + time_out });
+                }
+                Decision::Reject { stmt, return_after } => {
+                    self.counters.rejected.add();
+                    self.answer(stmt, Answer::Rejected(return_after));
+                }
+                Decision::Abort { stmt } => {
+                    self.counters.aborted.add();
+                    self.answer(stmt, Answer::Aborted);
+                }
+                Decision::Recall { stmt, execution } => {
+                    if let Some(&host) = self.open.get(&stmt).and_then(|o| o.hosts.get(execution)) {
+                        self.peers.recall(host, stmt, execution);
+                    }
+                }
+                Decision::Probe { host } => self.peers.probe(host),
+                // The watch stands from the start and reopens by itself.
+                Decision::Subscribe => {}
+                Decision::Log(line) => info!(self.log, "decisions: {line}"),
+            }
+        }
+        for stmt in self.ending.drain(..) {
+            if !self.policy.holds(stmt) {
+                self.open.remove(&stmt);
+            }
+        }
+    }
+
+    fn answer(&mut self, stmt: u64, answer: Answer) {
+        self.ending.push(stmt);
+        if let Some(reply) = self.open.get_mut(&stmt).and_then(|o| o.reply.take()) {
+            reply.give(answer);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sandstile-router/src/discovery.rs
@@ -0,0 +1,223 @@
+//! The list's actor: follows discovery by a watch and hands each change to the desk. Whatever breaks, the list
+//! stands and the watch is opened again from where it was.
+use crate::counters::Counters;
+use crate::desk::Mail;
+use crate::pg;
+use crossbeam_channel::Sender;
+use sandstile_intake::list::{readiness, Entry};
+use sandstile_policy::terms::Readiness;
+use serde_json::Value;
+use slog::{info, warn, Logger};
+use std::collections::BTreeSet;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+/// One change, or the whole list.
+pub struct Update {
+    pub index: u64,
+    pub whole: bool,
+    pub entries: Vec<Entry>,
+    pub addresses: Vec<(String, Option<SocketAddr>)>,
+}
+
+impl Update {
+    /// Reads discovery's form. An entry that can't be read is left out; the message then names the first.
+    pub fn read(json: &Value) -> Result<(Update, Option<String>), String> {
+        let index = json["index"].as_u64().ok_or("a list without an index")?;
+        let whole = json["snapshot"].as_bool().ok_or("a list without snapshot")?;
+        let listed = json["endpoints"].as_array().ok_or("a list without endpoints")?;
+        let mut update = Update { index, whole, entries: Vec::new(), addresses: Vec::new() };
+        let mut wrong = None;
+        for item in listed {
+            match entry(item) {
+                Ok((entry, address)) => {
+                    update.addresses.push((entry.host.clone(), address));
+                    update.entries.push(entry);
+                }
+                Err(what) => wrong = wrong.or(Some(what)),
+            }
+        }
+        Ok((update, wrong))
+    }
+}
+
+fn entry(item: &Value) -> Result<(Entry, Option<SocketAddr>), String> {
+    let host = item["name"].as_str().ok_or("an entry without a name")?.to_string();
+    let word = item["status"].as_str().unwrap_or("");
+    let readiness = readiness(word).ok_or_else(|| format!("{host}: status '{word}'"))?;
+    let address = item["address"].as_str().unwrap_or("").parse().ok();
+    if address.is_none() && readiness != Readiness::Gone {
+        return Err(format!("{host}: no usable address"));
+    }
+    let group = match &item["group"] {
+        Value::Null => return Err(format!("{host}: no group")),
+        Value::String(group) => group.clone(),
+        other => other.to_string(),
+    };
+    let entry = Entry {
+        host,
+        group,
+        zone: item["zone"].as_str().unwrap_or("").to_string(),
+        primary: item["mode"].as_str().and_then(pg::role) == Some(true),
+        since: item["since_ms"].as_f64().unwrap_or(0.0).max(0.0) / 1000.0,
+        readiness,
+    };
+    Ok((entry, address))
+}
+
+pub struct Watcher {
+    pub agent: SocketAddr,
+    pub index: u64,
+    pub desk: Sender<Mail>,
+    pub counters: Arc<Counters>,
+    pub log: Logger,
+    pub told: BTreeSet<String>,
+}
+
+/// Discovery says something, if only an empty line, every 2 s; three times that is no delay any more.
+const SILENCE: Duration = Duration::from_secs(6);
+/// Between watches: the agent is on this machine and answers for free, but a loop must not spin.
+const PAUSE: Duration = Duration::from_millis(200);
+/// A list of thousands of hosts; more in one line is no list.
+const MOST_LINE: usize = 4 * 1024 * 1024;
+
+impl Watcher {
+    pub fn run(mut self) {
+        loop {
+            let why = match self.watch() {
+                Ok(()) => "the watch ended".to_string(),
+                Err(why) => why,
+            };
+            // Once per cause, or an agent that stays away would fill the log.
+            if self.told.insert(why.clone()) {
+                warn!(self.log, "discovery: {why}; the list is kept"; "index" => self.index);
+            }
+            thread::sleep(PAUSE);
+        }
+    }
+
+    fn watch(&mut self) -> Result<(), String> {
+        self.counters.watches.add();
+        let mut stream =
+            TcpStream::connect_timeout(&self.agent, SILENCE).map_err(|e| format!("connect: {e}"))?;
+        stream
+            .set_nodelay(true)
+            .and_then(|()| stream.set_read_timeout(Some(SILENCE)))
+            .map_err(|e| e.to_string())?;
+        let ask = format!(
+            "GET /catalog/members?follow=1&since={} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n",
+            self.index, self.agent
+        );
+        stream.write_all(ask.as_bytes()).map_err(|e| format!("ask: {e}"))?;
+        let mut buf = Vec::new();
+        let mut chunks = None;
+        let mut lines = Vec::new();
+        let mut bytes = [0; 4096];
+        loop {
+            let got = match stream.read(&mut bytes) {
+                Ok(0) => return Ok(()),
+                Ok(got) => got,
+                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                    return Err(format!("silent for {} s", SILENCE.as_secs()));
+                }
+                Err(e) => return Err(format!("read: {e}")),
+            };
+            buf.extend_from_slice(&bytes[..got]);
+            if chunks.is_none() {
+                let Some((length, chunked)) = head(&buf)? else { continue };
+                buf.drain(..length);
+                chunks = Some(Chunks { chunked, left: 0, end: false });
+            }
+            let chunks = chunks.as_mut().expect("set above");
+            chunks.take(&mut buf, &mut lines)?;
+            while let Some(end) = lines.iter().position(|b| *b == b'\n') {
+                let line: Vec<u8> = lines.drain(..=end).collect();
+                self.line(&line)?;
+            }
+            if lines.len() > MOST_LINE {
+                return Err("a line without an end".to_string());
+            }
+            if chunks.end {
+                return Ok(());
+            }
+        }
+    }
+
+    fn line(&mut self, line: &[u8]) -> Result<(), String> {
+        if line.iter().all(u8::is_ascii_whitespace) {
+            return Ok(());
+        }
+        let read =
+            serde_json::from_slice(line).map_err(|e| e.to_string()).and_then(|json| Update::read(&json));
+        let (update, wrong) = read.inspect_err(|_| self.counters.bad_lists.add())?;
+        if let Some(what) = wrong {
+            self.counters.bad_lists.add();
+            if self.told.insert(what.clone()) {
+                warn!(self.log, "discovery: {what}; the entry is left out");
+            }
+        }
+        self.counters.lists.add();
+        info!(self.log, "list"; "index" => update.index, "whole" => update.whole, "entries" => update.entries.len());
+        self.index = update.index;
+        self.desk.send(Mail::Listed(update)).map_err(|_| "the desk has gone".to_string())
+    }
+}
+
+/// The length of an answer's head and whether chunks follow; `None` until it is whole.
+fn head(buf: &[u8]) -> Result<Option<(usize, bool)>, String> {
+    let mut headers = [httparse::EMPTY_HEADER; 32];
+    let mut response = httparse::Response::new(&mut headers);
+    match response.parse(buf).map_err(|e| format!("answer: {e}"))? {
+        httparse::Status::Partial if buf.len() > 16 * 1024 => Err("a head without an end".to_string()),
+        httparse::Status::Partial => Ok(None),
+        httparse::Status::Complete(_) if response.code != Some(200) => {
+            Err(format!("status {}", response.code.unwrap_or(0)))
+        }
+        httparse::Status::Complete(length) => {
+            let coding = response.headers.iter().find(|h| h.name.eq_ignore_ascii_case("transfer-encoding"));
+            Ok(Some((length, coding.is_some_and(|h| h.value.eq_ignore_ascii_case(b"chunked")))))
+        }
+    }
+}
+
+/// The body's coding: bytes that are left of the present chunk, its closing line among them.
+struct Chunks {
+    chunked: bool,
+    left: usize,
+    end: bool,
+}
+
+impl Chunks {
+    /// Moves what `buf` holds of the content to `content`, and keeps the rest for later.
+    fn take(&mut self, buf: &mut Vec<u8>, content: &mut Vec<u8>) -> Result<(), String> {
+        if !self.chunked {
+            content.append(buf);
+            return Ok(());
+        }
+        while !self.end && !buf.is_empty() {
+            if self.left == 0 {
+                match httparse::parse_chunk_size(buf).map_err(|_| "chunk size".to_string())? {
+                    httparse::Status::Partial if buf.len() > 64 => return Err("chunk size".to_string()),
+                    httparse::Status::Partial => return Ok(()),
+                    httparse::Status::Complete((length, size)) => {
+                        buf.drain(..length);
+                        self.end = size == 0;
+                        self.left =
+                            usize::try_from(size).ok().and_then(|n| n.checked_add(2)).ok_or("chunk size")?;
+                    }
+                }
+                continue;
+            }
+            let got = self.left.min(buf.len());
+            let of_content = self.left.saturating_sub(2).min(got);
+            content.extend_from_slice(&buf[..of_content]);
+            buf.drain(..got);
+            self.left -= got;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/sandstile-router/src/ending.rs
@@ -0,0 +1,119 @@
+//! Every way in which a connection to a database host, or an execution on it, can end, and what each means.
+use sandstile_policy::terms::{Note, Verdict};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// The row came whole.
+    Completed,
+    /// 25006 or 72000: turned away untouched.
+    Missed,
+    /// 53300: turned away unseen.
+    TurnedAway,
+    /// Any other error.
+    Failed,
+    /// No address, or one that nothing can be dialled at.
+    NoAddress,
+    /// No descriptor or thread was to be had here in the time of a dial: the host is not to blame.
+    NoRoom,
+    DialRefused,
+    /// Neither refused nor up within the dial limit.
+    DialTimedOut,
+    /// Broke, or spoke nonsense, before it was ready for a first statement.
+    DialBroken,
+    /// 53300 or the like in place of a welcome.
+    DialTurnedAway,
+    /// The statement's time was over, or it was withdrawn, before anything was written.
+    WithdrawnUnsent,
+    /// Broke before the last byte was written.
+    BrokenUnwritten,
+    /// Written whole, then broken or ended.
+    Broken,
+    /// Written whole, then answered out of protocol.
+    Garbled,
+    /// Written whole, then silent until the time-out.
+    TimedOut,
+    /// Written whole, then withdrawn by closing the socket.
+    Withdrawn,
+    /// An idle connection had ended when it was looked at; nothing was under way on it.
+    IdleEnded,
+    /// Closed here, well before the database host would.
+    IdleExpired,
+    /// Closed here to make room for another descriptor.
+    IdleEvicted,
+    /// Closed here, for its host has another address now.
+    Moved,
+}
+
+pub const ALL: [Ending; 20] = {
+    use Ending::*;
+    [
+        Completed,
+        Missed,
+        TurnedAway,
+        Failed,
+        NoAddress,
+        NoRoom,
+        DialRefused,
+        DialTimedOut,
+        DialBroken,
+        DialTurnedAway,
+        WithdrawnUnsent,
+        BrokenUnwritten,
+        Broken,
+        Garbled,
+        TimedOut,
+        Withdrawn,
+        IdleEnded,
+        IdleExpired,
+        IdleEvicted,
+        Moved,
+    ]
+};
+
+impl Ending {
+    /// What the decisions are told. Not written whole means never ran; written whole and then anything but an
+    /// answer means it may have run. Endings of idle connections end no execution, so nobody is told of them;
+    /// were one to end an execution, nothing would have been written.
+    pub fn verdict(self) -> Verdict {
+        use Ending::*;
+        match self {
+            Completed => Verdict::Completed,
+            Missed => Verdict::Miss,
+            TurnedAway | DialTurnedAway => Verdict::Full,
+            Failed => Verdict::Error,
+            NoAddress | DialRefused | DialTimedOut | DialBroken | BrokenUnwritten => Verdict::ConnectFailed,
+            NoRoom | WithdrawnUnsent | IdleEnded | IdleExpired | IdleEvicted | Moved => Verdict::Moot,
+            Broken | Garbled => Verdict::Reset,
+            TimedOut => Verdict::TimedOut,
+            Withdrawn => Verdict::Cancelled,
+        }
+    }
+
+    /// The ending that a database host's SQLSTATE stands for, once a statement was written whole.
+    pub fn of_sqlstate(code: &str) -> Ending {
+        match code {
+            "25006" | "72000" => Ending::Missed,
+            "53300" => Ending::TurnedAway,
+            _ => Ending::Failed,
+        }
+    }
+
+    pub fn name(self) -> String {
+        format!("{self:?}")
+    }
+}
+
+/// How one execution or probe ended, with what the answer told.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    pub ending: Ending,
+    pub note: Note,
+    /// The database host's bytes for the client, where it completed.
+    pub rows: Vec<u8>,
+}
+
+impl From<Ending> for Outcome {
+    fn from(ending: Ending) -> Self {
+        Outcome { ending, note: Note::default(), rows: Vec::new() }
+    }
+}
--- /dev/null
+++ b/crates/sandstile-router/src/launch.rs
@@ -0,0 +1,73 @@
+//! What a router is told at its start: `LB_CONFIG`, and the variables beside it.
+use crate::discovery::Update;
+use sandstile_intake::facts;
+use sandstile_policy::terms::{Consistency, Terms};
+use serde_json::Value;
+use std::net::SocketAddr;
+
+use crate::statement::Workload;
+
+pub struct Launch {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub sockets: usize,
+    pub memory: usize,
+    pub known: Update,
+    pub workloads: Vec<Workload>,
+    pub terms: Terms,
+    /// Seconds for a connection to a database host to come up.
+    pub dial_limit: f64,
+}
+
+impl Launch {
+    /// From the file that `LB_CONFIG` names. The message is one line that names what is wrong.
+    pub fn from_environment(variable: impl Fn(&str) -> Option<String>) -> Result<Launch, String> {
+        let path = variable("LB_CONFIG").ok_or("LB_CONFIG is not set")?;
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("LB_CONFIG: {path}: {e}"))?;
+        let json: Value = serde_json::from_str(&text).map_err(|e| format!("LB_CONFIG: {path}: {e}"))?;
+        Launch::read(&json, variable).map_err(|what| format!("LB_CONFIG: {path}: {what}"))
+    }
+
+    pub fn read(json: &Value, variable: impl Fn(&str) -> Option<String>) -> Result<Launch, String> {
+        let told = |name: &str, key: &str| {
+            variable(name)
+                .or_else(|| json[key].as_str().map(str::to_string))
+                .ok_or_else(|| format!("neither {key} nor {name}"))
+        };
+        let address = |name: &str, key: &str| {
+            let text = told(name, key)?;
+            text.parse().map_err(|_| format!("{key}: '{text}' is no address"))
+        };
+        let limit = |key: &str| {
+            let most = json["limits"][key].as_f64().filter(|n| *n >= 1.0);
+            most.map(|n| n as usize).ok_or_else(|| format!("no usable limits.{key}"))
+        };
+        let seed = json["seed"].as_str().and_then(|hex| u64::from_str_radix(hex, 16).ok());
+        let flat = facts::flatten(json.get("settings").ok_or("no settings")?);
+        let (names, terms) = facts::terms(&flat).map_err(|what| format!("settings lack {what}"))?;
+        if terms.workloads.is_empty() {
+            return Err("settings name no workload".to_string());
+        }
+        let sessions = |c: Consistency| matches!(c, Consistency::Write | Consistency::Session);
+        let workloads = names.into_iter().zip(&terms.workloads);
+        let dial = flat.get("allowed.dialTimeoutMs").and_then(|ms| ms.parse::<f64>().ok());
+        let known = Update::read(&json["known"]).map_err(|what| format!("known: {what}"))?;
+        Ok(Launch {
+            name: told("LB_NAME", "name")?,
+            listen: address("LB_LISTEN", "listen")?,
+            discovery: address("LB_DISCOVERY", "discovery")?,
+            seed: seed.ok_or("no usable seed")?,
+            sockets: limit("sockets")?,
+            memory: limit("memory_mb")? * 1024 * 1024,
+            known: known.0,
+            workloads: workloads
+                .map(|(name, w)| Workload { name, sessions: sessions(w.consistency) })
+                .collect(),
+            dial_limit: dial.filter(|ms| *ms > 0.0).ok_or("settings lack a usable allowed.dialTimeoutMs")?
+                / 1000.0,
+            terms,
+        })
+    }
+}
--- /dev/null
+++ b/crates/sandstile-router/src/lib.rs
@@ -0,0 +1,17 @@
+//! The sandstile router: the decisions of `sandstile-policy` behind real sockets. The files follow the stages of
+//! a request: `listen`, `client`, `statement`, `desk`, `peer`, `link`, and back.
+pub mod budget;
+pub mod client;
+pub mod clock;
+pub mod counters;
+pub mod desk;
+pub mod discovery;
+pub mod ending;
+pub mod launch;
+pub mod link;
+pub mod listen;
+pub mod peer;
+pub mod pg;
+pub mod router;
+pub mod signals;
+pub mod statement;
--- /dev/null
+++ b/crates/sandstile-router/src/link.rs
@@ -0,0 +1,211 @@
+//! One connection to a database host: a thread that dials, then writes a statement and reads its answer, one at
+//! a time. Its socket is shared with the peer's actor, which can close it under a statement.
+use crate::budget::{Budget, Holder, Slot};
+use crate::clock::Clock;
+use crate::ending::{Ending, Outcome};
+use crate::peer::{Errand, Job};
+use crate::pg::{self, Stage};
+use crossbeam_channel::Receiver;
+use sandstile_policy::terms::Note;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+use std::sync::Arc;
+use std::time::Duration;
+
+pub struct Socket {
+    stream: TcpStream,
+    withdrawn: AtomicBool,
+    _slot: Slot,
+}
+
+impl Socket {
+    /// Closes it under whatever runs on it; the thread that reads finds out at once.
+    pub fn withdraw(&self) {
+        self.withdrawn.store(true, SeqCst);
+        let _ = self.stream.shutdown(Shutdown::Both);
+    }
+
+    /// A look before reuse: bytes or an end on an idle connection mean that it is of no use any more.
+    pub fn quiet(&self) -> bool {
+        let look = |stream: &TcpStream| -> io::Result<bool> {
+            stream.set_nonblocking(true)?;
+            let seen = stream.peek(&mut [0]);
+            stream.set_nonblocking(false)?;
+            Ok(matches!(seen, Err(e) if e.kind() == ErrorKind::WouldBlock))
+        };
+        look(&self.stream).unwrap_or(false)
+    }
+}
+
+/// Bytes that came and are not yet taken, frame by frame.
+struct Inbox {
+    buf: Vec<u8>,
+    at: usize,
+}
+
+/// The reads of one answer of the usual size fit in one.
+const READ: usize = 8 * 1024;
+
+enum Heard {
+    Frame,
+    Ended,
+    TimedOut,
+    Nonsense,
+}
+
+impl Inbox {
+    /// Reads until one frame is whole or `until` has come, then hands it to `take`.
+    fn frame(
+        &mut self,
+        socket: &TcpStream,
+        clock: &Clock,
+        until: f64,
+        take: impl FnOnce(u8, &[u8]) -> Result<(), pg::BadFrame>,
+    ) -> Heard {
+        loop {
+            match pg::frame(&self.buf[self.at..]) {
+                Err(_) => return Heard::Nonsense,
+                Ok(Some((tag, body))) => {
+                    let taken = take(tag, &self.buf[self.at..][body.clone()]);
+                    self.at += body.end;
+                    return if taken.is_ok() { Heard::Frame } else { Heard::Nonsense };
+                }
+                Ok(None) => {}
+            }
+            self.buf.drain(..std::mem::take(&mut self.at));
+            let left = clock.until(until);
+            if left.is_zero() {
+                return Heard::TimedOut;
+            }
+            let whole = self.buf.len();
+            self.buf.resize(whole + READ, 0);
+            let got =
+                socket.set_read_timeout(Some(left)).and_then(|()| (&*socket).read(&mut self.buf[whole..]));
+            self.buf.truncate(whole + *got.as_ref().unwrap_or(&0));
+            match got {
+                Ok(0) => return Heard::Ended,
+                Ok(_) => {}
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+                Err(_) => return Heard::Ended,
+            }
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.at == self.buf.len()
+    }
+}
+
+/// Opens a connection and waits until the host is ready for a first statement, all within `limit` seconds.
+pub fn dial(address: SocketAddr, limit: f64, clock: &Clock, budget: &Arc<Budget>) -> Result<Socket, Ending> {
+    let until = clock.now() + limit;
+    let slot = budget.take(Holder::Link, Duration::from_secs_f64(limit)).ok_or(Ending::NoRoom)?;
+    let left = clock.until(until).max(Duration::from_millis(1));
+    let stream = TcpStream::connect_timeout(&address, left).map_err(|e| match e.kind() {
+        ErrorKind::TimedOut | ErrorKind::WouldBlock => Ending::DialTimedOut,
+        _ => Ending::DialRefused,
+    })?;
+    let ready = stream.set_nodelay(true).and_then(|()| (&stream).write_all(&pg::hello()));
+    ready.map_err(|_| Ending::DialBroken)?;
+    let mut inbox = Inbox { buf: Vec::new(), at: 0 };
+    let mut seen = None;
+    loop {
+        let heard = inbox.frame(&stream, clock, until, |tag, body| {
+            seen = match tag {
+                b'Z' => Some(Ok(())),
+                b'E' => Some(Err(match pg::sqlstate(body) {
+                    Some("53300" | "57P03") => Ending::DialTurnedAway,
+                    _ => Ending::DialBroken,
+                })),
+                b'R' if body != [0; 4] => Some(Err(Ending::DialBroken)),
+                b'R' | b'S' | b'K' | b'N' => None,
+                _ => return Err(pg::BadFrame("greeting")),
+            };
+            Ok(())
+        });
+        match (heard, seen) {
+            (Heard::Frame, Some(Ok(()))) if inbox.is_empty() => {
+                return Ok(Socket { stream, withdrawn: AtomicBool::new(false), _slot: slot });
+            }
+            (Heard::Frame, None) => {}
+            (Heard::Frame, Some(Err(ending))) => return Err(ending),
+            (Heard::TimedOut, _) => return Err(Ending::DialTimedOut),
+            _ => return Err(Ending::DialBroken),
+        }
+    }
+}
+
+/// Does the jobs of one connection until it ends or nobody can hand it a job any more. `done` is told of each
+/// outcome and whether the connection can go on.
+pub fn work(socket: &Socket, clock: &Clock, jobs: &Receiver<Job>, mut done: impl FnMut(Job, Outcome, bool)) {
+    for job in jobs {
+        let (outcome, goes_on) = exchange(socket, clock, &job);
+        done(job, outcome, goes_on);
+        if !goes_on {
+            return;
+        }
+    }
+}
+
+/// Writes one statement and reads its answer; nothing is ever written twice.
+fn exchange(socket: &Socket, clock: &Clock, job: &Job) -> (Outcome, bool) {
+    let withdrawn = || socket.withdrawn.load(SeqCst);
+    let left = clock.until(job.until);
+    if withdrawn() || left.is_zero() {
+        return (Ending::WithdrawnUnsent.into(), !withdrawn());
+    }
+    let message = match &job.errand {
+        Errand::Statement { parcel, .. } => parcel.message(left.as_secs_f64()),
+        Errand::Probe => {
+            let mut out = Vec::new();
+            pg::put(&mut out, b'Q', &[b"SHOW stats\0"]);
+            out
+        }
+    };
+    let stream = &socket.stream;
+    let written = stream.set_write_timeout(Some(left)).and_then(|()| (&*stream).write_all(&message));
+    if written.is_err() {
+        let ending = if withdrawn() { Ending::WithdrawnUnsent } else { Ending::BrokenUnwritten };
+        return (ending.into(), false);
+    }
+    let mut inbox = Inbox { buf: Vec::new(), at: 0 };
+    let mut answer = pg::Answer::default();
+    let mut ready = false;
+    let heard = loop {
+        let heard = inbox.frame(stream, clock, job.until, |tag, body| {
+            ready = answer.take(tag, body)?;
+            Ok(())
+        });
+        if ready || !matches!(heard, Heard::Frame) {
+            break heard;
+        }
+    };
+    // An answer that came whole counts, even where the connection ends or falls silent right behind it.
+    let ending = match (&answer.stage, heard) {
+        (Stage::Whole, _) => Ending::Completed,
+        (Stage::Failed(code), _) => Ending::of_sqlstate(code),
+        _ if withdrawn() => Ending::Withdrawn,
+        (_, Heard::Ended) => Ending::Broken,
+        (_, Heard::TimedOut) => Ending::TimedOut,
+        (_, Heard::Frame | Heard::Nonsense) => Ending::Garbled,
+    };
+    let mut note = Note { position: answer.position, primary: answer.primary };
+    if matches!(job.errand, Errand::Probe) && ending == Ending::Completed {
+        report(answer.text(), &mut note);
+    }
+    let goes_on = ready && inbox.is_empty() && !withdrawn() && ending != Ending::Garbled;
+    (Outcome { ending, note, rows: answer.rows }, goes_on)
+}
+
+/// A load report's position, in Unix seconds there, and role.
+fn report(text: &str, note: &mut Note) {
+    for (key, value) in text.split(',').filter_map(|pair| pair.split_once('=')) {
+        match (key.trim(), value.trim().parse::<f64>()) {
+            ("x0", Ok(position)) if position.is_finite() => note.position = Some(position),
+            ("x1", Ok(primary)) => note.primary = Some(primary > 0.5),
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/sandstile-router/src/router.rs
@@ -0,0 +1,87 @@
+//! Builds the actors of one router, and takes them down in order.
+use crate::budget::Budget;
+use crate::client::Front;
+use crate::clock::Clock;
+use crate::counters::Counters;
+use crate::desk::{Desk, Mail};
+use crate::discovery::Watcher;
+use crate::launch::Launch;
+use crate::listen::Door;
+use crate::peer::{Common, Peers};
+use crate::pg;
+use crossbeam_channel::{bounded, unbounded, Receiver};
+use sandstile_policy::policy::Instance;
+use slog::{info, Logger};
+use std::collections::BTreeSet;
+use std::net::TcpListener;
+use std::sync::atomic::AtomicU64;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+/// Standard streams, the listener, discovery, the signals' pipe, and what the runtime opens for itself.
+const OWN_DESCRIPTORS: usize = 16;
+/// After SIGTERM new connections come for 0.4 s at most; clients learn of the end only by their connections.
+const WINDOW: Duration = Duration::from_millis(500);
+
+/// Serves until `end` yields and all that was taken is answered.
+pub fn serve(launch: Launch, counters: Arc<Counters>, log: Logger, end: &Receiver<()>) -> Result<(), String> {
+    let clock = Clock::anchor();
+    let most = launch.sockets.saturating_sub(OWN_DESCRIPTORS).max(4);
+    // A statement holds two descriptors, its client's and its link's; and a hostile client can make its
+    // connection hold two frames of the longest, of which half of the memory must have room for all.
+    let most_clients = (most / 2).min(launch.memory / 2 / (2 * pg::MOST_FRAME)).max(2);
+    let budget = Budget::new(most, most_clients);
+    let listener =
+        TcpListener::bind(launch.listen).map_err(|e| format!("listen on {}: {e}", launch.listen))?;
+    let (desk, mailbox) = unbounded();
+    let common = Common {
+        clock,
+        budget: budget.clone(),
+        counters: counters.clone(),
+        log: log.clone(),
+        desk: desk.clone(),
+        dial_limit: launch.dial_limit,
+        idle_close: launch.terms.idle_close,
+    };
+    let longest = launch.terms.workloads.iter().map(|w| w.timeout).fold(1.0, f64::max);
+    let watcher = Watcher {
+        agent: launch.discovery,
+        index: launch.known.index,
+        desk: desk.clone(),
+        counters: counters.clone(),
+        log: log.clone(),
+        told: BTreeSet::new(),
+    };
+    let policy = Instance::new(&launch.terms, launch.seed, clock.now());
+    let actor = Desk::new(policy, clock, counters.clone(), log.clone(), Peers::new(common));
+    desk.send(Mail::Listed(launch.known)).expect("the mailbox is here");
+    let spawn = |name: &str, body: Box<dyn FnOnce() + Send>| {
+        thread::Builder::new().name(name.to_string()).spawn(body).map_err(|e| format!("thread {name}: {e}"))
+    };
+    spawn("desk", Box::new(move || actor.run(mailbox)))?;
+    spawn("discovery", Box::new(move || watcher.run()))?;
+    let (stay, quit) = bounded(0);
+    let front = Arc::new(Front {
+        desk,
+        workloads: launch.workloads,
+        clock,
+        budget: budget.clone(),
+        counters,
+        log: log.clone(),
+        next: AtomicU64::new(0),
+        quit,
+        write_limit: Duration::from_secs_f64(longest),
+    });
+    let door = Door::open(listener, front).map_err(|e| format!("listen: {e}"))?;
+    info!(log, "serving"; "name" => launch.name, "listen" => %launch.listen, "clients" => most_clients,
+        "descriptors" => most);
+    let _ = end.recv();
+    info!(log, "told to end: serving for a little longer, then answering what was taken");
+    thread::sleep(WINDOW);
+    door.close();
+    drop(stay);
+    budget.wait_for_no_clients();
+    info!(log, "all answered");
+    Ok(())
+}
--- /dev/null
+++ b/crates/sandstile-router/src/statement.rs
@@ -0,0 +1,132 @@
+//! One statement as a client worded it: the few fields that decisions need, and the bytes that go on.
+use crate::desk::Parcel;
+use crate::pg;
+use std::ops::Range;
+
+/// What is read out of a query. Everything else passes on as it came.
+#[derive(Debug, PartialEq)]
+pub struct Statement {
+    query: Vec<u8>,
+    /// Where the digits of `d` stand in `query`.
+    wait_at: Range<usize>,
+    pub workload: usize,
+    pub group: String,
+    /// The session's name, where the workload has sessions.
+    pub session: Option<String>,
+    /// Seconds that the client waits, from its sending.
+    pub wait: f64,
+    /// Unix seconds of the session's last write, where the client carries it.
+    pub after: Option<f64>,
+    pub retry: bool,
+}
+
+#[derive(Debug, PartialEq, Eq)]
+pub enum Wrong {
+    NoComment,
+    Comment,
+    Workload,
+    Wait,
+    Group,
+    After,
+}
+
+impl Wrong {
+    pub fn text(&self) -> &'static str {
+        match self {
+            Wrong::NoComment => "the statement begins with no comment",
+            Wrong::Comment => "unreadable comment",
+            Wrong::Workload => "unknown workload in c",
+            Wrong::Wait => "missing or unreadable d",
+            Wrong::Group => "missing cluster",
+            Wrong::After => "unreadable after",
+        }
+    }
+}
+
+/// A workload's name and whether its statements name a session.
+pub struct Workload {
+    pub name: String,
+    pub sessions: bool,
+}
+
+/// `query` is the text of a Query message without its closing zero.
+pub fn read(query: &[u8], workloads: &[Workload]) -> Result<Statement, Wrong> {
+    let start = query.iter().position(|b| !b.is_ascii_whitespace()).ok_or(Wrong::NoComment)?;
+    if !query[start..].starts_with(b"/*") {
+        return Err(Wrong::NoComment);
+    }
+    let (pairs, rest) = fields(query, start + 2)?;
+    let find = |name: &str| pairs.iter().find(|(n, _)| n == name).map(|(_, at)| at.clone());
+    let text = |at: Range<usize>| std::str::from_utf8(&query[at]).unwrap_or("");
+    let class = find("c").map(text).ok_or(Wrong::Workload)?;
+    let workload = workloads.iter().position(|w| w.name == class).ok_or(Wrong::Workload)?;
+    let wait_at = find("d").ok_or(Wrong::Wait)?;
+    let wait = text(wait_at.clone()).parse::<f64>().ok().filter(|ms| ms.is_finite() && *ms > 0.0);
+    let group = find("cluster").map(text).filter(|g| !g.is_empty()).ok_or(Wrong::Group)?;
+    let after = match find("after").map(text) {
+        None => None,
+        Some(ms) => Some(ms.parse::<f64>().ok().filter(|ms| ms.is_finite()).ok_or(Wrong::After)?),
+    };
+    let session = workloads[workload].sessions.then(|| quoted(&query[rest..])).flatten();
+    Ok(Statement {
+        workload,
+        group: group.to_string(),
+        session: session.map(|name| String::from_utf8_lossy(name).into_owned()),
+        wait: wait.ok_or(Wrong::Wait)? / 1000.0,
+        after: after.filter(|ms| *ms > 0.0).map(|ms| ms / 1000.0),
+        retry: find("r").is_some_and(|at| text(at) == "1"),
+        query: query.to_vec(),
+        wait_at,
+    })
+}
+
+type Pairs = Vec<(String, Range<usize>)>;
+
+/// Names and the places of their values up to the comment's end, and the place behind it.
+fn fields(query: &[u8], mut at: usize) -> Result<(Pairs, usize), Wrong> {
+    let mut pairs = Vec::new();
+    let until = |from: usize, stop: &dyn Fn(u8) -> bool| {
+        query[from..].iter().position(|b| stop(*b)).map(|n| from + n).ok_or(Wrong::Comment)
+    };
+    loop {
+        at = until(at, &|b| !b.is_ascii_whitespace() && b != b',')?;
+        if query[at..].starts_with(b"*/") {
+            return Ok((pairs, at + 2));
+        }
+        let equals = until(at, &|b| b == b'=' || b == b'*' || b == b',')?;
+        if query[equals] != b'=' {
+            return Err(Wrong::Comment);
+        }
+        let name = std::str::from_utf8(&query[at..equals]).map_err(|_| Wrong::Comment)?.trim();
+        let value = match query.get(equals + 1) {
+            Some(quote @ (b'\'' | b'"')) => {
+                let end = until(equals + 2, &|b| b == *quote)?;
+                at = end + 1;
+                equals + 2..end
+            }
+            _ => {
+                at = until(equals + 1, &|b| b == b',' || b == b'*' || b.is_ascii_whitespace())?;
+                equals + 1..at
+            }
+        };
+        pairs.push((name.to_string(), value));
+    }
+}
+
+/// The first quoted text of the statement proper.
+fn quoted(text: &[u8]) -> Option<&[u8]> {
+    let start = text.iter().position(|b| *b == b'\'')? + 1;
+    let end = text[start..].iter().position(|b| *b == b'\'')?;
+    Some(&text[start..start + end])
+}
+
+impl Parcel for Statement {
+    /// The Query message for a database host: only `d` says something else, what this router will wait.
+    fn message(&self, wait: f64) -> Vec<u8> {
+        let ms = ((wait * 1000.0).floor().max(1.0) as u64).to_string();
+        let (before, after) = (&self.query[..self.wait_at.start], &self.query[self.wait_at.end..]);
+        let mut out = Vec::with_capacity(self.query.len() + 16);
+        pg::put(&mut out, b'Q', &[before, ms.as_bytes(), after, b"\0"]);
+        out
+    }
+}
--- a/crates/sandstile-wirehost/src/instance.rs
+++ b/crates/sandstile-wirehost/src/instance.rs
@@ -1,5 +1,8 @@
 //! One hosted instance: its ids and their indices, its timer, and the calls into the decisions.
-use crate::wire::{Fields, Line};
+use crate::wire::Fields;
+use sandstile_intake::facts;
+use sandstile_intake::list::{Entry, List};
+use sandstile_intake::names::Names;
 use sandstile_policy::policy::Instance;
 use sandstile_policy::terms::*;
 use std::collections::{BTreeMap, HashMap};
@@ -8,33 +11,14 @@
 /// The wire's clock may begin at any value; the decisions' clock starts far above zero.
 pub const EPOCH: f64 = 1e6;
 
-/// Indices for ids, in the order in which they were first seen.
-#[derive(Default)]
-struct Names {
-    index: HashMap<String, usize>,
-    names: Vec<String>,
-}
-
-impl Names {
-    fn of(&mut self, name: &str) -> usize {
-        if let Some(&i) = self.index.get(name) {
-            return i;
-        }
-        self.names.push(name.to_string());
-        self.index.insert(name.to_string(), self.names.len() - 1);
-        self.names.len() - 1
-    }
-}
-
 pub struct Hosted {
     policy: Instance,
     workloads: HashMap<String, usize>,
     base: f64,
     hosts: Names,
-    zones: Names,
     groups: Names,
     sessions: Names,
-    list: BTreeMap<String, Member>,
+    list: List,
     calls: HashMap<String, u64>,
     open: HashMap<u64, String>,
     next: u64,
@@ -48,91 +32,23 @@
 impl Hosted {
     pub fn start(now: f64, seed: u64, fields: &mut Fields) -> Result<Self, String> {
         let facts = fields.pairs();
-        let wrong = |path: &str| fields.wrong(&format!("a usable value for {path}"));
-        let number = |path: &str, default: f64| match facts.get(path) {
-            None | Some(&"" | &"-") => Ok(default),
-            Some(v) => v.parse::<f64>().ok().filter(|n| n.is_finite()).ok_or_else(|| wrong(path)),
-        };
-        let seconds = |path: &str, ms: f64| number(path, ms).map(|ms| ms / 1000.0);
-        let word = |path: &str| facts.get(path).copied().unwrap_or("");
-        let yes = |path: &str, default: bool| match word(path) {
-            "" => default,
-            v => v == "true" || v == "1",
-        };
-        let consistency: Vec<&str> = word("specifics.consistency").split(',').collect();
-        let ages: Vec<&str> = word("specifics.maxAgeMs").split(',').collect();
-        let mut workloads = Vec::new();
-        let mut index = HashMap::new();
-        for i in 0..number("classes.count", 0.0)? as usize {
-            let path = |key: &str| format!("classes.{i}.{key}");
-            index.insert(word(&path("name")).to_string(), i);
-            let timeout = seconds(&path("deadlineMs"), 1000.0)?;
-            workloads.push(Workload {
-                slo: seconds(&path("aimMs"), timeout * 1000.0)?,
-                timeout,
-                importance: number(&path("credit"), 1.0)?,
-                late_share: number(&path("lateWorth"), 0.0)?,
-                effect: match word(&path("effect")) {
-                    "idempotent" => Effect::Idempotent,
-                    "deduplicated" => Effect::Deduplicated,
-                    _ => Effect::NonIdempotent,
-                },
-                scope: match word(&path("dedupScope")) {
-                    "all" => DedupScope::All,
-                    "zone" => DedupScope::Zone,
-                    _ => DedupScope::Group,
-                },
-                window: seconds(&path("windowMs"), 0.0)?,
-                consistency: match consistency.get(i).copied().unwrap_or("") {
-                    "update" => Consistency::Write,
-                    "own_writes" => Consistency::Session,
-                    "recent" => Consistency::Bounded,
-                    "loose" => Consistency::Any,
-                    _ => Consistency::Fresh,
-                },
-                bound: ages.get(i).and_then(|a| a.parse::<f64>().ok()).unwrap_or(0.0) / 1000.0,
-            });
-        }
-        let tick = seconds("tickMs", 1.0)?;
-        let terms = Terms {
-            workloads,
-            tick,
-            routers: number("peersTotal", 1.0)? as usize,
-            most_executions: number("allowed.mostTries", 1.0)? as usize,
-            may_recall: yes("allowed.mayCancel", false),
-            may_probe: yes("allowed.probes", false),
-            max_return: match yes("allowed.retryAfter", false) {
-                true => seconds("allowed.maxRetryAfterMs", 0.0)?,
-                false => 0.0,
-            },
-            on_request: word("discovery") == "on_request",
-            ask_within: seconds("rules.askWithinMs", 10_000.0)?,
-            idle_close: seconds("allowed.idleCloseMs", 15_000.0)?,
-            drain_binds_alone: yes("rules.drainBindsAlone", false),
-            cold_from: number("rules.coldFrom", 1.0)?,
-            cold_s: seconds("rules.coldMs", 0.0)?,
-            cold_multiple: number("rules.tipMultiple", 1.0)?,
-            checked: word("specifics.guards") != "off",
-            stamped: yes("specifics.answersStamped", false),
-            marked_retries: yes("clients.marksRetry", false),
-            tokens_remembered: word("specifics.tokens") == "router",
-        };
+        let (names, terms) = facts::terms(&facts).map_err(|what| fields.wrong(&what))?;
+        let number = |path: &str| facts.get(path).and_then(|v| v.parse::<f64>().ok());
         Ok(Hosted {
             policy: Instance::new(&terms, seed, now),
-            workloads: index,
-            base: EPOCH + seconds("specifics.baseTimeMs", 0.0)?,
+            workloads: names.into_iter().zip(0..).collect(),
+            base: EPOCH + number("specifics.baseTimeMs").unwrap_or(0.0) / 1000.0,
             hosts: Names::default(),
-            zones: Names::default(),
             groups: Names::default(),
             sessions: Names::default(),
-            list: BTreeMap::new(),
+            list: List::default(),
             calls: HashMap::new(),
             open: HashMap::new(),
             next: 0,
             ending: Vec::new(),
             timer: f64::INFINITY,
             timers: 0,
-            tick,
+            tick: terms.tick,
         })
     }
 
@@ -141,7 +57,7 @@
         now: f64,
         name: &str,
         fields: &mut Fields,
-        sheets: &BTreeMap<u64, Vec<Line>>,
+        sheets: &BTreeMap<u64, Vec<Entry>>,
     ) -> Result<(), String> {
         match name {
             "MEMBERS" => {
@@ -159,7 +75,8 @@
                 let Some(lines) = sheets.get(&sheet) else {
                     return Err(fields.wrong("the number of a LIST sent before"));
                 };
-                self.merge(now, whole, lines);
+                let list = self.list.merge(whole, lines, &mut self.hosts, &mut self.groups);
+                self.policy.members(now, &list);
             }
             "INGRESS" => {
                 let call = fields.text("a request id")?;
@@ -245,38 +162,12 @@
         Ok(())
     }
 
-    /// Keeps the list as it now stands; what a whole list leaves out is gone, and stays known.
-    fn merge(&mut self, now: f64, whole: bool, lines: &[Line]) {
-        if whole {
-            for member in self.list.values_mut() {
-                member.readiness = Readiness::Gone;
-            }
-        }
-        for line in lines {
-            let member = Member {
-                host: self.hosts.of(&line.host),
-                group: self.groups.of(&line.group.to_string()),
-                zone: self.zones.of(&line.zone),
-                primary: line.primary,
-                since: if line.since > 0.0 { EPOCH + line.since } else { 0.0 },
-                readiness: match line.readiness.as_str() {
-                    "active" => Readiness::Active,
-                    "leaving" => Readiness::Draining,
-                    _ => Readiness::Gone,
-                },
-            };
-            self.list.insert(line.host.clone(), member);
-        }
-        let list: Vec<Member> = self.list.values().cloned().collect();
-        self.policy.members(now, &list);
-    }
-
     pub fn reply(&mut self, who: &str, now: f64, out: &mut impl Write) -> io::Result<()> {
         self.policy.passed(now);
         while let Some(decision) = self.policy.decide() {
             match decision {
                 Decision::Send { stmt, host, time_out } => {
-                    let (call, host) = (&self.open[&stmt], &self.hosts.names[host]);
+                    let (call, host) = (&self.open[&stmt], self.hosts.name(host));
                     writeln!(out, "ISSUE {who} {call} {host} {:.3}", time_out * 1000.0)?;
                 }
                 Decision::Reject { stmt, return_after } => {
@@ -290,7 +181,7 @@
                 Decision::Recall { stmt, execution } => {
                     writeln!(out, "RECALL {who} {} {execution}", self.open[&stmt])?
                 }
-                Decision::Probe { host } => writeln!(out, "PING {who} {}", self.hosts.names[host])?,
+                Decision::Probe { host } => writeln!(out, "PING {who} {}", self.hosts.name(host))?,
                 Decision::Subscribe => writeln!(out, "KEEP_INFORMED {who} 1")?,
                 Decision::Log(line) => writeln!(out, "EMIT {who} {line}")?,
             }
--- a/crates/sandstile-wirehost/src/main.rs
+++ b/crates/sandstile-wirehost/src/main.rs
@@ -4,10 +4,11 @@
 mod wire;
 
 use instance::{Hosted, EPOCH};
+use sandstile_intake::list::Entry;
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufWriter, Write};
 use std::process::ExitCode;
-use wire::{Fields, Line};
+use wire::Fields;
 
 fn main() -> ExitCode {
     match serve(io::stdin().lock(), BufWriter::new(io::stdout().lock())) {
@@ -22,7 +23,7 @@
 /// Answers batches until the input ends.
 fn serve(mut input: impl BufRead, mut output: impl Write) -> Result<(), String> {
     let mut hosted: BTreeMap<String, Hosted> = BTreeMap::new();
-    let mut sheets: BTreeMap<u64, Vec<Line>> = BTreeMap::new();
+    let mut sheets: BTreeMap<u64, Vec<Entry>> = BTreeMap::new();
     let mut number = 0usize;
     let mut text = String::new();
     let mut now = None;
--- a/crates/sandstile-wirehost/src/wire.rs
+++ b/crates/sandstile-wirehost/src/wire.rs
@@ -1,4 +1,6 @@
 //! The wire's lines: fields in order, each read with a plain message on what was expected.
+use crate::instance::EPOCH;
+use sandstile_intake::list::{readiness, Entry};
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
@@ -75,34 +77,24 @@
     }
 
     /// All that is left of the line, as path=value pairs.
-    pub fn pairs(&mut self) -> BTreeMap<&'a str, &'a str> {
-        self.rest.take().unwrap_or("").split(' ').filter_map(|p| p.split_once('=')).collect()
+    pub fn pairs(&mut self) -> BTreeMap<String, String> {
+        let pairs = self.rest.take().unwrap_or("").split(' ').filter_map(|p| p.split_once('='));
+        pairs.map(|(path, value)| (path.to_string(), value.to_string())).collect()
     }
 }
 
-/// One line of a list, its ids still as on the wire.
-pub struct Line {
-    pub primary: bool,
-    pub since: f64,
-    pub zone: String,
-    pub group: u64,
-    pub host: String,
-    pub readiness: String,
-}
-
-pub fn entry(fields: &mut Fields) -> Result<Line, String> {
+/// One entry of a list, in the order of the wire.
+pub fn entry(fields: &mut Fields) -> Result<Entry, String> {
     if fields.text("HOST")? != "HOST" {
         return Err(fields.wrong("HOST"));
     }
     let primary = fields.maybe_seconds("a role")?.is_some_and(|n| n > 0.0);
     fields.maybe("a share")?;
-    let since = fields.maybe_seconds("a start time")?.unwrap_or(0.0);
+    let since = fields.maybe_seconds("a start time")?.filter(|since| *since > 0.0);
     let zone = fields.maybe("a zone")?.unwrap_or("").to_string();
-    let group = fields.whole("a group")?;
+    let group = fields.whole("a group")?.to_string();
     let host = fields.text("a database host")?.to_string();
-    let readiness = fields.text("a readiness")?;
-    if !["active", "leaving", "left"].contains(&readiness) {
-        return Err(fields.wrong("active, leaving or left"));
-    }
-    Ok(Line { primary, since, zone, group, host, readiness: readiness.to_string() })
+    let word = fields.text("a readiness")?;
+    let readiness = readiness(word).ok_or_else(|| fields.wrong("active, leaving or left"))?;
+    Ok(Entry { primary, since: since.map_or(0.0, |since| EPOCH + since), zone, group, host, readiness })
 }
