Stand-ins and tests of the whole program; bounds on names, waits and log lines

Read over against the issue: unknown clusters and sessions could grow the memory without end (now one shared group, 65,536 sessions), a d of 1e300 overflowed a timer, a leaving entry without an address was left out of the list, final answers went out ahead of the round's withdrawals. Each cause of a bad ending is logged once a second and host.

--- a/crates/sandstile-router/src/client.rs
+++ b/crates/sandstile-router/src/client.rs
@@ -136,7 +136,7 @@
     let Some((tag, body)) = pg::frame(buf)? else { return Ok(None) };
     let length = body.end;
     let input = match (tag, buf[body].split_last()) {
-        (b'Q', Some((0, text))) => Input::Query { text: text.to_vec(), at: 0.0 },
+        (b'Q', Some((0, text))) if !text.contains(&0) => Input::Query { text: text.to_vec(), at: 0.0 },
         (b'Q', _) => return Err(pg::BadFrame("query without an end")),
         (b'X', _) => Input::End,
         _ => Input::Bad { code: "0A000", what: "simple queries only" },
--- a/crates/sandstile-router/src/desk.rs
+++ b/crates/sandstile-router/src/desk.rs
@@ -79,12 +79,18 @@
     list: List,
     peers: Peers,
     open: BTreeMap<u64, Open>,
+    /// Final answers of this round. They go out behind its withdrawals, or a dial that comes up just then could
+    /// still write a statement that has been answered.
+    answers: Vec<(Reply, Answer)>,
     /// Statements that may be over once the decisions of this round are out.
     ending: Vec<u64>,
 }
 
 /// Timers of the platform are no finer; a sleep of nothing would spin.
 const SHORTEST_SLEEP: Duration = Duration::from_millis(1);
+/// About 10 MB of names. An index that is used again brings an older write's position along, so a read of the new
+/// session is at worst kept from a replica that lags behind that.
+const MOST_SESSIONS: usize = 1 << 16;
 
 impl Desk {
     pub fn new(policy: Instance, clock: Clock, counters: Arc<Counters>, log: Logger, peers: Peers) -> Self {
@@ -96,9 +102,10 @@
             peers,
             hosts: Names::default(),
             groups: Names::default(),
-            sessions: Names::default(),
+            sessions: Names::bounded(MOST_SESSIONS),
             list: List::default(),
             open: BTreeMap::new(),
+            answers: Vec::new(),
             ending: Vec::new(),
         }
     }
@@ -130,7 +137,9 @@
                 self.counters.taken.add();
                 let arrival = Arrival {
                     workload: asked.workload,
-                    group: self.groups.of(&asked.group),
+                    // Groups that no list has named share one that has no members, or clients could fill the
+                    // memory with names.
+                    group: self.groups.find(&asked.group).unwrap_or_else(|| self.groups.of("")),
                     session: asked.session.map(|name| self.sessions.of(&name)),
                     time_left: asked.until - now,
                     token_age: asked.after.map(|at| (now - at).max(0.0)),
@@ -168,6 +177,11 @@
                     let host = self.hosts.of(&name);
                     self.peers.at(host, &name, address);
                 }
+                for entry in &update.entries {
+                    if self.groups.find(&entry.group).is_none() {
+                        info!(self.log, "group {} is {}", self.groups.of(&entry.group), entry.group);
+                    }
+                }
                 let list = self.list.merge(update.whole, &update.entries, &mut self.hosts, &mut self.groups);
                 self.policy.members(now, &list);
             }
@@ -205,6 +219,9 @@
                 Decision::Log(line) => info!(self.log, "decisions: {line}"),
             }
         }
+        for (reply, answer) in self.answers.drain(..) {
+            reply.give(answer);
+        }
         for stmt in self.ending.drain(..) {
             if !self.policy.holds(stmt) {
                 self.open.remove(&stmt);
@@ -215,7 +232,7 @@
     fn answer(&mut self, stmt: u64, answer: Answer) {
         self.ending.push(stmt);
         if let Some(reply) = self.open.get_mut(&stmt).and_then(|o| o.reply.take()) {
-            reply.give(answer);
+            self.answers.push((reply, answer));
         }
     }
 }
--- a/crates/sandstile-router/src/discovery.rs
+++ b/crates/sandstile-router/src/discovery.rs
@@ -24,7 +24,8 @@
 }
 
 impl Update {
-    /// Reads discovery's form. An entry that can't be read is left out; the message then names the first.
+    /// Reads discovery's form. What can't be read of it is
+    /// left out; the message then names the first such thing.
     pub fn read(json: &Value) -> Result<(Update, Option<String>), String> {
         let index = json["index"].as_u64().ok_or("a list without an index")?;
         let whole = json["snapshot"].as_bool().ok_or("a list without snapshot")?;
@@ -34,6 +35,9 @@
         for item in listed {
             match entry(item) {
                 Ok((entry, address)) => {
+                    if address.is_none() && entry.readiness == Readiness::Active {
+                        wrong = wrong.or(Some(format!("{}: no usable address", entry.host)));
+                    }
                     update.addresses.push((entry.host.clone(), address));
                     update.entries.push(entry);
                 }
@@ -49,9 +53,6 @@
     let word = item["status"].as_str().unwrap_or("");
     let readiness = readiness(word).ok_or_else(|| format!("{host}: status '{word}'"))?;
     let address = item["address"].as_str().unwrap_or("").parse().ok();
-    if address.is_none() && readiness != Readiness::Gone {
-        return Err(format!("{host}: no usable address"));
-    }
     let group = match &item["group"] {
         Value::Null => return Err(format!("{host}: no group")),
         Value::String(group) => group.clone(),
@@ -157,7 +158,7 @@
         if let Some(what) = wrong {
             self.counters.bad_lists.add();
             if self.told.insert(what.clone()) {
-                warn!(self.log, "discovery: {what}; the entry is left out");
+                warn!(self.log, "discovery: {what}; the rest is taken");
             }
         }
         self.counters.lists.add();
--- a/crates/sandstile-router/src/ending.rs
+++ b/crates/sandstile-router/src/ending.rs
@@ -1,7 +1,7 @@
 //! Every way in which a connection to a database host, or an execution on it, can end, and what each means.
 use sandstile_policy::terms::{Note, Verdict};
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Ending {
     /// The row came whole.
     Completed,
@@ -98,6 +98,15 @@
         }
     }
 
+    /// Part of a good day, and no cause for a line of log.
+    pub fn ordinary(self) -> bool {
+        use Ending::*;
+        matches!(
+            self,
+            Completed | Missed | WithdrawnUnsent | Withdrawn | IdleEnded | IdleExpired | IdleEvicted | Moved
+        )
+    }
+
     pub fn name(self) -> String {
         format!("{self:?}")
     }
--- a/crates/sandstile-router/src/peer.rs
+++ b/crates/sandstile-router/src/peer.rs
@@ -7,10 +7,10 @@
 use crate::ending::{Ending, Outcome};
 use crate::link::{self, Socket};
 use crossbeam_channel::{bounded, unbounded, Receiver, RecvTimeoutError, Sender};
-use slog::{info, o, Logger};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use slog::{debug, info, o, Logger};
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -53,6 +53,7 @@
     pub budget: Arc<Budget>,
     pub counters: Arc<Counters>,
     pub log: Logger,
+    pub causes: Arc<Causes>,
     pub desk: Sender<desk::Mail>,
     /// Seconds for a connection to come up.
     pub dial_limit: f64,
@@ -60,6 +61,31 @@
     pub idle_close: f64,
 }
 
+/// When each host's endings of each kind were logged last, and how many were not since.
+#[derive(Default)]
+pub struct Causes(Mutex<BTreeMap<(usize, Ending), (f64, u64)>>);
+
+impl Common {
+    /// Counts an ending, and logs it where it is out of the ordinary: each cause once a second and host, for a
+    /// host that is down ends statements by the hundred.
+    fn ended(&self, host: usize, ending: Ending) {
+        self.counters.ended(ending);
+        if ending.ordinary() {
+            return;
+        }
+        debug!(self.log, "{}", ending.name());
+        let now = self.clock.now();
+        let mut causes = self.causes.0.lock().expect("no thread panics under the lock");
+        let (at, more) = causes.entry((host, ending)).or_insert((0.0, 0));
+        if now < *at + 1.0 {
+            *more += 1;
+        } else {
+            info!(self.log, "ended: {}", ending.name(); "unlogged_before" => std::mem::take(more));
+            *at = now;
+        }
+    }
+}
+
 /// The desk's side: a mailbox for each database host.
 pub struct Peers {
     common: Common,
@@ -126,7 +152,6 @@
 struct Peer {
     host: usize,
     common: Common,
-    log: Logger,
     own: Sender<Mail>,
     address: Option<SocketAddr>,
     address_no: u64,
@@ -138,7 +163,6 @@
     /// Dials under way, with the number of the address they went to.
     dials: BTreeMap<u64, u64>,
     next: u64,
-    logged: BTreeSet<&'static str>,
 }
 
 impl Peer {
@@ -147,8 +171,7 @@
         let log = common.log.new(o!("host" => name.to_string()));
         let peer = Peer {
             host,
-            common,
-            log,
+            common: Common { log, ..common },
             own: own.clone(),
             address: None,
             address_no: 0,
@@ -157,7 +180,6 @@
             waiting: VecDeque::new(),
             dials: BTreeMap::new(),
             next: 0,
-            logged: BTreeSet::new(),
         };
         let body = move || peer.run(mailbox);
         thread::Builder::new().name(format!("peer {host}")).stack_size(STACK).spawn(body).expect("a thread");
@@ -197,7 +219,7 @@
                 }
             }
             Mail::Address(address) => {
-                info!(self.log, "address is {address:?}");
+                info!(self.common.log, "address is {address:?}");
                 (self.address, self.address_no) = (address, self.address_no + 1);
                 for _ in self.idle.drain(..) {
                     self.common.counters.ended(Ending::Moved);
@@ -212,9 +234,6 @@
             }
             Mail::DialEnded(id, ending) => {
                 self.dials.remove(&id);
-                if self.logged.insert("dial") || ending == Ending::NoRoom {
-                    info!(self.log, "dial ended: {}", ending.name());
-                }
                 self.undialled(id, ending);
             }
             Mail::Done(id, goes_on) => {
@@ -252,7 +271,7 @@
                 self.waiting.push_back((id, job));
             }
             Err(e) => {
-                info!(self.log, "no thread for a link: {e}");
+                info!(self.common.log, "no thread for a link: {e}");
                 self.report(job, Ending::NoRoom.into());
             }
         }
@@ -293,7 +312,7 @@
                 self.report(job, ending.into());
             }
         } else {
-            self.common.counters.ended(ending);
+            self.common.ended(self.host, ending);
         }
     }
 
@@ -311,7 +330,7 @@
 }
 
 fn report(common: &Common, host: usize, job: Job, outcome: Outcome) {
-    common.counters.ended(outcome.ending);
+    common.ended(host, outcome.ending);
     let mail = match job.errand {
         Errand::Statement { stmt, execution, .. } => desk::Mail::Ended { stmt, execution, outcome },
         Errand::Probe => desk::Mail::Probed { host, outcome },
--- a/crates/sandstile-router/src/router.rs
+++ b/crates/sandstile-router/src/router.rs
@@ -40,6 +40,7 @@
         budget: budget.clone(),
         counters: counters.clone(),
         log: log.clone(),
+        causes: Arc::default(),
         desk: desk.clone(),
         dial_limit: launch.dial_limit,
         idle_close: launch.terms.idle_close,
--- a/crates/sandstile-router/src/statement.rs
+++ b/crates/sandstile-router/src/statement.rs
@@ -49,6 +49,9 @@
     pub sessions: bool,
 }
 
+/// A day: no client waits so long, and more would overflow the platform's timers.
+const LONGEST_MS: f64 = 86_400_000.0;
+
 /// `query` is the text of a Query message without its closing zero.
 pub fn read(query: &[u8], workloads: &[Workload]) -> Result<Statement, Wrong> {
     let start = query.iter().position(|b| !b.is_ascii_whitespace()).ok_or(Wrong::NoComment)?;
@@ -61,7 +64,7 @@
     let class = find("c").map(text).ok_or(Wrong::Workload)?;
     let workload = workloads.iter().position(|w| w.name == class).ok_or(Wrong::Workload)?;
     let wait_at = find("d").ok_or(Wrong::Wait)?;
-    let wait = text(wait_at.clone()).parse::<f64>().ok().filter(|ms| ms.is_finite() && *ms > 0.0);
+    let wait = text(wait_at.clone()).parse::<f64>().ok().filter(|ms| *ms > 0.0 && *ms <= LONGEST_MS);
     let group = find("cluster").map(text).filter(|g| !g.is_empty()).ok_or(Wrong::Group)?;
     let after = match find("after").map(text) {
         None => None,
--- /dev/null
+++ b/crates/sandstile-router/tests/program.rs
@@ -0,0 +1,327 @@
+//! The program as operators start it, between stand-ins on loopback.
+mod stand_ins;
+
+use sandstile_router::pg;
+use stand_ins::*;
+use std::net::{Shutdown, TcpStream};
+use std::sync::atomic::Ordering::SeqCst;
+use std::thread;
+use std::time::{Duration, Instant};
+
+fn value(got: &Got) -> &[u8] {
+    got.value.as_deref().unwrap_or(b"-")
+}
+
+fn count(text: &str, name: &str) -> u64 {
+    let line = text.lines().rev().find(|l| l.starts_with("counters")).expect("counters");
+    let pair = line.split(' ').find_map(|p| p.strip_prefix(&format!("{name}="))).expect("a counter");
+    pair.parse().expect("a number")
+}
+
+#[test]
+fn statements_go_by_the_design_and_come_back_as_the_hosts_bytes() {
+    let odd: &[u8] = &[0, 255, 92, 39, 0, 10];
+    let (primary, replica) = (Host::start(true), Host::scripted(false, &[Act::Row(odd)]));
+    let router = Router::before(&primary, &[&replica]);
+    let mut client = Client::connect(router.address);
+    let mut encrypt = 8u32.to_be_bytes().to_vec();
+    encrypt.extend_from_slice(&80_877_103u32.to_be_bytes());
+    client.send(&encrypt);
+    let mut byte = [0];
+    std::io::Read::read_exact(&mut client.stream, &mut byte).expect("a byte");
+    assert_eq!(byte[0], b'N');
+    // The startup with the first query right behind it, split in an odd place.
+    let mut bytes = pg::hello();
+    bytes.extend_from_slice(&query(&read(800)));
+    client.send(&bytes[..37]);
+    client.send(&bytes[37..]);
+    assert!(client.answer().ready);
+    assert_eq!(value(&client.answer()), odd);
+    let passed = replica.queries.lock().expect("queries")[0].clone();
+    let passed = String::from_utf8(passed).expect("text");
+    let (before, rest) = passed.split_once(",d=").expect("a d");
+    let (d, after) = rest.split_once(',').expect("more fields");
+    assert!((700..=800).contains(&d.parse::<u32>().expect("a number")), "{d}");
+    assert_eq!(format!("{before},d=800,{after}"), format!("{}\0", read(800)));
+    assert!(client.ask(" ; ").empty);
+    assert_eq!(value(&client.ask(&write(800))), b"primary");
+    assert_eq!(value(&client.ask(&read(800))), b"replica");
+    // Two at once are answered in their order.
+    client.send(&[query(&write(800)), query(&read(800))].concat());
+    assert_eq!(value(&client.answer()), b"primary");
+    assert_eq!(value(&client.answer()), b"replica");
+    client.send(b"X\0\0\0\x04");
+    assert_eq!(client.answer(), Got::default());
+    let (ok, log) = router.end();
+    assert!(ok, "{log}");
+    assert_eq!(
+        (count(&log, "taken"), count(&log, "completed"), count(&log, "bad_input")),
+        (5, 5, 0),
+        "{log}"
+    );
+}
+
+#[test]
+fn a_refused_read_moves_on_and_a_value_as_long_as_allowed_passes() {
+    let long: &'static [u8] = vec![7; 64 * 1024].leak();
+    let primary = Host::scripted(true, &[Act::Row(long)]);
+    let replicas =
+        [Host::scripted(false, &[Act::Fail("72000")]), Host::scripted(false, &[Act::Fail("72000")])];
+    let router = Router::before(&primary, &[&replicas[0], &replicas[1]]);
+    let mut client = router.client();
+    assert_eq!(value(&client.ask(&read(1500))), long);
+    assert_eq!((replicas[0].count(), replicas[1].count(), primary.count()), (1, 1, 1));
+    let literal = "ab".repeat(64 * 1024);
+    let text = write(800).replace("\\x9f", &literal);
+    assert_eq!(value(&client.ask(&text)), b"primary");
+    assert!(primary.queries.lock().expect("queries")[1]
+        .windows(100)
+        .any(|w| w == &literal.as_bytes()[..100]));
+}
+
+/// A write that was written whole may have run: whatever broke then, it is aborted, and sent once.
+#[test]
+fn a_write_that_may_have_run_is_aborted_and_never_sent_again() {
+    for act in [
+        Act::Cut(0),
+        Act::Cut(40),
+        Act::Fail("XX000"),
+        Act::Say(b"G\0\0\0\x04"),
+        Act::Say(b"T\xff\xff\xff\xff"),
+    ] {
+        let primary = Host::scripted(true, &[act]);
+        let router = Router::before(&primary, &[&Host::start(false)]);
+        let got = router.client().ask(&write(600));
+        assert!(got.ready && got.value.is_none());
+        assert!(!["53300", "57P03"].contains(&got.code.as_deref().expect("an error")), "{got:?}");
+        assert_eq!(primary.count(), 1);
+    }
+}
+
+/// Nothing was written where a dial fails: the client may try again, and is told when.
+#[test]
+fn a_write_that_never_ran_is_rejected_with_a_time_to_return() {
+    let refusing = Host::start(true);
+    refusing.script.lock().expect("script").greeting_code = Some("53300");
+    for primary in [&refusing, &Host::start(true)] {
+        let gone = Agent::start().address;
+        let known = if primary.count() == 0 && primary.address != refusing.address {
+            list(41, true, &[entry("s-0", gone, true, "active")])
+        } else {
+            known(primary, &[])
+        };
+        let router = Router::start(&config(Agent::start().address, &known));
+        let started = Instant::now();
+        let got = router.client().ask(&write(400));
+        assert_eq!((got.code.as_deref(), got.detail.as_deref()), (Some("53300"), Some("700")));
+        assert!(got.ready && started.elapsed() < Duration::from_millis(450));
+        assert_eq!(primary.count(), 0);
+    }
+}
+
+/// A connection that the host has closed is noticed before a write goes onto it.
+#[test]
+fn an_idle_connection_is_looked_at_before_it_is_used_again() {
+    let primary = Host::scripted(true, &[Act::RowThenEnd(b"one"), Act::Row(b"two")]);
+    let router = Router::before(&primary, &[]);
+    let mut client = router.client();
+    assert_eq!(value(&client.ask(&write(800))), b"one");
+    wait_for("the host's end", || primary.ended.load(SeqCst) == 1);
+    assert_eq!(value(&client.ask(&write(800))), b"two");
+    assert_eq!(primary.count(), 2);
+}
+
+#[test]
+fn a_silent_host_costs_its_statement_only_and_a_client_that_leaves_takes_its_execution_along() {
+    let primary = Host::scripted(true, &[Act::Silent, Act::Silent]);
+    let router = Router::before(&primary, &[&Host::start(false)]);
+    let (mut slow, mut quick) = (router.client(), router.client());
+    let started = Instant::now();
+    slow.send(&query(&write(500)));
+    wait_for("the write", || primary.count() == 1);
+    assert_eq!(value(&quick.ask(&read(800))), b"replica");
+    let got = slow.answer();
+    assert!(started.elapsed() < Duration::from_millis(550), "{:?}", started.elapsed());
+    assert!(got.ready && got.code.as_deref() != Some("53300"), "{got:?}");
+    wait_for("the withdrawal", || primary.ended.load(SeqCst) == 1);
+    drop(router);
+
+    let primary = Host::scripted(true, &[Act::Silent]);
+    let router = Router::before(&primary, &[]);
+    let mut leaver = router.client();
+    leaver.send(&query(&write(2000)));
+    wait_for("the write", || primary.count() == 1);
+    drop(leaver);
+    wait_for("the withdrawal", || primary.ended.load(SeqCst) == 1);
+    let (ok, log) = router.end();
+    assert!(ok);
+    assert_eq!((count(&log, "clients_gone"), count(&log, "Withdrawn")), (1, 1), "{log}");
+}
+
+#[test]
+fn hostile_input_gets_an_error_an_end_and_a_count_and_nothing_goes_on() {
+    let primary = Host::start(true);
+    let router = Router::before(&primary, &[&Host::start(false)]);
+    let q = |text: &str| query(text);
+    let bad: Vec<Vec<u8>> = vec![
+        q("SELECT 1"),
+        q("/* c=look,d=500,cluster=3"),
+        q("/* c=nothing,d=500,cluster=3 */ SELECT 'k'"),
+        q("/* c=look,cluster=3 */ SELECT 'k'"),
+        q("/* c=look,d=abc,cluster=3 */ SELECT 'k'"),
+        q("/* c=look,d=1e300,cluster=3 */ SELECT 'k'"),
+        q("/* c=look,d=500 */ SELECT 'k'"),
+        q(&(read(500) + "\0 more")),
+        b"Q\xff\xff\xff\xff".to_vec(),
+        b"Q\x7f\xff\xff\xff".to_vec(),
+        b"Q\0\0\0\x05x".to_vec(),
+        b"P\0\0\0\x08\0\0\0\0".to_vec(),
+        b"\x16\x03\x01\x02\0".to_vec(),
+    ];
+    for bytes in &bad {
+        let mut client = router.client();
+        client.send(bytes);
+        let got = client.answer();
+        assert!(got.code.is_some() && !got.ready, "{bytes:?} got {got:?}");
+        assert_eq!(client.answer(), Got::default());
+    }
+    let mut no_startup = Client::connect(router.address);
+    no_startup.send(b"GET / HTTP/1.1\r\n\r\n");
+    assert_eq!(no_startup.answer().code.as_deref(), Some("08P01"));
+    assert_eq!(value(&router.client().ask(&write(800))), b"primary");
+    assert_eq!(primary.count(), 1);
+    let (ok, log) = router.end();
+    assert!(ok && count(&log, "bad_input") == bad.len() as u64 + 1, "{log}");
+}
+
+#[test]
+fn the_list_follows_changes_whole_lists_and_addresses_through_a_watch_that_breaks() {
+    let (old, new, replica) =
+        (Host::start(true), Host::scripted(true, &[Act::Row(b"new")]), Host::start(false));
+    let agent = Agent::start();
+    let router = Router::start(&config(agent.address, &known(&old, &[&replica])));
+    let mut client = router.client();
+    assert_eq!(value(&client.ask(&write(800))), b"primary");
+    let mut watch = agent.watch();
+    assert!(
+        watch.request.starts_with("GET /catalog/members?follow=1&since=41 HTTP/1.1\r\n"),
+        "{}",
+        watch.request
+    );
+    watch.begin();
+    watch.chunk("\n");
+    let moved = list(43, false, &[entry("s-0", new.address, true, "active")]) + "\n";
+    watch.chunk(&moved[..moved.len() / 2]);
+    watch.raw(format!("{:x}\r\n{}", moved.len() - moved.len() / 2, &moved[moved.len() / 2..]).as_bytes());
+    // The other address drops the idle connection to the old one.
+    wait_for("the move", || old.ended.load(SeqCst) == 1);
+    assert_eq!(value(&client.ask(&write(800))), b"new");
+    watch.raw(b"\r\n");
+    watch.chunk("{\"index\":99,\"snapshot\":true,\"endpo");
+    drop(watch);
+    let mut watch = agent.watch();
+    assert!(watch.request.contains("&since=43 "), "{}", watch.request);
+    watch.begin();
+    let left = list(44, false, &[entry("s-1", replica.address, false, "leaving")]);
+    watch.chunk(&(left + "\nnot a list\n"));
+    // That line ends the watch; what came before it stands.
+    let mut watch = agent.watch();
+    assert!(watch.request.contains("&since=44 "), "{}", watch.request);
+    assert_eq!(value(&client.ask(&read(800))), b"primary");
+    watch.begin();
+    watch.chunk(&(list(50, true, &[entry("s-1", replica.address, false, "active")]) + "\n"));
+    wait_for("the whole list", || client.ask(&read(800)).value.as_deref() == Some(b"replica"));
+    let writes = new.count();
+    assert_eq!(client.ask(&write(300)).code.as_deref(), Some("53300"));
+    let queries = replica.queries.lock().expect("queries");
+    assert!(!queries.iter().any(|q| q.windows(6).any(|w| w == b"INSERT")) && new.count() == writes);
+}
+
+#[test]
+fn told_to_end_it_serves_on_for_a_little_answers_all_and_exits_well() {
+    let primary = Host::scripted(true, &[Act::Silent]);
+    let router = Router::before(&primary, &[&Host::start(false)]);
+    let (mut waiting, mut idle) = (router.client(), router.client());
+    waiting.send(&query(&write(1200)));
+    wait_for("the write", || primary.count() == 1);
+    router.signal("TERM");
+    let mut late = router.client();
+    assert_eq!(value(&late.ask(&read(800))), b"replica");
+    assert_eq!(idle.answer(), Got::default());
+    assert!(TcpStream::connect(router.address).is_err());
+    assert!(waiting.answer().code.is_some());
+    let (ok, log) = router.end();
+    assert!(ok, "{log}");
+    assert_eq!((count(&log, "taken"), count(&log, "completed"), count(&log, "aborted")), (2, 1, 1), "{log}");
+}
+
+/// Connections beyond the budget wait or take the place of idle ones; the process neither dies nor spins.
+#[test]
+fn a_flood_of_connections_stays_within_the_descriptors() {
+    let primary = Host::start(true);
+    let router = Router::before(&primary, &[&Host::start(false)]);
+    let mut flood: Vec<Client> = (0..90).map(|_| Client::connect(router.address)).collect();
+    let mut answers = 0;
+    for client in flood.iter_mut().rev().take(20) {
+        client.greet();
+        answers += usize::from(value(&client.ask(&read(1500))) == b"replica");
+    }
+    assert_eq!(answers, 20);
+    let held = std::fs::read_dir(format!("/proc/{}/fd", router.child.id())).expect("a process").count();
+    assert!(held <= 64, "{held}");
+    // A client that never reads and one that sends a byte at a time hold up nobody.
+    let mut stuck = router.client();
+    stuck.send(&query(&read(1500)).repeat(50));
+    let mut dribble = router.client();
+    dribble.send(&query(&read(1500))[..9]);
+    assert_eq!(value(&router.client().ask(&write(800))), b"primary");
+    let _ = stuck.stream.shutdown(Shutdown::Both);
+    drop(flood);
+    assert!(router.end().0);
+}
+
+#[test]
+fn the_command_line_says_what_is_wrong_in_one_line() {
+    let good = config(Agent::start().address, &list(1, true, &[]));
+    let said = |config: &str, arguments: &[&str]| {
+        let output = run(config, arguments);
+        let error = String::from_utf8(output.stderr).expect("text");
+        (output.status.success(), String::from_utf8(output.stdout).expect("text"), error)
+    };
+    let (ok, text, _) = said(&good, &["check"]);
+    assert!(
+        ok && text.contains("router n3") && text.contains("workload book: Write NonIdempotent"),
+        "{text}"
+    );
+    assert!(said(&good, &["version"]).1.starts_with("sandstile 0"));
+    assert!(said(&good, &["--help"]).1.contains("usage"));
+    let lacks = |what: &str| good.replace(&format!("\"{what}\""), "\"other\"");
+    let broken = [
+        ("serve", good[..200].to_string(), "LB_CONFIG"),
+        ("serve", lacks("settings"), "settings"),
+        ("check", lacks("known"), "known"),
+        ("serve", lacks("seed"), "seed"),
+        ("serve", lacks("dialTimeoutMs"), "dialTimeoutMs"),
+        ("serve", good.replace("2000.0", "\"soon\""), "deadlineMs"),
+        ("serve", lacks("sockets"), "sockets"),
+        ("dance", good.clone(), "dance"),
+    ];
+    for (command, config, named) in broken {
+        let (ok, _, error) = said(&config, &[command]);
+        assert!(!ok && error.lines().count() == 1 && error.contains(named), "{command} {named}: {error}");
+    }
+}
+
+#[test]
+fn counters_are_printed_on_request() {
+    let mut router = Router::before(&Host::start(true), &[]);
+    assert_eq!(value(&router.client().ask(&write(800))), b"primary");
+    router.signal("USR1");
+    let out = router.child.stderr.take().expect("a pipe");
+    let read = thread::spawn(move || {
+        let mut lines = std::io::BufRead::lines(std::io::BufReader::new(out));
+        lines.find_map(|l| l.ok().filter(|l| l.starts_with("counters"))).expect("counters")
+    });
+    let line = read.join().expect("a reader");
+    assert_eq!((count(&line, "taken"), count(&line, "sent"), count(&line, "Completed")), (1, 1, 1), "{line}");
+}
--- /dev/null
+++ b/crates/sandstile-router/tests/stand_ins/mod.rs
@@ -0,0 +1,389 @@
+//! Stand-ins on loopback for all that a router meets: clients, database hosts, discovery; and the program itself.
+use sandstile_router::pg;
+use std::collections::VecDeque;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use std::{fs, thread};
+
+pub const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Looks again and again until it is so.
+pub fn wait_for(what: &str, mut seen: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !seen() {
+        assert!(Instant::now() < end, "never came: {what}");
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
+fn listener() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").expect("a port")
+}
+
+/// What a database host does with a statement.
+#[derive(Clone)]
+pub enum Act {
+    Row(&'static [u8]),
+    Fail(&'static str),
+    /// So many bytes of a row, then the end.
+    Cut(usize),
+    /// A row, then the end of the connection.
+    RowThenEnd(&'static [u8]),
+    Say(&'static [u8]),
+    Silent,
+}
+
+#[derive(Default)]
+pub struct Script {
+    pub acts: VecDeque<Act>,
+    pub greeting_code: Option<&'static str>,
+}
+
+pub struct Host {
+    pub address: SocketAddr,
+    pub queries: Arc<Mutex<Vec<Vec<u8>>>>,
+    /// Connections that have ended, as seen here.
+    pub ended: Arc<AtomicUsize>,
+    pub script: Arc<Mutex<Script>>,
+}
+
+fn row(value: &[u8], primary: bool, out: &mut Vec<u8>) {
+    pg::put(out, b'T', &[b"\0\x01payload\0", &[0; 18]]);
+    pg::put(out, b'D', &[&[0, 1], &(value.len() as u32).to_be_bytes(), value]);
+    pg::put(out, b'C', &[b"SELECT 1\0"]);
+    close(primary, out);
+}
+
+fn close(primary: bool, out: &mut Vec<u8>) {
+    let mode: &[u8] = if primary { b"read-write" } else { b"read-only" };
+    pg::put(out, b'S', &[b"mode\0", mode, b"\0"]);
+    pg::put(out, b'S', &[b"wal_time\0", b"1700000000123\0"]);
+    pg::ready(out);
+}
+
+impl Host {
+    /// Answers with a row of its role's name wherever the script has run out.
+    pub fn start(primary: bool) -> Host {
+        let listener = listener();
+        let host = Host {
+            address: listener.local_addr().expect("bound"),
+            queries: Arc::default(),
+            ended: Arc::default(),
+            script: Arc::default(),
+        };
+        let (queries, script, ended) = (host.queries.clone(), host.script.clone(), host.ended.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (queries, script, ended) = (queries.clone(), script.clone(), ended.clone());
+                thread::spawn(move || {
+                    let _ = talk(&stream, primary, &queries, &script);
+                    let _ = stream.shutdown(Shutdown::Both);
+                    ended.fetch_add(1, SeqCst);
+                });
+            }
+        });
+        host
+    }
+
+    pub fn scripted(primary: bool, acts: &[Act]) -> Host {
+        let host = Host::start(primary);
+        host.script.lock().expect("script").acts.extend(acts.iter().cloned());
+        host
+    }
+
+    pub fn count(&self) -> usize {
+        self.queries.lock().expect("queries").len()
+    }
+}
+
+type Queries = Mutex<Vec<Vec<u8>>>;
+
+fn talk(
+    mut stream: &TcpStream,
+    primary: bool,
+    queries: &Queries,
+    script: &Mutex<Script>,
+) -> std::io::Result<()> {
+    let (mut buf, mut bytes, mut greeted) = (Vec::new(), [0; 4096], false);
+    loop {
+        let got = stream.read(&mut bytes)?;
+        if got == 0 {
+            return Ok(());
+        }
+        buf.extend_from_slice(&bytes[..got]);
+        let mut out = Vec::new();
+        if !greeted {
+            let Some((_, length)) = pg::startup(&buf).expect("a startup") else { continue };
+            buf.drain(..length);
+            greeted = true;
+            if let Some(code) = script.lock().expect("script").greeting_code {
+                pg::error(&mut out, true, code, "no", None);
+                return stream.write_all(&out);
+            }
+            pg::welcome(&mut out);
+        }
+        while let Some((tag, body)) = pg::frame(&buf).expect("a frame") {
+            let query = buf[body.clone()].to_vec();
+            buf.drain(..body.end);
+            if tag != b'Q' {
+                return Ok(());
+            }
+            queries.lock().expect("queries").push(query);
+            let act = script.lock().expect("script").acts.pop_front();
+            match act.unwrap_or(Act::Row(if primary { b"primary" } else { b"replica" })) {
+                Act::Row(value) => row(value, primary, &mut out),
+                Act::RowThenEnd(value) => {
+                    row(value, primary, &mut out);
+                    return stream.write_all(&out);
+                }
+                Act::Fail(code) => {
+                    pg::error(&mut out, false, code, "as told", None);
+                    close(primary, &mut out);
+                }
+                Act::Cut(n) => {
+                    row(b"cut", primary, &mut out);
+                    return stream.write_all(&out[..n]);
+                }
+                Act::Say(bytes) => out.extend_from_slice(bytes),
+                Act::Silent => {}
+            }
+        }
+        stream.write_all(&out)?;
+    }
+}
+
+/// Discovery's agent: each watch is handed to the test, which says what goes over it.
+pub struct Agent {
+    pub address: SocketAddr,
+    listener: TcpListener,
+}
+
+pub struct Watch {
+    pub request: String,
+    stream: TcpStream,
+}
+
+impl Agent {
+    pub fn start() -> Agent {
+        let listener = listener();
+        Agent { address: listener.local_addr().expect("bound"), listener }
+    }
+
+    pub fn watch(&self) -> Watch {
+        let (mut stream, _) = self.listener.accept().expect("a watch");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a limit");
+        let (mut request, mut byte) = (Vec::new(), [0]);
+        while !request.ends_with(b"\r\n\r\n") {
+            stream.read_exact(&mut byte).expect("a whole request");
+            request.push(byte[0]);
+        }
+        Watch { request: String::from_utf8(request).expect("text"), stream }
+    }
+}
+
+impl Watch {
+    pub fn begin(&mut self) {
+        self.raw(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    }
+
+    pub fn raw(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).expect("a watch that is read");
+    }
+
+    pub fn chunk(&mut self, text: &str) {
+        self.raw(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes());
+    }
+}
+
+pub fn entry(name: &str, address: SocketAddr, primary: bool, status: &str) -> String {
+    let mode = if primary { "read-write" } else { "read-only" };
+    format!(
+        r#"{{"name":"{name}","address":"{address}","zone":"a","type":"m","group":3,"status":"{status}","weight":1.0,"since_ms":0,"mode":"{mode}"}}"#
+    )
+}
+
+pub fn list(index: u64, whole: bool, entries: &[String]) -> String {
+    format!(r#"{{"index":{index},"snapshot":{whole},"endpoints":[{}]}}"#, entries.join(","))
+}
+
+/// A configuration for one primary and the given replicas of group 3.
+pub fn config(agent: SocketAddr, known: &str) -> String {
+    let class = |name: &str, effect: &str| {
+        format!(
+            r#"{{"name":"{name}","aimMs":500.0,"deadlineMs":2000.0,"credit":1.0,"lateWorth":0.3,"effect":"{effect}","dedupScope":"all","windowMs":5000.0}}"#
+        )
+    };
+    format!(
+        r#"{{"name":"n3","listen":"127.0.0.1:0","discovery":"{agent}","seed":"8c1f30d27a5be964",
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":64}},"known":{known},
+        "settings":{{"classes":[{},{},{}],"peersTotal":1,"tickMs":5.0,"discovery":"pushed",
+        "allowed":{{"mostTries":4,"mayCancel":true,"probes":true,"retryAfter":true,"maxRetryAfterMs":700.0,
+        "dialTimeoutMs":250.0,"idleCloseMs":30000.0}},
+        "specifics":{{"consistency":["loose","own_writes","update"],"maxAgeMs":[0.0,0.0,0.0],"guards":"reject",
+        "answersStamped":true,"tokens":"router"}}}}}}"#,
+        class("look", "idempotent"),
+        class("own", "idempotent"),
+        class("book", "at_most_once")
+    )
+}
+
+/// The program, on an address of its own.
+pub struct Router {
+    pub child: Child,
+    pub address: SocketAddr,
+}
+
+static NEXT: AtomicUsize = AtomicUsize::new(0);
+
+impl Router {
+    pub fn command(config: &str) -> (Command, SocketAddr) {
+        let (pid, n) = (std::process::id(), NEXT.fetch_add(1, SeqCst));
+        let path = std::env::temp_dir().join(format!("sandstile-{pid}-{n}.json"));
+        fs::write(&path, config).expect("a place for files");
+        let address = listener().local_addr().expect("bound");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_sandstile"));
+        command.env("LB_CONFIG", path).env("LB_LISTEN", address.to_string());
+        command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
+        (command, address)
+    }
+
+    pub fn start(config: &str) -> Router {
+        let (mut command, address) = Router::command(config);
+        let router = Router { child: command.arg("serve").spawn().expect("the program"), address };
+        wait_for("a router", || TcpStream::connect(address).is_ok());
+        router
+    }
+
+    /// A router before one primary and so many replicas, with discovery silent.
+    pub fn before(primary: &Host, replicas: &[&Host]) -> Router {
+        Router::start(&config(Agent::start().address, &known(primary, replicas)))
+    }
+
+    pub fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
+        assert!(Command::new("/bin/sh").args(["-c", &kill]).status().expect("a shell").success());
+    }
+
+    pub fn client(&self) -> Client {
+        let mut client = Client::connect(self.address);
+        client.greet();
+        client
+    }
+
+    /// Ends it as operators do, and yields what it printed.
+    pub fn end(mut self) -> (bool, String) {
+        self.signal("TERM");
+        let out = self.child.stderr.take().expect("a pipe");
+        let read = thread::spawn(move || std::io::read_to_string(out).expect("text"));
+        let ok = self.child.wait().expect("an end").success();
+        (ok, read.join().expect("a reader"))
+    }
+}
+
+impl Drop for Router {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub fn known(primary: &Host, replicas: &[&Host]) -> String {
+    let mut entries = vec![entry("s-0", primary.address, true, "active")];
+    for (host, n) in replicas.iter().zip(1..) {
+        entries.push(entry(&format!("s-{n}"), host.address, false, "active"));
+    }
+    list(41, true, &entries)
+}
+
+pub fn run(config: &str, arguments: &[&str]) -> Output {
+    Router::command(config).0.args(arguments).output().expect("the program")
+}
+
+/// What came back for one query, up to ReadyForQuery or the end of the connection.
+#[derive(Debug, Default, PartialEq)]
+pub struct Got {
+    pub value: Option<Vec<u8>>,
+    pub code: Option<String>,
+    pub detail: Option<String>,
+    pub ready: bool,
+    pub empty: bool,
+}
+
+pub struct Client {
+    pub stream: TcpStream,
+    buf: Vec<u8>,
+}
+
+impl Client {
+    pub fn connect(address: SocketAddr) -> Client {
+        let stream = TcpStream::connect(address).expect("a router that accepts");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a limit");
+        Client { stream, buf: Vec::new() }
+    }
+
+    pub fn send(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).expect("a router that reads");
+    }
+
+    pub fn greet(&mut self) {
+        self.send(&pg::hello());
+        assert!(self.answer().ready);
+    }
+
+    pub fn answer(&mut self) -> Got {
+        let mut got = Got::default();
+        loop {
+            while let Some((tag, body)) = pg::frame(&self.buf).expect("frames of the protocol") {
+                let end = body.end;
+                let body = self.buf[body].to_vec();
+                self.buf.drain(..end);
+                match tag {
+                    b'Z' => return Got { ready: true, ..got },
+                    b'D' => got.value = Some(body[6..].to_vec()),
+                    b'I' => got.empty = true,
+                    b'E' => {
+                        for field in body.split(|b| *b == 0).filter(|f| !f.is_empty()) {
+                            let text = Some(String::from_utf8_lossy(&field[1..]).into_owned());
+                            match field[0] {
+                                b'C' => got.code = text,
+                                b'D' => got.detail = text,
+                                _ => {}
+                            }
+                        }
+                    }
+                    _ => {}
+                }
+            }
+            let mut bytes = [0; 4096];
+            match self.stream.read(&mut bytes) {
+                Ok(n) if n > 0 => self.buf.extend_from_slice(&bytes[..n]),
+                Ok(_) => return got,
+                Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => return got,
+                Err(e) => panic!("no answer: {e}"),
+            }
+        }
+    }
+
+    pub fn ask(&mut self, text: &str) -> Got {
+        self.send(&query(text));
+        self.answer()
+    }
+}
+
+pub fn query(text: &str) -> Vec<u8> {
+    let mut out = Vec::new();
+    pg::put(&mut out, b'Q', &[text.as_bytes(), b"\0"]);
+    out
+}
+
+pub fn read(d: u32) -> String {
+    format!("/* id=9b1f,c=look,d={d},cluster=3 */ SELECT payload FROM entries WHERE ref = 'k1'")
+}
+
+pub fn write(d: u32) -> String {
+    format!("/* id=9b20,c=book,d={d},cluster=3 */ INSERT INTO entries (ref, payload) VALUES ('k1', '\\x9f') RETURNING payload")
+}
