--- a/crates/sandstile-router/src/discovery.rs
+++ b/crates/sandstile-router/src/discovery.rs
@@ -131,7 +131,7 @@
             if chunks.is_none() {
                 let Some((length, chunked)) = head(&buf)? else { continue };
                 buf.drain(..length);
-                chunks = Some(Chunks { chunked, left: 0, end: false });
+                chunks = Some(Chunks::new(chunked));
             }
             let chunks = chunks.as_mut().expect("set above");
             chunks.take(&mut buf, &mut lines)?;
@@ -186,15 +186,19 @@
 }
 
 /// The body's coding: bytes that are left of the present chunk, its closing line among them.
-struct Chunks {
+pub struct Chunks {
     chunked: bool,
     left: usize,
-    end: bool,
+    pub end: bool,
 }
 
 impl Chunks {
+    pub fn new(chunked: bool) -> Self {
+        Chunks { chunked, left: 0, end: false }
+    }
+
     /// Moves what `buf` holds of the content to `content`, and keeps the rest for later.
-    fn take(&mut self, buf: &mut Vec<u8>, content: &mut Vec<u8>) -> Result<(), String> {
+    pub fn take(&mut self, buf: &mut Vec<u8>, content: &mut Vec<u8>) -> Result<(), String> {
         if !self.chunked {
             content.append(buf);
             return Ok(());
