--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -222,7 +222,6 @@
             session: a.session,
             need,
             slo_at: now + k.slo - elapsed,
-            half: now + 0.5 * a.time_left,
             end: now + a.time_left,
             waiting: true,
             retry: a.retry,
@@ -448,13 +447,10 @@
             && (s.executions.len() >= self.most
                 || s.errors >= 2
                 || (ran && k.effect == Effect::NonIdempotent));
-        // A late one that nothing was sent for by half of its time is told then, or its client waits in vain.
-        let vain = s.executions.is_empty() && worth_until < s.half - self.margin;
-        let last = if vain { s.half } else { s.end } - self.margin;
-        if now >= last || (spent && now > worth_until) || no_more {
+        if now >= s.end - self.margin || (spent && now > worth_until) || no_more {
             return Some(self.answer(id));
         }
-        let mut look = if spent { worth_until.min(last) } else { last };
+        let mut look = if spent { worth_until.min(s.end - self.margin) } else { s.end - self.margin };
         if let Some(e) = s.executions.last().filter(|_| open) {
             let turn = self.groups[s.group].turn();
             let h = &mut self.hosts[e.host];
