Out of descriptors is not a host's fault; tests of dials, slow readers and memory

Read over against the issue: a dial that failed for want of a descriptor here was told as a refused connection, which rests the host; accept without descriptors now also tells the oldest idle connection to go. Bad HTTP of discovery is counted; its silence is called after 5 s, for what it tells counts as told after 6.

--- a/crates/sandstile-router/src/budget.rs
+++ b/crates/sandstile-router/src/budget.rs
@@ -79,6 +79,14 @@
         }
     }
 
+    /// Tells the oldest idle one to go, where the platform gives fewer descriptors than were promised.
+    pub fn make_room(&self) {
+        let oldest = self.held().idle.pop_first();
+        if let Some((_, leave)) = oldest {
+            leave();
+        }
+    }
+
     /// `leave` is called at most once, while the record stands.
     pub fn idle(self: &Arc<Self>, holder: Holder, leave: impl FnOnce() + Send + 'static) -> Idle {
         let mut held = self.held();
--- a/crates/sandstile-router/src/discovery.rs
+++ b/crates/sandstile-router/src/discovery.rs
@@ -78,8 +78,9 @@
     pub told: BTreeSet<String>,
 }
 
-/// Discovery says something, if only an empty line, every 2 s; three times that is no delay any more.
-const SILENCE: Duration = Duration::from_secs(6);
+/// Discovery says something, if only an empty line, every 2 s, and what it has to tell counts as told after 6 s: two
+/// lines that stay out are no delay any more, and leave time to ask again.
+const SILENCE: Duration = Duration::from_secs(5);
 /// Between watches: the agent is on this machine and answers for free, but a loop must not spin.
 const PAUSE: Duration = Duration::from_millis(200);
 /// A list of thousands of hosts; more in one line is no list.
@@ -129,12 +130,13 @@
             };
             buf.extend_from_slice(&bytes[..got]);
             if chunks.is_none() {
-                let Some((length, chunked)) = head(&buf)? else { continue };
+                let head = head(&buf).inspect_err(|_| self.counters.bad_lists.add())?;
+                let Some((length, chunked)) = head else { continue };
                 buf.drain(..length);
                 chunks = Some(Chunks::new(chunked));
             }
             let chunks = chunks.as_mut().expect("set above");
-            chunks.take(&mut buf, &mut lines)?;
+            chunks.take(&mut buf, &mut lines).inspect_err(|_| self.counters.bad_lists.add())?;
             while let Some(end) = lines.iter().position(|b| *b == b'\n') {
                 let line: Vec<u8> = lines.drain(..=end).collect();
                 self.line(&line)?;
--- a/crates/sandstile-router/src/launch.rs
+++ b/crates/sandstile-router/src/launch.rs
@@ -1,12 +1,11 @@
 //! What a router is told at its start: `LB_CONFIG`, and the variables beside it.
 use crate::discovery::Update;
+use crate::statement::Workload;
 use sandstile_intake::facts;
 use sandstile_policy::terms::{Consistency, Terms};
 use serde_json::Value;
 use std::net::SocketAddr;
 
-use crate::statement::Workload;
-
 pub struct Launch {
     pub name: String,
     pub listen: SocketAddr,
--- a/crates/sandstile-router/src/link.rs
+++ b/crates/sandstile-router/src/link.rs
@@ -98,6 +98,9 @@
     }
 }
 
+/// ENOMEM, ENFILE, EMFILE and ENOBUFS on the platform: no socket is to be had here.
+const OUT_OF: [i32; 4] = [12, 23, 24, 105];
+
 /// Opens a connection and waits until the host is ready for a first statement, all within `limit` seconds.
 pub fn dial(address: SocketAddr, limit: f64, clock: &Clock, budget: &Arc<Budget>) -> Result<Socket, Ending> {
     let until = clock.now() + limit;
@@ -105,6 +108,8 @@
     let left = clock.until(until).max(Duration::from_millis(1));
     let stream = TcpStream::connect_timeout(&address, left).map_err(|e| match e.kind() {
         ErrorKind::TimedOut | ErrorKind::WouldBlock => Ending::DialTimedOut,
+        // This machine's want is not the host's fault.
+        _ if e.raw_os_error().is_some_and(|n| OUT_OF.contains(&n)) => Ending::NoRoom,
         _ => Ending::DialRefused,
     })?;
     let ready = stream.set_nodelay(true).and_then(|()| (&stream).write_all(&pg::hello()));
--- a/crates/sandstile-router/src/listen.rs
+++ b/crates/sandstile-router/src/listen.rs
@@ -58,6 +58,7 @@
                 // Out of descriptors or memory all the same: without a pause this would spin.
                 warn!(front.log, "accept: {e}");
                 drop(slot);
+                budget.make_room();
                 thread::sleep(PAUSE);
             }
         }
--- a/crates/sandstile-router/tests/program.rs
+++ b/crates/sandstile-router/tests/program.rs
@@ -188,6 +188,9 @@
     let mut no_startup = Client::connect(router.address);
     no_startup.send(b"GET / HTTP/1.1\r\n\r\n");
     assert_eq!(no_startup.answer().code.as_deref(), Some("08P01"));
+    // A cluster that no list names can't be served, now; trying again is harmless.
+    let unknown = read(60).replace("cluster=3", "cluster=99");
+    assert_eq!(router.client().ask(&unknown).code.as_deref(), Some("53300"));
     assert_eq!(value(&router.client().ask(&write(800))), b"primary");
     assert_eq!(primary.count(), 1);
     let (ok, log) = router.end();
@@ -233,6 +236,15 @@
     wait_for("the whole list", || client.ask(&read(800)).value.as_deref() == Some(b"replica"));
     let writes = new.count();
     assert_eq!(client.ask(&write(300)).code.as_deref(), Some("53300"));
+    drop(watch);
+    // Neither nonsense nor a refusal in place of a watch costs the list.
+    for answer in ["not HTTP at all\r\n\r\n", "HTTP/1.1 503 Sorry\r\nContent-Length: 0\r\n\r\n"] {
+        let mut watch = agent.watch();
+        assert!(watch.request.contains("&since=50 "), "{}", watch.request);
+        watch.raw(answer.as_bytes());
+    }
+    assert!(agent.watch().request.contains("&since=50 "));
+    assert_eq!(value(&client.ask(&read(800))), b"replica");
     let queries = replica.queries.lock().expect("queries");
     assert!(!queries.iter().any(|q| q.windows(6).any(|w| w == b"INSERT")) && new.count() == writes);
 }
@@ -255,11 +267,50 @@
     assert_eq!((count(&log, "taken"), count(&log, "completed"), count(&log, "aborted")), (2, 1, 1), "{log}");
 }
 
+/// A statement that waits for a dial goes by whichever link is free first.
+#[test]
+fn a_dial_that_never_comes_up_costs_nothing_where_another_link_comes_free() {
+    let primary = Host::scripted(true, &[Act::Slow(120, b"one"), Act::Row(b"two")]);
+    primary.script.lock().expect("script").greet = Some(1);
+    let router = Router::before(&primary, &[]);
+    let (mut first, mut second) = (router.client(), router.client());
+    first.send(&query(&write(1500)));
+    wait_for("the first write", || primary.count() == 1);
+    assert_eq!(value(&second.ask(&write(1500))), b"two");
+    assert_eq!(value(&first.answer()), b"one");
+    let (ok, log) = router.end();
+    assert!(ok && count(&log, "Completed") == 2 && count(&log, "sent") == 2, "{log}");
+}
+
+/// Half a frame of the longest from each of more clients than the router takes in at once.
+#[test]
+fn clients_that_stop_in_the_middle_of_a_frame_stay_within_the_memory() {
+    let primary = Host::start(true);
+    let roomy =
+        config(Agent::start().address, &known(&primary, &[])).replace("\"sockets\":64", "\"sockets\":1024");
+    let router = Router::start(&roomy);
+    let mut half = Vec::new();
+    pg::put(&mut half, b'Q', &[&vec![b'x'; pg::MOST_FRAME - 4]]);
+    half.truncate(pg::MOST_FRAME - 9);
+    let mut flood: Vec<Client> = (0..380).map(|_| Client::connect(router.address)).collect();
+    for client in &mut flood {
+        // The oldest may have had to go by then.
+        let _ = std::io::Write::write_all(&mut client.stream, &[pg::hello(), half.clone()].concat());
+    }
+    assert_eq!(value(&router.client().ask(&write(1500))), b"primary");
+    let status = std::fs::read_to_string(format!("/proc/{}/status", router.child.id())).expect("a process");
+    let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("a peak").trim();
+    let kib: usize = peak.trim_end_matches(" kB").parse().expect("a number");
+    println!("peak memory {kib} KiB");
+    assert!(kib < 192 * 1024, "{kib} KiB");
+}
+
 /// Connections beyond the budget wait or take the place of idle ones; the process neither dies nor spins.
 #[test]
 fn a_flood_of_connections_stays_within_the_descriptors() {
-    let primary = Host::start(true);
-    let router = Router::before(&primary, &[&Host::start(false)]);
+    let long: &'static [u8] = vec![7; 64 * 1024].leak();
+    let (primary, replica) = (Host::start(true), Host::start(false));
+    let router = Router::before(&primary, &[&replica]);
     let mut flood: Vec<Client> = (0..90).map(|_| Client::connect(router.address)).collect();
     let mut answers = 0;
     for client in flood.iter_mut().rev().take(20) {
@@ -271,7 +322,8 @@
     assert!(held <= 64, "{held}");
     // A client that never reads and one that sends a byte at a time hold up nobody.
     let mut stuck = router.client();
-    stuck.send(&query(&read(1500)).repeat(50));
+    replica.script.lock().expect("script").acts.extend(vec![Act::Row(long); 200]);
+    stuck.send(&query(&read(1500)).repeat(200));
     let mut dribble = router.client();
     dribble.send(&query(&read(1500))[..9]);
     assert_eq!(value(&router.client().ask(&write(800))), b"primary");
--- a/crates/sandstile-router/tests/stand_ins/mod.rs
+++ b/crates/sandstile-router/tests/stand_ins/mod.rs
@@ -28,6 +28,8 @@
 #[derive(Clone)]
 pub enum Act {
     Row(&'static [u8]),
+    /// A row after so many milliseconds.
+    Slow(u64, &'static [u8]),
     Fail(&'static str),
     /// So many bytes of a row, then the end.
     Cut(usize),
@@ -41,6 +43,8 @@
 pub struct Script {
     pub acts: VecDeque<Act>,
     pub greeting_code: Option<&'static str>,
+    /// Connections beyond so many are never greeted.
+    pub greet: Option<usize>,
 }
 
 pub struct Host {
@@ -120,6 +124,12 @@
             let Some((_, length)) = pg::startup(&buf).expect("a startup") else { continue };
             buf.drain(..length);
             greeted = true;
+            if let Some(left) = script.lock().expect("script").greet.as_mut() {
+                if *left == 0 {
+                    continue;
+                }
+                *left -= 1;
+            }
             if let Some(code) = script.lock().expect("script").greeting_code {
                 pg::error(&mut out, true, code, "no", None);
                 return stream.write_all(&out);
@@ -136,6 +146,10 @@
             let act = script.lock().expect("script").acts.pop_front();
             match act.unwrap_or(Act::Row(if primary { b"primary" } else { b"replica" })) {
                 Act::Row(value) => row(value, primary, &mut out),
+                Act::Slow(ms, value) => {
+                    thread::sleep(Duration::from_millis(ms));
+                    row(value, primary, &mut out);
+                }
                 Act::RowThenEnd(value) => {
                     row(value, primary, &mut out);
                     return stream.write_all(&out);
