--- a/crates/sandstile-router/src/client.rs
+++ b/crates/sandstile-router/src/client.rs
@@ -166,7 +166,7 @@
                         self.front.counters.empty_queries.add();
                         pg::empty_query(&mut out);
                     } else {
-                        match statement::read(&text, &self.front.workloads) {
+                        match statement::read(text, &self.front.workloads) {
                             Ok(statement) => {
                                 let Some(answer) = self.ask(statement, f64::max(at, free_at)) else {
                                     return Ok(());
--- a/crates/sandstile-router/src/link.rs
+++ b/crates/sandstile-router/src/link.rs
@@ -147,6 +147,10 @@
 pub fn work(socket: &Socket, clock: &Clock, jobs: &Receiver<Job>, mut done: impl FnMut(Job, Outcome, bool)) {
     for job in jobs {
         let (outcome, goes_on) = exchange(socket, clock, &job);
+        if !goes_on {
+            // Before anybody hears of it: on an open connection this execution would still be out beside the next.
+            let _ = socket.stream.shutdown(Shutdown::Both);
+        }
         done(job, outcome, goes_on);
         if !goes_on {
             return;
@@ -171,6 +175,8 @@
     };
     let stream = &socket.stream;
     let written = stream.set_write_timeout(Some(left)).and_then(|()| (&*stream).write_all(&message));
+    // A long one is not kept for as long as its answer takes.
+    drop(message);
     if written.is_err() {
         let ending = if withdrawn() { Ending::WithdrawnUnsent } else { Ending::BrokenUnwritten };
         return (ending.into(), false);
--- a/crates/sandstile-router/src/router.rs
+++ b/crates/sandstile-router/src/router.rs
@@ -29,8 +29,8 @@
     let clock = Clock::anchor();
     let most = launch.sockets.saturating_sub(OWN_DESCRIPTORS).max(4);
     // A statement holds two descriptors, its client's and its link's; and a hostile client can make its
-    // connection hold two frames of the longest, of which half of the memory must have room for all.
-    let most_clients = (most / 2).min(launch.memory / 2 / (2 * pg::MOST_FRAME)).max(2);
+    // connection hold two frames of the longest, for which three quarters of the memory must have room.
+    let most_clients = (most / 2).min(launch.memory / 4 * 3 / (2 * pg::MOST_FRAME)).max(2);
     let budget = Budget::new(most, most_clients);
     let listener =
         TcpListener::bind(launch.listen).map_err(|e| format!("listen on {}: {e}", launch.listen))?;
--- a/crates/sandstile-router/src/statement.rs
+++ b/crates/sandstile-router/src/statement.rs
@@ -53,12 +53,12 @@
 const LONGEST_MS: f64 = 86_400_000.0;
 
 /// `query` is the text of a Query message without its closing zero.
-pub fn read(query: &[u8], workloads: &[Workload]) -> Result<Statement, Wrong> {
+pub fn read(query: Vec<u8>, workloads: &[Workload]) -> Result<Statement, Wrong> {
     let start = query.iter().position(|b| !b.is_ascii_whitespace()).ok_or(Wrong::NoComment)?;
     if !query[start..].starts_with(b"/*") {
         return Err(Wrong::NoComment);
     }
-    let (pairs, rest) = fields(query, start + 2)?;
+    let (pairs, rest) = fields(&query, start + 2)?;
     let find = |name: &str| pairs.iter().find(|(n, _)| n == name).map(|(_, at)| at.clone());
     let text = |at: Range<usize>| std::str::from_utf8(&query[at]).unwrap_or("");
     let class = find("c").map(text).ok_or(Wrong::Workload)?;
@@ -71,14 +71,17 @@
         Some(ms) => Some(ms.parse::<f64>().ok().filter(|ms| ms.is_finite()).ok_or(Wrong::After)?),
     };
     let session = workloads[workload].sessions.then(|| quoted(&query[rest..])).flatten();
+    let session = session.map(|name| String::from_utf8_lossy(name).into_owned());
+    let retry = find("r").is_some_and(|at| text(at) == "1");
+    let group = group.to_string();
     Ok(Statement {
         workload,
-        group: group.to_string(),
-        session: session.map(|name| String::from_utf8_lossy(name).into_owned()),
+        group,
+        session,
         wait: wait.ok_or(Wrong::Wait)? / 1000.0,
         after: after.filter(|ms| *ms > 0.0).map(|ms| ms / 1000.0),
-        retry: find("r").is_some_and(|at| text(at) == "1"),
-        query: query.to_vec(),
+        retry,
+        query,
         wait_at,
     })
 }
--- a/crates/sandstile-router/tests/codecs.rs
+++ b/crates/sandstile-router/tests/codecs.rs
@@ -30,7 +30,7 @@
         let _ = answer.text();
         let mut text = b"/* c=look,d=5,cluster=3".to_vec();
         text.extend_from_slice(&bytes);
-        let _ = statement::read(&text, &workloads());
+        let _ = statement::read(text, &workloads());
         startup.is_err()
             || startup.is_ok_and(|s| s.is_none_or(|(_, n)| n <= bytes.len())) && {
                 frame.is_err() || frame.is_ok_and(|f| f.is_none_or(|(_, body)| body.end <= bytes.len()))
@@ -72,7 +72,7 @@
             text.extend_from_slice(&tail);
             text
         };
-        let statement = statement::read(&with(&d.to_string()), &workloads()).expect("a statement");
+        let statement = statement::read(with(&d.to_string()), &workloads()).expect("a statement");
         let mut wanted = Vec::new();
         let wait = f64::from(wait) / 1000.0 + 0.0004;
         let ms = ((wait * 1000.0) as u64).max(1);
@@ -86,7 +86,7 @@
             && (statement.wait - f64::from(d) / 1000.0).abs() < 1e-9
     }
     holds(passes as fn(Vec<u8>, u16, u16, Vec<u8>, bool) -> bool);
-    let wrong = |text: &str| statement::read(text.as_bytes(), &workloads()).err();
+    let wrong = |text: &str| statement::read(text.as_bytes().to_vec(), &workloads()).err();
     assert_eq!(wrong("/* c=look,d=5 */ SELECT 1"), Some(Wrong::Group));
     assert_eq!(wrong("/* c=look,d=-5,cluster=3 */ SELECT 1"), Some(Wrong::Wait));
     assert_eq!(wrong("/* c=look,d=5,cluster=3,after=x */ SELECT 1"), Some(Wrong::After));
--- a/crates/sandstile-router/tests/program.rs
+++ b/crates/sandstile-router/tests/program.rs
@@ -292,7 +292,7 @@
     let mut half = Vec::new();
     pg::put(&mut half, b'Q', &[&vec![b'x'; pg::MOST_FRAME - 4]]);
     half.truncate(pg::MOST_FRAME - 9);
-    let mut flood: Vec<Client> = (0..380).map(|_| Client::connect(router.address)).collect();
+    let mut flood: Vec<Client> = (0..560).map(|_| Client::connect(router.address)).collect();
     for client in &mut flood {
         // The oldest may have had to go by then.
         let _ = std::io::Write::write_all(&mut client.stream, &[pg::hello(), half.clone()].concat());
