--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -222,6 +222,7 @@
             session: a.session,
             need,
             slo_at: now + k.slo - elapsed,
+            half: now + 0.5 * a.time_left,
             end: now + a.time_left,
             waiting: true,
             retry: a.retry,
@@ -447,10 +448,16 @@
             && (s.executions.len() >= self.most
                 || s.errors >= 2
                 || (ran && k.effect == Effect::NonIdempotent));
-        if now >= s.end - self.margin || (spent && now > worth_until) || no_more {
+        // A late one behind more than its host completes in its time is told at half of it, not held in vain.
+        let g = &self.groups[s.group];
+        let ahead = g.waiting.iter().position(|w| *w == id).unwrap_or(0) as f64;
+        let can = g.primary.map_or(0.0, |p| self.hosts[p].meter.rate * (s.end - s.half));
+        let vain = s.executions.is_empty() && worth_until < s.half - self.margin && ahead >= can;
+        let last = if vain && now < s.half { s.half } else { s.end } - self.margin;
+        if now >= last || (spent && now > worth_until) || no_more {
             return Some(self.answer(id));
         }
-        let mut look = if spent { worth_until.min(s.end - self.margin) } else { s.end - self.margin };
+        let mut look = if spent { worth_until.min(last) } else { last };
         if let Some(e) = s.executions.last().filter(|_| open) {
             let turn = self.groups[s.group].turn();
             let h = &mut self.hosts[e.host];
--- a/crates/sandstile-policy/src/state.rs
+++ b/crates/sandstile-policy/src/state.rs
@@ -29,6 +29,7 @@
     /// The position that a session read must reach; 0 where any will do.
     pub need: f64,
     pub slo_at: f64,
+    pub half: f64,
     pub end: f64,
     pub executions: Vec<Execution>,
     pub errors: i32,
