Late writes behind more than their primary completes are told at half of their time

At fault: Instance::consider held every late write to the end of its time, however many stood before it.

--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -450,10 +450,9 @@
                 || (ran && k.effect == Effect::NonIdempotent));
         // A late one behind more than its host completes in its time is told at half of it, not held in vain.
         let g = &self.groups[s.group];
-        let ahead = g.waiting.iter().position(|w| *w == id).unwrap_or(0) as f64;
-        let can = g.primary.map_or(0.0, |p| self.hosts[p].meter.rate * (s.end - s.half));
-        let vain = s.executions.is_empty() && worth_until < s.half - self.margin && ahead >= can;
-        let last = if vain && now < s.half { s.half } else { s.end } - self.margin;
+        let jammed = |p: usize| g.ahead(id) >= self.hosts[p].meter.rate * (s.end - s.half);
+        let late = now < s.half && worth_until < s.half - self.margin && s.executions.is_empty();
+        let last = if late && g.primary.is_some_and(jammed) { s.half } else { s.end } - self.margin;
         if now >= last || (spent && now > worth_until) || no_more {
             return Some(self.answer(id));
         }
--- a/crates/sandstile-policy/src/state.rs
+++ b/crates/sandstile-policy/src/state.rs
@@ -29,6 +29,7 @@
     /// The position that a session read must reach; 0 where any will do.
     pub need: f64,
     pub slo_at: f64,
+    /// Half of its time: who is refused unsent later than this has waited for nothing.
     pub half: f64,
     pub end: f64,
     pub executions: Vec<Execution>,
@@ -99,6 +100,11 @@
         self.interval * self.members.len() as f64
     }
 
+    /// How many of those that wait stood before this one when they were last put in order.
+    pub fn ahead(&self, stmt: u64) -> f64 {
+        self.waiting.iter().position(|w| *w == stmt).unwrap_or(0) as f64
+    }
+
     /// The pool of a member: 0 for replicas, 1 for primaries.
     pub fn pool(&self, host: usize) -> usize {
         usize::from(self.primary == Some(host))
--- a/crates/sandstile-policy/tests/rules.rs
+++ b/crates/sandstile-policy/tests/rules.rs
@@ -381,3 +381,27 @@
     w.step(1.1);
     assert!((0..4).all(|_| w.serve(4, Verdict::Completed, Some(false)) == host));
 }
+
+/// Seen on sockets: in a burst, late writes waited to the end of their time at full primaries, most of them in vain.
+#[test]
+fn a_late_write_behind_more_than_its_host_completes_is_told_at_half_of_its_time() {
+    let mut w = World::new(terms(0b110_0111), 7);
+    for _ in 0..20 {
+        let write = w.arrive(2, 1.0);
+        w.step(0.005);
+        w.step(0.15);
+        w.end(write, 0, Verdict::Completed, Some(true), 0.0);
+    }
+    let writes: Vec<u64> = (0..20).map(|_| w.arrive(2, 2.0)).collect();
+    w.step(0.005);
+    let sent = |w: &World| w.sends().len() - 20;
+    let over = |w: &World| writes.iter().filter(|id| w.open[id].over).count();
+    let before = sent(&w);
+    w.step(0.97);
+    assert!(before < 10 && over(&w) == 0, "{before} went out, the others wait");
+    w.step(0.02);
+    let told = over(&w);
+    assert!(told > 0 && before + told < 20, "{told} are told, the first in line wait on");
+    w.step(0.5);
+    assert_eq!(over(&w), told, "past half of its time a statement is held for what it may still earn");
+}
