--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -496,10 +496,8 @@
         let may_have_run = s.executions.iter().any(|e| e.may_have_run);
         let repeats = k.effect == Effect::Deduplicated && k.scope == DedupScope::All;
         let harmless = k.effect == Effect::Idempotent || repeats || !may_have_run;
-        // Who may be late comes again as soon as a place is free; for the others there is no sense in that.
-        let again = if k.late_share > 0.0 { k.usual.min(self.max_return) } else { self.max_return };
         match harmless {
-            true => Decision::Reject { stmt: id, return_after: again },
+            true => Decision::Reject { stmt: id, return_after: self.max_return },
             false => Decision::Abort { stmt: id },
         }
     }
