--- a/crates/sandstile-router/tests/program.rs
+++ b/crates/sandstile-router/tests/program.rs
@@ -131,6 +131,21 @@
     assert_eq!(primary.count(), 2);
 }
 
+#[test]
+fn an_idle_connection_is_closed_here_before_the_host_would() {
+    let primary = Host::start(true);
+    let known = known(&primary, &[]);
+    let brief =
+        config(Agent::start().address, &known).replace("\"idleCloseMs\":30000.0", "\"idleCloseMs\":200.0");
+    let router = Router::start(&brief);
+    let mut client = router.client();
+    assert_eq!(value(&client.ask(&write(800))), b"primary");
+    wait_for("the end of the idle link", || primary.ended.load(SeqCst) == 1);
+    assert_eq!(value(&client.ask(&write(800))), b"primary");
+    let (ok, log) = router.end();
+    assert!(ok && count(&log, "IdleExpired") >= 1 && count(&log, "IdleEnded") == 0, "{log}");
+}
+
 #[test]
 fn a_silent_host_costs_its_statement_only_and_a_client_that_leaves_takes_its_execution_along() {
     let primary = Host::scripted(true, &[Act::Silent, Act::Silent]);
@@ -267,6 +282,30 @@
     assert_eq!((count(&log, "taken"), count(&log, "completed"), count(&log, "aborted")), (2, 1, 1), "{log}");
 }
 
+/// The list names who was primary once; answers say who is. Probes look for it where nobody answers as one.
+#[test]
+fn a_write_finds_the_primary_that_the_list_does_not_name() {
+    let (old, new) = (Host::scripted(false, &[Act::Fail("25006")]), Host::start(true));
+    let names = [entry("s-0", old.address, true, "active"), entry("s-1", new.address, false, "active")];
+    let router = Router::start(&config(Agent::start().address, &list(41, true, &names)));
+    let mut client = router.client();
+    assert_eq!(value(&client.ask(&write(1500))), b"primary");
+    assert_eq!(value(&client.ask(&write(1500))), b"primary");
+    assert_eq!(old.count(), 1);
+    let (ok, log) = router.end();
+    assert!(ok && log.contains("group 0 is 3") && count(&log, "Missed") == 1, "{log}");
+
+    let hosts = [Host::start(false), Host::start(false)];
+    for host in &hosts {
+        let report = [Act::Fail("25006"), Act::Row(b"x0=1700000000.5,x1=0")];
+        host.script.lock().expect("script").acts.extend(report);
+    }
+    let router = Router::before(&hosts[0], &[&hosts[1]]);
+    assert_eq!(router.client().ask(&write(800)).code.as_deref(), Some("53300"));
+    let asked = |host: &Host| host.queries.lock().expect("queries").iter().any(|q| q == b"SHOW stats\0");
+    assert!(hosts.iter().all(asked));
+}
+
 /// A statement that waits for a dial goes by whichever link is free first.
 #[test]
 fn a_dial_that_never_comes_up_costs_nothing_where_another_link_comes_free() {
@@ -282,6 +321,23 @@
     assert!(ok && count(&log, "Completed") == 2 && count(&log, "sent") == 2, "{log}");
 }
 
+/// Where the platform gives fewer descriptors than were promised, the router makes room and goes on.
+#[test]
+fn a_router_that_runs_out_of_descriptors_neither_dies_nor_blames_its_hosts() {
+    let primary = Host::start(true);
+    let promised =
+        config(Agent::start().address, &known(&primary, &[])).replace("\"sockets\":64", "\"sockets\":512");
+    let router = Router::start_by("ulimit -n 40; exec \"$0\" serve", &promised);
+    let mut flood: Vec<Client> = (0..60).map(|_| Client::connect(router.address)).collect();
+    for client in flood.iter_mut().rev().take(5) {
+        client.greet();
+        assert_eq!(value(&client.ask(&write(1900))), b"primary");
+    }
+    drop(flood);
+    let (ok, log) = router.end();
+    assert!(ok && log.contains("accept: ") && count(&log, "DialRefused") == 0, "{log}");
+}
+
 /// Half a frame of the longest from each of more clients than the router takes in at once.
 #[test]
 fn clients_that_stop_in_the_middle_of_a_frame_stay_within_the_memory() {
--- a/crates/sandstile-router/tests/stand_ins/mod.rs
+++ b/crates/sandstile-router/tests/stand_ins/mod.rs
@@ -272,6 +272,18 @@
         router
     }
 
+    /// The program under a shell's line, in which `$0` is its path.
+    pub fn start_by(line: &str, config: &str) -> Router {
+        let (command, address) = Router::command(config);
+        let mut shell = Command::new("/bin/sh");
+        shell.args(["-c", line]).arg(command.get_program());
+        shell.envs(command.get_envs().filter_map(|(k, v)| Some((k, v?))));
+        shell.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+        let router = Router { child: shell.spawn().expect("the program"), address };
+        wait_for("a router", || TcpStream::connect(address).is_ok());
+        router
+    }
+
     /// A router before one primary and so many replicas, with discovery silent.
     pub fn before(primary: &Host, replicas: &[&Host]) -> Router {
         Router::start(&config(Agent::start().address, &known(primary, replicas)))
