--- a/crates/sandstile-router/src/discovery.rs
+++ b/crates/sandstile-router/src/discovery.rs
@@ -83,6 +83,7 @@
 const SILENCE: Duration = Duration::from_secs(5);
 /// Between watches: the agent is on this machine and answers for free, but a loop must not spin.
 const PAUSE: Duration = Duration::from_millis(200);
+const MOST_CAUSES: usize = 256;
 /// A list of thousands of hosts; more in one line is no list.
 const MOST_LINE: usize = 4 * 1024 * 1024;
 
@@ -93,14 +94,22 @@
                 Ok(()) => "the watch ended".to_string(),
                 Err(why) => why,
             };
-            // Once per cause, or an agent that stays away would fill the log.
-            if self.told.insert(why.clone()) {
-                warn!(self.log, "discovery: {why}; the list is kept"; "index" => self.index);
-            }
+            self.complain(why, "the list is kept");
             thread::sleep(PAUSE);
         }
     }
 
+    /// Once per cause, or an agent that stays away would fill the log; and not for ever, or causes would the memory.
+    fn complain(&mut self, why: String, so: &str) {
+        if self.told.len() >= MOST_CAUSES {
+            self.told.clear();
+        }
+        if !self.told.contains(&why) {
+            warn!(self.log, "discovery: {why}; {so}"; "index" => self.index);
+            self.told.insert(why);
+        }
+    }
+
     fn watch(&mut self) -> Result<(), String> {
         self.counters.watches.add();
         let mut stream =
@@ -159,12 +168,13 @@
         let (update, wrong) = read.inspect_err(|_| self.counters.bad_lists.add())?;
         if let Some(what) = wrong {
             self.counters.bad_lists.add();
-            if self.told.insert(what.clone()) {
-                warn!(self.log, "discovery: {what}; the rest is taken");
-            }
+            self.complain(what, "the rest is taken");
         }
         self.counters.lists.add();
         info!(self.log, "list"; "index" => update.index, "whole" => update.whole, "entries" => update.entries.len());
+        for entry in update.entries.iter().filter(|_| !update.whole) {
+            info!(self.log, "listed as {:?}", entry.readiness; "host" => &entry.host, "since" => entry.since);
+        }
         self.index = update.index;
         self.desk.send(Mail::Listed(update)).map_err(|_| "the desk has gone".to_string())
     }
