--- a/crates/sandstile-router/tests/program.rs
+++ b/crates/sandstile-router/tests/program.rs
@@ -104,7 +104,7 @@
     let refusing = Host::start(true);
     refusing.script.lock().expect("script").greeting_code = Some("53300");
     for primary in [&refusing, &Host::start(true)] {
-        let gone = Agent::start().address;
+        let gone = "127.0.0.2:1".parse().expect("an address where nobody listens");
         let known = if primary.count() == 0 && primary.address != refusing.address {
             list(41, true, &[entry("s-0", gone, true, "active")])
         } else {
--- a/crates/sandstile-router/tests/stand_ins/mod.rs
+++ b/crates/sandstile-router/tests/stand_ins/mod.rs
@@ -258,7 +258,10 @@
         let (pid, n) = (std::process::id(), NEXT.fetch_add(1, SeqCst));
         let path = std::env::temp_dir().join(format!("sandstile-{pid}-{n}.json"));
         fs::write(&path, config).expect("a place for files");
-        let address = listener().local_addr().expect("bound");
+        // An address of its own: a port that was free a moment ago may be some connection's own by now.
+        let at = (pid as usize * 128 + n) as u32;
+        let [_, b, c, d] = at.to_be_bytes();
+        let address = SocketAddr::from(([127, 1 + b % 200, c, d], 6432));
         let mut command = Command::new(env!("CARGO_BIN_EXE_sandstile"));
         command.env("LB_CONFIG", path).env("LB_LISTEN", address.to_string());
         command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
