--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -202,7 +202,8 @@
         if k.first_try.1 < 0 {
             k.first_try = (a.time_left, 2);
         }
-        // A try shorter than most is a later one if a first one failed: clients may change what they name.
+        // A try shorter than most is a later one, if a first one failed: clients that take to naming more
+        // time or less must not make later tries of all the others.
         let later = (a.retry || !self.marked) && a.time_left < k.first_try.0 - 0.01 && k.owed >= 1.0;
         k.owed -= if later { 1.0 } else { 0.0 };
         let elapsed = if later { (k.timeout - a.time_left).max(0.0) } else { 0.0 };
@@ -450,7 +451,7 @@
         // A late one behind more than its host completes in its time is told at half of it, not held in vain.
         let g = &self.groups[s.group];
         let jammed = |p: usize| g.ahead(id) >= self.hosts[p].meter.rate * (s.end - s.half);
-        let late = worth_until < s.half - self.margin && s.half_left(now);
+        let late = now < s.half && worth_until < s.half - self.margin && s.executions.is_empty();
         let last = if late && g.primary.is_some_and(jammed) { s.half } else { s.end } - self.margin;
         if now >= last || (spent && now > worth_until) || no_more {
             return Some(self.answer(id));
@@ -495,10 +496,8 @@
         let may_have_run = s.executions.iter().any(|e| e.may_have_run);
         let repeats = k.effect == Effect::Deduplicated && k.scope == DedupScope::All;
         let harmless = k.effect == Effect::Idempotent || repeats || !may_have_run;
-        // Told at half of its time, a client has the other half to come again in.
-        let again = if k.late_share > 0.0 && s.half_left(self.now) { k.usual } else { self.max_return };
         match harmless {
-            true => Decision::Reject { stmt: id, return_after: again.min(self.max_return) },
+            true => Decision::Reject { stmt: id, return_after: self.max_return },
             false => Decision::Abort { stmt: id },
         }
     }
@@ -672,7 +671,8 @@
         None
     }
 
-    /// Probes members a few times a second, for a primary or, where hosts do not check reads, for positions.
+    /// Probes a group's members a few times a second, for their role while no primary is usable, or for their
+    /// position where hosts do not check reads and none is known to have come far enough.
     fn seek(&mut self, group: usize) {
         let g = &mut self.groups[group];
         if self.now >= g.probe_at {
--- a/crates/sandstile-policy/src/state.rs
+++ b/crates/sandstile-policy/src/state.rs
@@ -40,13 +40,6 @@
     pub later: bool,
 }
 
-impl Statement {
-    /// Nothing was sent for it yet, and half of its time is left.
-    pub fn half_left(&self, now: f64) -> bool {
-        self.executions.is_empty() && now < self.half
-    }
-}
-
 #[derive(Clone, Default)]
 pub struct Host {
     pub group: usize,
