--- a/crates/sandstile-router/src/client.rs
+++ b/crates/sandstile-router/src/client.rs
@@ -1,6 +1,6 @@
-//! One client connection: a reader that takes frames off the socket and a writer that puts each statement before
-//! the desk and writes what comes back. The reader reads on while a statement is out, so that the client's end
-//! is seen at once; what is pipelined waits with it.
+//! One client connection: a reader that takes frames off the socket and a writer that puts each statement
+//! before the desk and writes what comes back. The reader reads on while a statement is out, so that the
+//! client's end is seen at once; what is pipelined waits with it.
 use crate::budget::{Budget, Holder, Slot};
 use crate::clock::Clock;
 use crate::counters::Counters;
--- a/crates/sandstile-router/src/clock.rs
+++ b/crates/sandstile-router/src/clock.rs
@@ -1,5 +1,5 @@
-//! Unix seconds, anchored once and advanced by the monotonic clock, so that no step of the system's time moves
-//! a deadline. All machines read one clock, so positions and start times need no base.
+//! Unix seconds, anchored once and advanced by the monotonic clock, so that no step of the system's time
+//! moves a deadline. All machines read one clock, so positions and start times need no base.
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 #[derive(Clone, Copy)]
--- a/crates/sandstile-router/src/desk.rs
+++ b/crates/sandstile-router/src/desk.rs
@@ -1,6 +1,6 @@
 //! The module's actor, the only caller of the decisions. It takes all that waits in its mailbox, lets the
-//! decisions say what follows, and sleeps until they want to look again. It never touches a socket and knows no
-//! protocol: facts of a statement come in with an opaque parcel and a one-use reply.
+//! decisions say what follows, and sleeps until they want to look again. It never touches a socket and knows
+//! no protocol: facts of a statement come in with an opaque parcel and a one-use reply.
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::discovery::Update;
@@ -79,8 +79,8 @@
     list: List,
     peers: Peers,
     open: BTreeMap<u64, Open>,
-    /// Final answers of this round. They go out behind its withdrawals, or a dial that comes up just then could
-    /// still write a statement that has been answered.
+    /// Final answers of this round. They go out behind its withdrawals, or a dial that comes up just then
+    /// could still write a statement that has been answered.
     answers: Vec<(Reply, Answer)>,
     /// Statements that may be over once the decisions of this round are out.
     ending: Vec<u64>,
@@ -88,8 +88,8 @@
 
 /// Timers of the platform are no finer; a sleep of nothing would spin.
 const SHORTEST_SLEEP: Duration = Duration::from_millis(1);
-/// About 10 MB of names. An index that is used again brings an older write's position along, so a read of the new
-/// session is at worst kept from a replica that lags behind that.
+/// About 10 MB of names. An index that is used again brings an older write's position along, so a read of the
+/// new session is at worst kept from a replica that lags behind that.
 const MOST_SESSIONS: usize = 1 << 16;
 
 impl Desk {
--- a/crates/sandstile-router/src/discovery.rs
+++ b/crates/sandstile-router/src/discovery.rs
@@ -1,5 +1,5 @@
-//! The list's actor: follows discovery by a watch and hands each change to the desk. Whatever breaks, the list
-//! stands and the watch is opened again from where it was.
+//! The list's actor: follows discovery by a watch and hands each change to the desk. Whatever breaks, the
+//! list stands and the watch is opened again from where it was.
 use crate::counters::Counters;
 use crate::desk::Mail;
 use crate::pg;
@@ -78,8 +78,8 @@
     pub told: BTreeSet<String>,
 }
 
-/// Discovery says something, if only an empty line, every 2 s, and what it has to tell counts as told after 6 s: two
-/// lines that stay out are no delay any more, and leave time to ask again.
+/// Discovery says something, if only an empty line, every 2 s, and what it has to tell counts as told after 6
+/// s: two lines that stay out are no delay any more, and leave time to ask again.
 const SILENCE: Duration = Duration::from_secs(5);
 /// Between watches: the agent is on this machine and answers for free, but a loop must not spin.
 const PAUSE: Duration = Duration::from_millis(200);
@@ -99,7 +99,8 @@
         }
     }
 
-    /// Once per cause, or an agent that stays away would fill the log; and not for ever, or causes would the memory.
+    /// Once per cause, or an agent that stays away would fill the log; and not for ever, or causes would the
+    /// memory.
     fn complain(&mut self, why: String, so: &str) {
         if self.told.len() >= MOST_CAUSES {
             self.told.clear();
@@ -171,7 +172,8 @@
             self.complain(what, "the rest is taken");
         }
         self.counters.lists.add();
-        info!(self.log, "list"; "index" => update.index, "whole" => update.whole, "entries" => update.entries.len());
+        let entries = update.entries.len();
+        info!(self.log, "list"; "index" => update.index, "whole" => update.whole, "entries" => entries);
         for entry in update.entries.iter().filter(|_| !update.whole) {
             info!(self.log, "listed as {:?}", entry.readiness; "host" => &entry.host, "since" => entry.since);
         }
--- a/crates/sandstile-router/src/lib.rs
+++ b/crates/sandstile-router/src/lib.rs
@@ -1,5 +1,5 @@
-//! The sandstile router: the decisions of `sandstile-policy` behind real sockets. The files follow the stages of
-//! a request: `listen`, `client`, `statement`, `desk`, `peer`, `link`, and back.
+//! The sandstile router: the decisions of `sandstile-policy` behind real sockets. The files follow the stages
+//! of a request: `listen`, `client`, `statement`, `desk`, `peer`, `link`, and back.
 pub mod budget;
 pub mod client;
 pub mod clock;
--- a/crates/sandstile-router/src/link.rs
+++ b/crates/sandstile-router/src/link.rs
@@ -1,5 +1,5 @@
-//! One connection to a database host: a thread that dials, then writes a statement and reads its answer, one at
-//! a time. Its socket is shared with the peer's actor, which can close it under a statement.
+//! One connection to a database host: a thread that dials, then writes a statement and reads its answer, one
+//! at a time. Its socket is shared with the peer's actor, which can close it under a statement.
 use crate::budget::{Budget, Holder, Slot};
 use crate::clock::Clock;
 use crate::ending::{Ending, Outcome};
@@ -148,7 +148,8 @@
     for job in jobs {
         let (outcome, goes_on) = exchange(socket, clock, &job);
         if !goes_on {
-            // Before anybody hears of it: on an open connection this execution would still be out beside the next.
+            // Before anybody hears of it: on an open connection this execution would still be out beside the
+            // next.
             let _ = socket.stream.shutdown(Shutdown::Both);
         }
         done(job, outcome, goes_on);
--- a/crates/sandstile-router/src/peer.rs
+++ b/crates/sandstile-router/src/peer.rs
@@ -66,8 +66,8 @@
 pub struct Causes(Mutex<BTreeMap<(usize, Ending), (f64, u64)>>);
 
 impl Common {
-    /// Counts an ending, and logs it where it is out of the ordinary: each cause once a second and host, for a
-    /// host that is down ends statements by the hundred.
+    /// Counts an ending, and logs it where it is out of the ordinary: each cause once a second and host, for
+    /// a host that is down ends statements by the hundred.
     fn ended(&self, host: usize, ending: Ending) {
         self.counters.ended(ending);
         if ending.ordinary() {
