One reading of a number for terms, base time and dial limit; a bad base time is refused again

Moving the settings out of the adapter had left two further parsers beside the shared one. The adapter's took an unreadable specifics.baseTimeMs for 0, where it was refused before; the router's took an infinite dial limit, which would have panicked in the first dial. Both call facts::number now.

--- a/crates/sandstile-intake/src/facts.rs
+++ b/crates/sandstile-intake/src/facts.rs
@@ -38,14 +38,19 @@
     }
 }
 
-/// The workloads' names, in the order of their indices, and the terms. The message says which value is wrong.
-pub fn terms(facts: &BTreeMap<String, String>) -> Result<(Vec<String>, Terms), String> {
-    let number = |path: &str, default: f64| match facts.get(path).map(String::as_str) {
+/// One number; the default where it is absent, and a message that names it where it can't be used.
+pub fn number(facts: &BTreeMap<String, String>, path: &str, default: f64) -> Result<f64, String> {
+    match facts.get(path).map(String::as_str) {
         None | Some("" | "-") => Ok(default),
         Some(v) => {
-            v.parse::<f64>().ok().filter(|n| n.is_finite()).ok_or(format!("a usable value for {path}"))
+            v.parse().ok().filter(|n: &f64| n.is_finite()).ok_or_else(|| format!("a usable value for {path}"))
         }
-    };
+    }
+}
+
+/// The workloads' names, in the order of their indices, and the terms. The message says which value is wrong.
+pub fn terms(facts: &BTreeMap<String, String>) -> Result<(Vec<String>, Terms), String> {
+    let number = |path: &str, default: f64| number(facts, path, default);
     let seconds = |path: &str, ms: f64| number(path, ms).map(|ms| ms / 1000.0);
     let word = |path: &str| facts.get(path).map_or("", String::as_str);
     let yes = |path: &str, default: bool| match word(path) {
--- a/crates/sandstile-router/src/launch.rs
+++ b/crates/sandstile-router/src/launch.rs
@@ -45,13 +45,17 @@
         };
         let seed = json["seed"].as_str().and_then(|hex| u64::from_str_radix(hex, 16).ok());
         let flat = facts::flatten(json.get("settings").ok_or("no settings")?);
-        let (names, terms) = facts::terms(&flat).map_err(|what| format!("settings lack {what}"))?;
+        let lack = |what: String| format!("settings lack {what}");
+        let (names, terms) = facts::terms(&flat).map_err(lack)?;
         if terms.workloads.is_empty() {
             return Err("settings name no workload".to_string());
         }
         let sessions = |c: Consistency| matches!(c, Consistency::Write | Consistency::Session);
         let workloads = names.into_iter().zip(&terms.workloads);
-        let dial = flat.get("allowed.dialTimeoutMs").and_then(|ms| ms.parse::<f64>().ok());
+        let dial = facts::number(&flat, "allowed.dialTimeoutMs", 0.0).map_err(lack)?;
+        if dial <= 0.0 {
+            return Err("settings lack a usable allowed.dialTimeoutMs".to_string());
+        }
         let known = Update::read(&json["known"]).map_err(|what| format!("known: {what}"))?;
         Ok(Launch {
             name: told("LB_NAME", "name")?,
@@ -64,8 +68,7 @@
             workloads: workloads
                 .map(|(name, w)| Workload { name, sessions: sessions(w.consistency) })
                 .collect(),
-            dial_limit: dial.filter(|ms| *ms > 0.0).ok_or("settings lack a usable allowed.dialTimeoutMs")?
-                / 1000.0,
+            dial_limit: dial / 1000.0,
             terms,
         })
     }
--- a/crates/sandstile-wirehost/src/instance.rs
+++ b/crates/sandstile-wirehost/src/instance.rs
@@ -32,12 +32,13 @@
 impl Hosted {
     pub fn start(now: f64, seed: u64, fields: &mut Fields) -> Result<Self, String> {
         let facts = fields.pairs();
-        let (names, terms) = facts::terms(&facts).map_err(|what| fields.wrong(&what))?;
-        let number = |path: &str| facts.get(path).and_then(|v| v.parse::<f64>().ok());
+        let wrong = |what: String| fields.wrong(&what);
+        let (names, terms) = facts::terms(&facts).map_err(wrong)?;
+        let zero = facts::number(&facts, "specifics.baseTimeMs", 0.0).map_err(wrong)?;
         Ok(Hosted {
             policy: Instance::new(&terms, seed, now),
             workloads: names.into_iter().zip(0..).collect(),
-            base: EPOCH + number("specifics.baseTimeMs").unwrap_or(0.0) / 1000.0,
+            base: EPOCH + zero / 1000.0,
             hosts: Names::default(),
             groups: Names::default(),
             sessions: Names::default(),
--- a/crates/sandstile-wirehost/tests/transcripts.rs
+++ b/crates/sandstile-wirehost/tests/transcripts.rs
@@ -67,6 +67,7 @@
         ("SYNC 1.0\nLIST 0 2\nHOST 1 1 - z 3 host.b active k\n", "expected HOST"),
         ("SYNC 1.0\n", "expected COMMIT"),
         ("SYNC 1.0\nPROVISION router-1 -5 a=b\nCOMMIT\n", "expected a seed"),
+        ("SYNC 1.0\nPROVISION router-1 5 specifics.baseTimeMs=x\nCOMMIT\n", "specifics.baseTimeMs"),
     ];
     for (input, message) in bad {
         let output = run(input);
