Remove what nothing reads: the report kept of each answer, an absent address, names of endings

Read over once more: every answer's load report was copied and never looked at (probes read theirs from the row); an address message always carried one; Ending::name repeated Debug; a query got its time in a second step. The stand-ins start the program in one place. Behaviour and assertions as before.

--- a/crates/sandstile-router/src/client.rs
+++ b/crates/sandstile-router/src/client.rs
@@ -86,7 +86,7 @@
     let mut begun = false;
     let mut at = clock.now();
     loop {
-        let next = if begun { command(&buf) } else { greeting(&buf) };
+        let next = if begun { command(&buf, at) } else { greeting(&buf) };
         let input = match next {
             Ok(Some((input, length))) => {
                 buf.drain(..length);
@@ -108,10 +108,6 @@
         };
         begun |= matches!(input, Input::Begin);
         let last = matches!(input, Input::Bad { .. } | Input::End);
-        let input = match input {
-            Input::Query { text, .. } => Input::Query { text, at },
-            other => other,
-        };
         if hand.send(input).is_err() || last {
             return;
         }
@@ -128,7 +124,7 @@
     }))
 }
 
-fn command(buf: &[u8]) -> Next {
+fn command(buf: &[u8], at: f64) -> Next {
     // A tag that nobody sends is told at once, before a length is believed.
     if buf.first().is_some_and(|tag| !b"QXPBEDCHSFfdcp".contains(tag)) {
         return Err(pg::BadFrame("unknown message"));
@@ -136,7 +132,7 @@
     let Some((tag, body)) = pg::frame(buf)? else { return Ok(None) };
     let length = body.end;
     let input = match (tag, buf[body].split_last()) {
-        (b'Q', Some((0, text))) if !text.contains(&0) => Input::Query { text: text.to_vec(), at: 0.0 },
+        (b'Q', Some((0, text))) if !text.contains(&0) => Input::Query { text: text.to_vec(), at },
         (b'Q', _) => return Err(pg::BadFrame("query without an end")),
         (b'X', _) => Input::End,
         _ => Input::Bad { code: "0A000", what: "simple queries only" },
--- a/crates/sandstile-router/src/counters.rs
+++ b/crates/sandstile-router/src/counters.rs
@@ -61,7 +61,7 @@
             write!(f, " {name}={}", count.0.load(Relaxed))?;
         }
         for ending in ALL {
-            write!(f, " {}={}", ending.name(), self.endings[ending as usize].0.load(Relaxed))?;
+            write!(f, " {ending:?}={}", self.endings[ending as usize].0.load(Relaxed))?;
         }
         Ok(())
     }
--- a/crates/sandstile-router/src/discovery.rs
+++ b/crates/sandstile-router/src/discovery.rs
@@ -24,8 +24,7 @@
 }
 
 impl Update {
-    /// Reads discovery's form. What can't be read of it is
-    /// left out; the message then names the first such thing.
+    /// Reads discovery's form. What can't be read is left out; the message then names the first such thing.
     pub fn read(json: &Value) -> Result<(Update, Option<String>), String> {
         let index = json["index"].as_u64().ok_or("a list without an index")?;
         let whole = json["snapshot"].as_bool().ok_or("a list without snapshot")?;
--- a/crates/sandstile-router/src/ending.rs
+++ b/crates/sandstile-router/src/ending.rs
@@ -106,10 +106,6 @@
             Completed | Missed | WithdrawnUnsent | Withdrawn | IdleEnded | IdleExpired | IdleEvicted | Moved
         )
     }
-
-    pub fn name(self) -> String {
-        format!("{self:?}")
-    }
 }
 
 /// How one execution or probe ended, with what the answer told.
--- a/crates/sandstile-router/src/peer.rs
+++ b/crates/sandstile-router/src/peer.rs
@@ -38,7 +38,7 @@
 enum Mail {
     Do(Job),
     Recall(u64, usize),
-    Address(Option<SocketAddr>),
+    Address(SocketAddr),
     Up(u64, Arc<Socket>, Sender<Job>),
     DialEnded(u64, Ending),
     /// A link's job is done; whether the link can take another.
@@ -73,14 +73,14 @@
         if ending.ordinary() {
             return;
         }
-        debug!(self.log, "{}", ending.name());
+        debug!(self.log, "{ending:?}");
         let now = self.clock.now();
         let mut causes = self.causes.0.lock().expect("no thread panics under the lock");
         let (at, more) = causes.entry((host, ending)).or_insert((0.0, 0));
         if now < *at + 1.0 {
             *more += 1;
         } else {
-            info!(self.log, "ended: {}", ending.name(); "unlogged_before" => std::mem::take(more));
+            info!(self.log, "ended: {ending:?}"; "unlogged_before" => std::mem::take(more));
             *at = now;
         }
     }
@@ -108,8 +108,8 @@
             (Peer::start(host, name, common.clone()), None)
         });
         // An entry that has left may come without an address; the last one stands.
-        if address.is_some() && *known != address {
-            *known = address;
+        if let Some(address) = address.filter(|a| *known != Some(*a)) {
+            *known = Some(address);
             let _ = mailbox.send(Mail::Address(address));
         }
     }
@@ -219,8 +219,8 @@
                 }
             }
             Mail::Address(address) => {
-                info!(self.common.log, "address is {address:?}");
-                (self.address, self.address_no) = (address, self.address_no + 1);
+                info!(self.common.log, "address is {address}");
+                (self.address, self.address_no) = (Some(address), self.address_no + 1);
                 for _ in self.idle.drain(..) {
                     self.common.counters.ended(Ending::Moved);
                 }
--- a/crates/sandstile-router/src/pg.rs
+++ b/crates/sandstile-router/src/pg.rs
@@ -134,7 +134,6 @@
     pub value: Range<usize>,
     pub position: Option<f64>,
     pub primary: Option<bool>,
-    pub report: Option<String>,
 }
 
 impl Answer {
@@ -178,7 +177,6 @@
                 self.position = ms.parse::<f64>().ok().filter(|p| p.is_finite()).map(|p| p / 1e3)
             }
             ("mode", mode) => self.primary = role(mode),
-            ("stats", report) => self.report = Some(report.to_string()),
             _ => {}
         }
     }
--- a/crates/sandstile-router/tests/stand_ins/mod.rs
+++ b/crates/sandstile-router/tests/stand_ins/mod.rs
@@ -270,7 +270,12 @@
 
     pub fn start(config: &str) -> Router {
         let (mut command, address) = Router::command(config);
-        let router = Router { child: command.arg("serve").spawn().expect("the program"), address };
+        command.arg("serve");
+        Router::up(command, address)
+    }
+
+    fn up(mut command: Command, address: SocketAddr) -> Router {
+        let router = Router { child: command.spawn().expect("the program"), address };
         wait_for("a router", || TcpStream::connect(address).is_ok());
         router
     }
@@ -282,9 +287,7 @@
         shell.args(["-c", line]).arg(command.get_program());
         shell.envs(command.get_envs().filter_map(|(k, v)| Some((k, v?))));
         shell.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
-        let router = Router { child: shell.spawn().expect("the program"), address };
-        wait_for("a router", || TcpStream::connect(address).is_ok());
-        router
+        Router::up(shell, address)
     }
 
     /// A router before one primary and so many replicas, with discovery silent.
