SIGHUP reads the configuration again and moves the watch to the new discovery

Also at fault: discovery.rs fixed the agent's address at start, waited 5 s on a connect, and 5 s on a silent watch, more than the 4 s after which the new discovery's news counts as told. Ruled out: the list itself; the index carries over (the new agent answers since=INDEX).

--- a/crates/sandstile-router/src/discovery.rs
+++ b/crates/sandstile-router/src/discovery.rs
@@ -10,8 +10,8 @@
 use slog::{info, warn, Logger};
 use std::collections::BTreeSet;
 use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::sync::Arc;
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::Duration;
 
@@ -68,8 +68,43 @@
     Ok((entry, address))
 }
 
+/// Where discovery answers, and the watch that is open there. A new configuration can name another address.
+pub struct Agent(Mutex<(SocketAddr, Option<TcpStream>)>);
+
+impl Agent {
+    pub fn at(address: SocketAddr) -> Arc<Agent> {
+        Arc::new(Agent(Mutex::new((address, None))))
+    }
+
+    fn held(&self) -> MutexGuard<'_, (SocketAddr, Option<TcpStream>)> {
+        self.0.lock().expect("no thread panics under the lock")
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.held().0
+    }
+
+    /// Ends a watch of the former address, which would stay open and tell nothing new for a while yet.
+    pub fn moved(&self, address: SocketAddr) {
+        let mut held = self.held();
+        if held.0 != address {
+            held.0 = address;
+            if let Some(watch) = held.1.take() {
+                let _ = watch.shutdown(Shutdown::Both);
+            }
+        }
+    }
+
+    /// `false` where the address has changed since `stream` was dialled.
+    fn watched(&self, address: SocketAddr, stream: &TcpStream) -> bool {
+        let mut held = self.held();
+        held.1 = stream.try_clone().ok();
+        held.0 == address
+    }
+}
+
 pub struct Watcher {
-    pub agent: SocketAddr,
+    pub agent: Arc<Agent>,
     pub index: u64,
     pub desk: Sender<Mail>,
     pub counters: Arc<Counters>,
@@ -78,8 +113,11 @@
 }
 
 /// Discovery says something, if only an empty line, every 2 s, and what it has to tell counts as told after 6
-/// s: two lines that stay out are no delay any more, and leave time to ask again.
-const SILENCE: Duration = Duration::from_secs(5);
+/// s: one line that is late by half is no delay any more, and leaves time to ask again.
+const SILENCE: Duration = Duration::from_secs(3);
+/// The agent is on this machine, where a connection comes up at once or not at all; what a new one has to tell
+/// counts as told 4 s after the new configuration.
+const DIAL: Duration = Duration::from_secs(1);
 /// Between watches: the agent is on this machine and answers for free, but a loop must not spin.
 const PAUSE: Duration = Duration::from_millis(200);
 const MOST_CAUSES: usize = 256;
@@ -89,12 +127,15 @@
 impl Watcher {
     pub fn run(mut self) {
         loop {
-            let why = match self.watch() {
+            let address = self.agent.address();
+            let why = match self.watch(address) {
                 Ok(()) => "the watch ended".to_string(),
                 Err(why) => why,
             };
-            self.complain(why, "the list is kept");
-            thread::sleep(PAUSE);
+            if self.agent.address() == address {
+                self.complain(why, "the list is kept");
+                thread::sleep(PAUSE);
+            }
         }
     }
 
@@ -110,17 +151,19 @@
         }
     }
 
-    fn watch(&mut self) -> Result<(), String> {
+    fn watch(&mut self, address: SocketAddr) -> Result<(), String> {
         self.counters.watches.add();
-        let mut stream =
-            TcpStream::connect_timeout(&self.agent, SILENCE).map_err(|e| format!("connect: {e}"))?;
+        let mut stream = TcpStream::connect_timeout(&address, DIAL).map_err(|e| format!("connect: {e}"))?;
+        if !self.agent.watched(address, &stream) {
+            return Ok(());
+        }
         stream
             .set_nodelay(true)
             .and_then(|()| stream.set_read_timeout(Some(SILENCE)))
             .map_err(|e| e.to_string())?;
         let ask = format!(
             "GET /catalog/members?follow=1&since={} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n",
-            self.index, self.agent
+            self.index, address
         );
         stream.write_all(ask.as_bytes()).map_err(|e| format!("ask: {e}"))?;
         let mut buf = Vec::new();
--- a/crates/sandstile-router/src/launch.rs
+++ b/crates/sandstile-router/src/launch.rs
@@ -23,7 +23,20 @@
 impl Launch {
     /// From the file that `LB_CONFIG` names. The message is one line that names what is wrong.
     pub fn from_environment(variable: impl Fn(&str) -> Option<String>) -> Result<Launch, String> {
-        let path = variable("LB_CONFIG").ok_or("LB_CONFIG is not set")?;
+        Launch::load(&variable, &variable)
+    }
+
+    /// The file once more, for a router that serves already: the variables beside it are of the start, and
+    /// what a new file says goes before them.
+    pub fn again(variable: impl Fn(&str) -> Option<String>) -> Result<Launch, String> {
+        Launch::load(&variable, |name| Some(name).filter(|n| *n != "LB_DISCOVERY").and_then(&variable))
+    }
+
+    fn load(
+        place: impl Fn(&str) -> Option<String>,
+        variable: impl Fn(&str) -> Option<String>,
+    ) -> Result<Launch, String> {
+        let path = place("LB_CONFIG").ok_or("LB_CONFIG is not set")?;
         let text = std::fs::read_to_string(&path).map_err(|e| format!("LB_CONFIG: {path}: {e}"))?;
         let json: Value = serde_json::from_str(&text).map_err(|e| format!("LB_CONFIG: {path}: {e}"))?;
         Launch::read(&json, variable).map_err(|what| format!("LB_CONFIG: {path}: {what}"))
--- a/crates/sandstile-router/src/main.rs
+++ b/crates/sandstile-router/src/main.rs
@@ -17,7 +17,8 @@
   --verbose  log each connection and execution that ends badly, not only the first of a kind
   --help     print this
 
-signals: SIGUSR1 prints the counters; SIGTERM answers what was taken, then exits with 0";
+signals: SIGUSR1 prints the counters; SIGHUP reads the configuration again and follows the discovery that it
+names; SIGTERM answers what was taken, then exits with 0";
 
 fn main() -> ExitCode {
     match run() {
@@ -72,8 +73,9 @@
     let level = if verbose { Level::Debug } else { Level::Info };
     let log = Logger::root(drain.filter_level(level).fuse(), o!("router" => launch.name.clone()));
     let counters = Arc::new(Counters::default());
-    let end = signals::listen(counters.clone()).map_err(|e| format!("signals: {e}"))?;
-    let ended = router::serve(launch, counters.clone(), log, &end);
+    let wishes = signals::listen(counters.clone()).map_err(|e| format!("signals: {e}"))?;
+    let again = || Launch::again(|name| std::env::var(name).ok());
+    let ended = router::serve(launch, again, counters.clone(), log, &wishes);
     drop(guard);
     eprintln!("{counters}");
     ended
--- a/crates/sandstile-router/src/router.rs
+++ b/crates/sandstile-router/src/router.rs
@@ -4,28 +4,35 @@
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::desk::{Desk, Mail};
-use crate::discovery::Watcher;
+use crate::discovery::{Agent, Watcher};
 use crate::launch::Launch;
 use crate::listen::Door;
 use crate::peer::{Common, Peers};
 use crate::pg;
+use crate::signals::Wish;
 use crossbeam_channel::{bounded, unbounded, Receiver};
 use sandstile_policy::policy::Instance;
-use slog::{info, Logger};
+use slog::{info, warn, Logger};
 use std::collections::BTreeSet;
 use std::net::TcpListener;
 use std::sync::atomic::AtomicU64;
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Standard streams, the listener, discovery, the signals' pipe, and what the runtime opens for itself.
 const OWN_DESCRIPTORS: usize = 16;
 /// After SIGTERM new connections come for 0.4 s at most; clients learn of the end only by their connections.
 const WINDOW: Duration = Duration::from_millis(500);
 
-/// Serves until `end` yields and all that was taken is answered.
-pub fn serve(launch: Launch, counters: Arc<Counters>, log: Logger, end: &Receiver<()>) -> Result<(), String> {
+/// Serves until told to end, and until all that was taken is answered. `again` reads the configuration anew.
+pub fn serve(
+    launch: Launch,
+    again: impl Fn() -> Result<Launch, String>,
+    counters: Arc<Counters>,
+    log: Logger,
+    wishes: &Receiver<Wish>,
+) -> Result<(), String> {
     let clock = Clock::anchor();
     let most = launch.sockets.saturating_sub(OWN_DESCRIPTORS).max(4);
     // A statement holds two descriptors, its client's and its link's; and a hostile client can make its
@@ -46,8 +53,9 @@
         idle_close: launch.terms.idle_close,
     };
     let longest = launch.terms.workloads.iter().map(|w| w.timeout).fold(1.0, f64::max);
+    let agent = Agent::at(launch.discovery);
     let watcher = Watcher {
-        agent: launch.discovery,
+        agent: agent.clone(),
         index: launch.known.index,
         desk: desk.clone(),
         counters: counters.clone(),
@@ -77,9 +85,24 @@
     let door = Door::open(listener, front).map_err(|e| format!("listen: {e}"))?;
     info!(log, "serving"; "name" => launch.name, "listen" => %launch.listen, "clients" => most_clients,
         "descriptors" => most);
-    let _ = end.recv();
+    let reload = || match again() {
+        Ok(new) => {
+            info!(log, "configuration read again"; "discovery" => %new.discovery);
+            agent.moved(new.discovery);
+        }
+        Err(what) => warn!(log, "{what}; the former configuration stays"),
+    };
+    while wishes.recv() == Ok(Wish::Reload) {
+        reload();
+    }
     info!(log, "told to end: serving for a little longer, then answering what was taken");
-    thread::sleep(WINDOW);
+    let end = Instant::now() + WINDOW;
+    // A reload that comes beside the end still counts: until the window closes, statements are taken.
+    while let Ok(wish) = wishes.recv_deadline(end) {
+        if wish == Wish::Reload {
+            reload();
+        }
+    }
     door.close();
     drop(stay);
     budget.wait_for_no_clients();
--- a/crates/sandstile-router/tests/program.rs
+++ b/crates/sandstile-router/tests/program.rs
@@ -282,6 +282,33 @@
     assert_eq!((count(&log, "taken"), count(&log, "completed"), count(&log, "aborted")), (2, 1, 1), "{log}");
 }
 
+/// A new configuration names another agent: the old watch is left, the list stands, what is out is answered.
+#[test]
+fn a_reload_follows_the_new_discovery_and_a_bad_file_changes_nothing() {
+    let primary = Host::scripted(true, &[Act::Slow(300, b"slow")]);
+    let (old, replica) = (Agent::start(), Host::start(false));
+    let text = config(old.address, &known(&primary, &[]));
+    let router = Router::start(&text);
+    old.watch().begin();
+    let mut client = router.client();
+    client.send(&query(&write(1500)));
+    wait_for("the write", || primary.count() == 1);
+    for bad in ["{\"name\":", &text.replace(&old.address.to_string(), "nowhere")] {
+        router.reload(bad);
+    }
+    let new = Agent::start();
+    router.reload(&text.replace(&old.address.to_string(), &new.address.to_string()));
+    let mut watch = new.watch();
+    assert!(watch.request.contains("&since=41 "), "{}", watch.request);
+    watch.begin();
+    watch.chunk(&(list(42, false, &[entry("s-1", replica.address, false, "active")]) + "\n"));
+    assert_eq!(value(&client.answer()), b"slow");
+    wait_for("the new list", || client.ask(&read(800)).value.as_deref() == Some(b"replica"));
+    assert_eq!(value(&client.ask(&write(800))), b"primary");
+    let (ok, log) = router.end();
+    assert!(ok && log.contains("the former configuration stays"), "{log}");
+}
+
 /// The list names who was primary once; answers say who is. Probes look for it where nobody answers as one.
 #[test]
 fn a_write_finds_the_primary_that_the_list_does_not_name() {
--- a/crates/sandstile-router/tests/stand_ins/mod.rs
+++ b/crates/sandstile-router/tests/stand_ins/mod.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
@@ -249,12 +250,13 @@
 pub struct Router {
     pub child: Child,
     pub address: SocketAddr,
+    file: PathBuf,
 }
 
 static NEXT: AtomicUsize = AtomicUsize::new(0);
 
 impl Router {
-    pub fn command(config: &str) -> (Command, SocketAddr) {
+    pub fn command(config: &str) -> (Command, SocketAddr, PathBuf) {
         let (pid, n) = (std::process::id(), NEXT.fetch_add(1, SeqCst));
         let path = std::env::temp_dir().join(format!("sandstile-{pid}-{n}.json"));
         fs::write(&path, config).expect("a place for files");
@@ -263,31 +265,31 @@
         let [_, b, c, d] = at.to_be_bytes();
         let address = SocketAddr::from(([127, 1 + b % 200, c, d], 6432));
         let mut command = Command::new(env!("CARGO_BIN_EXE_sandstile"));
-        command.env("LB_CONFIG", path).env("LB_LISTEN", address.to_string());
+        command.env("LB_CONFIG", &path).env("LB_LISTEN", address.to_string());
         command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
-        (command, address)
+        (command, address, path)
     }
 
     pub fn start(config: &str) -> Router {
-        let (mut command, address) = Router::command(config);
+        let (mut command, address, file) = Router::command(config);
         command.arg("serve");
-        Router::up(command, address)
+        Router::up(command, address, file)
     }
 
-    fn up(mut command: Command, address: SocketAddr) -> Router {
-        let router = Router { child: command.spawn().expect("the program"), address };
+    fn up(mut command: Command, address: SocketAddr, file: PathBuf) -> Router {
+        let router = Router { child: command.spawn().expect("the program"), address, file };
         wait_for("a router", || TcpStream::connect(address).is_ok());
         router
     }
 
     /// The program under a shell's line, in which `$0` is its path.
     pub fn start_by(line: &str, config: &str) -> Router {
-        let (command, address) = Router::command(config);
+        let (command, address, file) = Router::command(config);
         let mut shell = Command::new("/bin/sh");
         shell.args(["-c", line]).arg(command.get_program());
         shell.envs(command.get_envs().filter_map(|(k, v)| Some((k, v?))));
         shell.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
-        Router::up(shell, address)
+        Router::up(shell, address, file)
     }
 
     /// A router before one primary and so many replicas, with discovery silent.
@@ -295,6 +297,12 @@
         Router::start(&config(Agent::start().address, &known(primary, replicas)))
     }
 
+    /// Has the program read this in place of its configuration.
+    pub fn reload(&self, config: &str) {
+        fs::write(&self.file, config).expect("a place for files");
+        self.signal("HUP");
+    }
+
     pub fn signal(&self, name: &str) {
         let kill = format!("kill -{name} {}", self.child.id());
         assert!(Command::new("/bin/sh").args(["-c", &kill]).status().expect("a shell").success());
