--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -311,7 +311,7 @@
         if (foreign || matches!(verdict, ConnectFailed | Reset | Full)) && host.rests_until <= now {
             host.rest(now, turn, 1);
         }
-        s.errors += i32::from(verdict == Error && !foreign);
+        s.errors += i32::from(matches!(verdict, Error | Spoilt) && !foreign);
         let group = &mut self.groups[group];
         group.touched = true;
         if let Some(p) = note.position {
--- a/crates/sandstile-policy/src/terms.rs
+++ b/crates/sandstile-policy/src/terms.rs
@@ -108,6 +108,8 @@
     TimedOut,
     ConnectFailed,
     Reset,
+    /// The answer can't be read, or the statement could not: it may have run, and nothing is learnt of the host.
+    Spoilt,
     Cancelled,
     Moot,
     Miss,
--- a/crates/sandstile-router/src/budget.rs
+++ b/crates/sandstile-router/src/budget.rs
@@ -1,5 +1,6 @@
-//! One budget of descriptors for clients and links. What is idle is on record here, so that the oldest can be
-//! told to go when a descriptor is wanted: links first, for a client's connection costs the client a new one.
+//! One budget of descriptors for clients and links, and one of memory for long commands. What is idle is on record here, so that the oldest can be
+//! told to go when a descriptor is wanted: links first, for a client's connection costs the client a new one, and
+//! clients that have asked nothing before those that have.
 use std::collections::BTreeMap;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -7,6 +8,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Holder {
     Link,
+    /// A client that has yet to ask something.
+    Stranger,
     Client,
 }
 
@@ -16,6 +19,8 @@
 struct Held {
     links: usize,
     clients: usize,
+    dismissed: bool,
+    long: usize,
     idle: BTreeMap<(Holder, u64), Leave>,
     next: u64,
 }
@@ -25,8 +30,12 @@
     freed: Condvar,
     most: usize,
     most_clients: usize,
+    most_long: usize,
 }
 
+/// Room for one long command; given back when dropped.
+pub struct Room(Arc<Budget>);
+
 /// One descriptor; given back when dropped.
 pub struct Slot {
     budget: Arc<Budget>,
@@ -43,8 +52,18 @@
 const ASK_AGAIN: Duration = Duration::from_millis(20);
 
 impl Budget {
-    pub fn new(most: usize, most_clients: usize) -> Arc<Self> {
-        Arc::new(Budget { held: Mutex::default(), freed: Condvar::new(), most, most_clients })
+    pub fn new(most: usize, most_clients: usize, most_long: usize) -> Arc<Self> {
+        Arc::new(Budget { held: Mutex::default(), freed: Condvar::new(), most, most_clients, most_long })
+    }
+
+    /// A client can make its connection hold a frame of the longest; not all of them at once.
+    pub fn room(self: &Arc<Self>) -> Option<Room> {
+        let mut held = self.held();
+        if held.long >= self.most_long {
+            return None;
+        }
+        held.long += 1;
+        Some(Room(self.clone()))
     }
 
     fn held(&self) -> MutexGuard<'_, Held> {
@@ -56,15 +75,15 @@
         let until = Instant::now() + wait;
         let mut held = self.held();
         loop {
-            let crowd = holder == Holder::Client && held.clients >= self.most_clients;
+            let crowd = holder != Holder::Link && held.clients >= self.most_clients;
             if !crowd && held.links + held.clients < self.most {
                 match holder {
                     Holder::Link => held.links += 1,
-                    Holder::Client => held.clients += 1,
+                    _ => held.clients += 1,
                 }
                 return Some(Slot { budget: self.clone(), holder });
             }
-            let helps = |key: &&(Holder, u64)| !crowd || key.0 == Holder::Client;
+            let helps = |key: &&(Holder, u64)| !crowd || key.0 != Holder::Link;
             let oldest = held.idle.keys().find(helps).copied();
             if let Some(leave) = oldest.and_then(|key| held.idle.remove(&key)) {
                 drop(held);
@@ -92,10 +111,24 @@
         let mut held = self.held();
         held.next += 1;
         let key = (holder, held.next);
-        held.idle.insert(key, Box::new(leave));
+        if held.dismissed && holder != Holder::Link {
+            drop(held);
+            leave();
+        } else {
+            held.idle.insert(key, Box::new(leave));
+        }
         Idle { budget: self.clone(), key }
     }
 
+    /// Tells all idle clients to go, and from now on each that becomes idle.
+    pub fn dismiss_clients(&self) {
+        let mut held = self.held();
+        held.dismissed = true;
+        let clients = held.idle.split_off(&(Holder::Stranger, 0));
+        drop(held);
+        clients.into_values().for_each(|leave| leave());
+    }
+
     pub fn wait_for_no_clients(&self) {
         let mut held = self.held();
         while held.clients > 0 {
@@ -109,12 +142,18 @@
         let mut held = self.budget.held();
         match self.holder {
             Holder::Link => held.links -= 1,
-            Holder::Client => held.clients -= 1,
+            _ => held.clients -= 1,
         }
         self.budget.freed.notify_all();
     }
 }
 
+impl Drop for Room {
+    fn drop(&mut self) {
+        self.0.held().long -= 1;
+    }
+}
+
 impl Drop for Idle {
     fn drop(&mut self) {
         let leave = self.budget.held().idle.remove(&self.key);
--- a/crates/sandstile-router/src/client.rs
+++ b/crates/sandstile-router/src/client.rs
@@ -1,14 +1,14 @@
-//! One client connection: a reader that takes frames off the socket and a writer that puts each statement
-//! before the desk and writes what comes back. The reader reads on while a statement is out, so that the
-//! client's end is seen at once; what is pipelined waits with it.
-use crate::budget::{Budget, Holder, Slot};
+//! One client connection, by one thread: it takes frames off the socket, puts each statement before the desk and
+//! writes what comes back. While a statement is out it looks at the socket now and then, so that the client's
+//! end is seen; what is pipelined waits there.
+use crate::budget::{Budget, Holder, Room, Slot};
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::desk::{Answer, Asked, Mail, Reply};
 use crate::peer::STACK;
 use crate::pg::{self, Startup};
-use crate::statement::{self, Workload};
-use crossbeam_channel::{bounded, never, select, Receiver, Sender};
+use crate::statement::{self, Statement, Workload};
+use crossbeam_channel::{bounded, RecvTimeoutError, Sender};
 use slog::{debug, Logger};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpStream};
@@ -26,92 +26,42 @@
     pub counters: Arc<Counters>,
     pub log: Logger,
     pub next: AtomicU64,
-    /// Disconnected once idle clients are to go.
-    pub quit: Receiver<()>,
-    /// The longest that any client waits for an answer: one that takes in nothing for so long has vanished.
-    pub write_limit: Duration,
 }
 
 struct Socket {
     stream: TcpStream,
-    /// The end that the reader sees is this router's own doing, and no client has left.
+    /// The end that is read is this router's own doing, and no client has left.
     shut: AtomicBool,
     _slot: Slot,
 }
 
-impl Socket {
-    fn read_no_more(&self) {
-        self.shut.store(true, SeqCst);
-        let _ = self.stream.shutdown(Shutdown::Read);
-    }
-}
-
-enum Input {
-    Begin,
-    Encrypt,
-    Query { text: Vec<u8>, at: f64 },
-    Bad { code: &'static str, what: &'static str },
-    End,
-}
+/// A connection with no open request may be closed after 2 s; one that brings no whole request, a command
+/// without an end, or takes in no answer has no longer either.
+const REST: f64 = 2.0;
+/// Between looks at whether a client that waits has left: a crowd of them looks often all the same.
+const LOOK: Duration = Duration::from_millis(100);
+/// Most commands come whole in one read.
+const READ: usize = 4 * 1024;
 
 pub fn serve(front: Arc<Front>, stream: TcpStream, slot: Slot) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    stream.set_write_timeout(Some(front.write_limit))?;
     let socket = Arc::new(Socket { stream, shut: AtomicBool::new(false), _slot: slot });
-    // No room: the reader keeps what the writer has not asked for, so a client fills one buffer and no more.
-    let (hand, inputs) = bounded(0);
-    let (clock, reads) = (front.clock, socket.clone());
-    let reader = move || read(&reads.stream, &clock, &hand);
-    thread::Builder::new().name("reader".to_string()).stack_size(STACK).spawn(reader)?;
-    let writes = socket.clone();
-    let writer = move || {
-        let _ = (Writer { front: &front, socket: &writes, inputs: &inputs, held: None }).run();
-        let _ = writes.stream.shutdown(Shutdown::Both);
+    let body = move || {
+        let at = front.clock.now();
+        let connection =
+            Connection { front: &front, socket: &socket, buf: Vec::new(), room: None, at, since: at };
+        let _ = connection.run();
+        let _ = socket.stream.shutdown(Shutdown::Both);
     };
-    match thread::Builder::new().name("writer".to_string()).stack_size(STACK).spawn(writer) {
-        Ok(_) => Ok(()),
-        Err(e) => {
-            // Or the reader would wait for ever.
-            let _ = socket.stream.shutdown(Shutdown::Both);
-            Err(e)
-        }
-    }
+    thread::Builder::new().name("client".to_string()).stack_size(STACK).spawn(body).map(drop)
 }
 
-const READ: usize = 4 * 1024;
-
-/// Hands over one input after another until the connection ends or the writer has gone.
-fn read(mut stream: &TcpStream, clock: &Clock, hand: &Sender<Input>) {
-    let mut buf = Vec::new();
-    let mut begun = false;
-    let mut at = clock.now();
-    loop {
-        let next = if begun { command(&buf, at) } else { greeting(&buf) };
-        let input = match next {
-            Ok(Some((input, length))) => {
-                buf.drain(..length);
-                input
-            }
-            Ok(None) => {
-                let whole = buf.len();
-                buf.resize(whole + READ, 0);
-                let got = stream.read(&mut buf[whole..]);
-                at = clock.now();
-                buf.truncate(whole + *got.as_ref().unwrap_or(&0));
-                match got {
-                    Ok(n) if n > 0 => continue,
-                    Err(e) if e.kind() == ErrorKind::Interrupted => continue,
-                    _ => Input::End,
-                }
-            }
-            Err(pg::BadFrame(what)) => Input::Bad { code: "08P01", what },
-        };
-        begun |= matches!(input, Input::Begin);
-        let last = matches!(input, Input::Bad { .. } | Input::End);
-        if hand.send(input).is_err() || last {
-            return;
-        }
-    }
+enum Input {
+    Begin,
+    Encrypt,
+    Query(Vec<u8>),
+    Bad { code: &'static str, what: &'static str },
+    End,
 }
 
 type Next = Result<Option<(Input, usize)>, pg::BadFrame>;
@@ -124,7 +74,7 @@
     }))
 }
 
-fn command(buf: &[u8], at: f64) -> Next {
+fn command(buf: &[u8]) -> Next {
     // A tag that nobody sends is told at once, before a length is believed.
     if buf.first().is_some_and(|tag| !b"QXPBEDCHSFfdcp".contains(tag)) {
         return Err(pg::BadFrame("unknown message"));
@@ -132,7 +82,7 @@
     let Some((tag, body)) = pg::frame(buf)? else { return Ok(None) };
     let length = body.end;
     let input = match (tag, buf[body].split_last()) {
-        (b'Q', Some((0, text))) if !text.contains(&0) => Input::Query { text: text.to_vec(), at },
+        (b'Q', Some((0, text))) if !text.contains(&0) => Input::Query(text.to_vec()),
         (b'Q', _) => return Err(pg::BadFrame("query without an end")),
         (b'X', _) => Input::End,
         _ => Input::Bad { code: "0A000", what: "simple queries only" },
@@ -140,98 +90,188 @@
     Ok(Some((input, length)))
 }
 
-struct Writer<'a> {
+struct Connection<'a> {
     front: &'a Front,
     socket: &'a Arc<Socket>,
-    inputs: &'a Receiver<Input>,
-    /// Came while a statement was out.
-    held: Option<Input>,
+    buf: Vec<u8>,
+    /// Held while the buffer is a long one.
+    room: Option<Room>,
+    /// When the last bytes came.
+    at: f64,
+    /// When it came up, or its last answer was given, or the command began that is not yet whole.
+    since: f64,
 }
 
-impl Writer<'_> {
+impl Connection<'_> {
     fn run(mut self) -> io::Result<()> {
+        let (mut begun, mut holder) = (false, Holder::Stranger);
         // A pipelined statement's time runs from when those before it were answered.
         let mut free_at = 0.0;
         loop {
             let mut out = Vec::new();
-            match self.held.take().unwrap_or_else(|| self.idle()) {
-                Input::Begin => pg::welcome(&mut out),
+            let mut until = self.front.clock.now() + REST;
+            match self.next(begun, holder) {
+                Input::Begin => {
+                    begun = true;
+                    pg::welcome(&mut out);
+                }
                 Input::Encrypt => out.push(b'N'),
-                Input::Query { text, at } => {
-                    if text.iter().all(|b| b.is_ascii_whitespace() || *b == b';') {
-                        self.front.counters.empty_queries.add();
-                        pg::empty_query(&mut out);
-                    } else {
-                        match statement::read(text, &self.front.workloads) {
-                            Ok(statement) => {
-                                let Some(answer) = self.ask(statement, f64::max(at, free_at)) else {
-                                    return Ok(());
-                                };
-                                words(answer, &mut out);
+                Input::Query(text) if text.iter().all(|b| b.is_ascii_whitespace() || *b == b';') => {
+                    self.front.counters.empty_queries.add();
+                    pg::empty_query(&mut out);
+                }
+                Input::Query(text) => match statement::read(text, &self.front.workloads) {
+                    Ok(statement) => {
+                        until = f64::max(self.at, free_at) + statement.wait;
+                        match self.ask(statement, until) {
+                            Some(Answer::Unusable) => {
+                                return self.bad("42710", "the id of an open statement")
                             }
-                            Err(wrong) => return self.bad("42601", wrong.text()),
+                            Some(answer) => words(answer, &mut out),
+                            None => return Ok(()),
                         }
+                        holder = Holder::Client;
                     }
-                }
+                    Err(wrong) => return self.bad("42601", wrong.text()),
+                },
                 Input::Bad { code, what } => return self.bad(code, what),
                 Input::End => return Ok(()),
             }
-            self.write(&out)?;
+            if let Err(e) = self.write(&out, until) {
+                return self.forsake(&e);
+            }
             free_at = self.front.clock.now();
+            if holder == Holder::Client {
+                self.since = free_at;
+            }
         }
     }
 
-    fn write(&self, out: &[u8]) -> io::Result<()> {
-        (&self.socket.stream).write_all(out)
-    }
-
-    /// The next input; meanwhile the connection may be closed where a descriptor is wanted.
-    fn idle(&self) -> Input {
-        let socket = Arc::downgrade(self.socket);
-        let _idle = self.front.budget.idle(Holder::Client, move || {
-            if let Some(socket) = socket.upgrade() {
-                socket.read_no_more();
-            }
-        });
+    /// The next command; meanwhile the connection may be closed where a descriptor is wanted.
+    fn next(&mut self, begun: bool, holder: Holder) -> Input {
+        let mut idle = None;
+        if self.buf.len() <= READ && self.room.take().is_some() {
+            self.buf.shrink_to(READ);
+        }
         loop {
-            let never = never();
-            let shut = self.socket.shut.load(SeqCst);
-            let quit = if shut { &never } else { &self.front.quit };
-            select! {
-                recv(self.inputs) -> input => return input.unwrap_or(Input::End),
-                recv(quit) -> _ => self.socket.read_no_more(),
+            let next = if begun { command(&self.buf) } else { greeting(&self.buf) };
+            match next {
+                Ok(Some((input, length))) => {
+                    self.buf.drain(..length);
+                    return input;
+                }
+                Ok(None) => {}
+                Err(pg::BadFrame(what)) => return Input::Bad { code: "08P01", what },
+            }
+            if self.buf.len() > READ && self.room.is_none() {
+                self.room = self.front.budget.room();
+                if self.room.is_none() {
+                    return Input::Bad { code: "53200", what: "too many long commands at once" };
+                }
+            }
+            let _idle = idle.get_or_insert_with(|| {
+                let socket = Arc::downgrade(self.socket);
+                self.front.budget.idle(holder, move || {
+                    if let Some(socket) = socket.upgrade() {
+                        socket.shut.store(true, SeqCst);
+                        let _ = socket.stream.shutdown(Shutdown::Read);
+                    }
+                })
+            });
+            let left = self.front.clock.until(self.since + REST);
+            if left.is_zero() && self.buf.is_empty() {
+                self.front.counters.rested.add();
+                return Input::End;
+            }
+            if left.is_zero() {
+                return Input::Bad { code: "08P01", what: "a command without an end" };
+            }
+            let fresh = self.buf.is_empty();
+            let got = self.socket.stream.set_read_timeout(Some(left)).and_then(|()| self.read());
+            match got {
+                Ok(n) if n > 0 => {}
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => continue,
+                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+                _ => return Input::End,
+            }
+            if fresh && holder == Holder::Client {
+                self.since = self.at;
             }
         }
     }
 
+    fn read(&mut self) -> io::Result<usize> {
+        let whole = self.buf.len();
+        self.buf.resize(whole + READ, 0);
+        let got = (&self.socket.stream).read(&mut self.buf[whole..]);
+        self.at = self.front.clock.now();
+        self.buf.truncate(whole + *got.as_ref().unwrap_or(&0));
+        got
+    }
+
     /// Puts a statement before the desk and waits for its one answer; `None` once the client has left.
-    fn ask(&mut self, statement: statement::Statement, at: f64) -> Option<Answer> {
+    fn ask(&mut self, statement: Statement, until: f64) -> Option<Answer> {
         let (reply, answers) = bounded(1);
         let stmt = self.front.next.fetch_add(1, Relaxed);
         let asked = Asked {
             stmt,
+            id: statement.id.clone(),
             workload: statement.workload,
             group: statement.group.clone(),
             session: statement.session.clone(),
-            until: at + statement.wait,
+            until,
             after: statement.after,
             retry: statement.retry,
             parcel: Arc::new(statement),
             reply: Reply(reply),
         };
         self.front.desk.send(Mail::Asked(asked)).ok()?;
-        let silence = never();
         loop {
-            let inputs = if self.held.is_none() { self.inputs } else { &silence };
-            select! {
-                recv(answers) -> answer => return answer.ok(),
-                recv(inputs) -> input => match input.unwrap_or(Input::End) {
-                    Input::End if !self.socket.shut.load(SeqCst) => {
-                        let _ = self.front.desk.send(Mail::ClientGone(stmt));
-                        return None;
-                    }
-                    input => self.held = Some(input),
-                },
+            match answers.recv_timeout(LOOK) {
+                Ok(answer) => return Some(answer),
+                Err(RecvTimeoutError::Disconnected) => return None,
+                Err(RecvTimeoutError::Timeout) if self.left() => {
+                    let _ = self.front.desk.send(Mail::ClientGone(stmt));
+                    return None;
+                }
+                Err(RecvTimeoutError::Timeout) => {}
+            }
+        }
+    }
+
+    /// Takes in the little that has come; with more before it, an end can't be seen yet.
+    fn left(&mut self) -> bool {
+        if self.buf.len() >= READ || self.socket.shut.load(SeqCst) {
+            return false;
+        }
+        let at = self.at;
+        let got = self.socket.stream.set_nonblocking(true).and_then(|()| self.read());
+        let back = self.socket.stream.set_nonblocking(false);
+        match got {
+            Ok(0) => true,
+            Ok(_) => back.is_err(),
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {
+                self.at = at;
+                back.is_err()
+            }
+            Err(_) => true,
+        }
+    }
+
+    /// An answer that came too late, or that the client took in too slowly, is not sent any more. The end of the
+    /// connection is the client's to make: clocks differ a little, and it may count on an answer for a while.
+    fn forsake(&mut self, why: &io::Error) -> io::Result<()> {
+        if !matches!(why.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) {
+            return Ok(());
+        }
+        self.front.counters.forsaken.add();
+        let until = self.front.clock.now() + REST;
+        loop {
+            let left = self.front.clock.until(until);
+            self.buf.clear();
+            if left.is_zero() || self.socket.stream.set_read_timeout(Some(left)).is_err() || self.read()? == 0
+            {
+                return Ok(());
             }
         }
     }
@@ -242,7 +282,26 @@
         debug!(self.front.log, "bad input: {what}");
         let mut out = Vec::new();
         pg::error(&mut out, true, code, what, None);
-        self.write(&out)
+        self.write(&out, self.front.clock.now() + REST)
+    }
+
+    /// Nothing goes out after `until`, nor is a client that takes nothing in waited for any longer.
+    fn write(&self, mut out: &[u8], until: f64) -> io::Result<()> {
+        let mut stream = &self.socket.stream;
+        while !out.is_empty() {
+            let left = self.front.clock.until(until);
+            if left.is_zero() {
+                return Err(ErrorKind::TimedOut.into());
+            }
+            stream.set_write_timeout(Some(left))?;
+            match stream.write(out) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(n) => out = &out[n..],
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(())
     }
 }
 
@@ -254,7 +313,9 @@
             let detail = Some(ms.as_str()).filter(|_| after > 0.0);
             pg::error(out, false, "53300", "rejected: trying again is harmless", detail);
         }
-        Answer::Aborted => pg::error(out, false, "57014", "aborted: it may have run", None),
+        Answer::Aborted | Answer::Unusable => {
+            pg::error(out, false, "57014", "aborted: it may have run", None);
+        }
     }
     pg::ready(out);
 }
--- a/crates/sandstile-router/src/desk.rs
+++ b/crates/sandstile-router/src/desk.rs
@@ -12,7 +12,7 @@
 use sandstile_policy::policy::Instance;
 use sandstile_policy::terms::{Arrival, Decision};
 use slog::{info, Logger};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -27,6 +27,9 @@
     /// Trying again is harmless, best after so many seconds where above 0.
     Rejected(f64),
     Aborted,
+    /// Its id is that of a statement that is open: one of the two is no honest one, and hosts would take them
+    /// for one.
+    Unusable,
 }
 
 /// Takes the one final answer. A client that has left no longer reads it.
@@ -40,6 +43,8 @@
 
 pub struct Asked {
     pub stmt: u64,
+    /// As the client names it.
+    pub id: String,
     pub workload: usize,
     pub group: String,
     pub session: Option<String>,
@@ -62,6 +67,7 @@
 
 /// A statement until the decisions let go of it.
 struct Open {
+    id: String,
     parcel: Arc<dyn Parcel>,
     reply: Option<Reply>,
     /// The database host of each execution.
@@ -79,6 +85,8 @@
     list: List,
     peers: Peers,
     open: BTreeMap<u64, Open>,
+    /// The ids of the open ones.
+    ids: BTreeSet<String>,
     /// Final answers of this round. They go out behind its withdrawals, or a dial that comes up just then
     /// could still write a statement that has been answered.
     answers: Vec<(Reply, Answer)>,
@@ -105,6 +113,7 @@
             sessions: Names::bounded(MOST_SESSIONS),
             list: List::default(),
             open: BTreeMap::new(),
+            ids: BTreeSet::new(),
             answers: Vec::new(),
             ending: Vec::new(),
         }
@@ -134,6 +143,9 @@
         let now = self.clock.now();
         match mail {
             Mail::Asked(asked) => {
+                if !self.ids.insert(asked.id.clone()) {
+                    return asked.reply.give(Answer::Unusable);
+                }
                 self.counters.taken.add();
                 let arrival = Arrival {
                     workload: asked.workload,
@@ -145,7 +157,8 @@
                     token_age: asked.after.map(|at| (now - at).max(0.0)),
                     retry: asked.retry,
                 };
-                let open = Open { parcel: asked.parcel, reply: Some(asked.reply), hosts: Vec::new() };
+                let open =
+                    Open { id: asked.id, parcel: asked.parcel, reply: Some(asked.reply), hosts: Vec::new() };
                 self.open.insert(asked.stmt, open);
                 self.policy.arrived(now, asked.stmt, &arrival);
             }
@@ -224,7 +237,9 @@
         }
         for stmt in self.ending.drain(..) {
             if !self.policy.holds(stmt) {
-                self.open.remove(&stmt);
+                if let Some(open) = self.open.remove(&stmt) {
+                    self.ids.remove(&open.id);
+                }
             }
         }
     }
--- a/crates/sandstile-router/src/ending.rs
+++ b/crates/sandstile-router/src/ending.rs
@@ -28,8 +28,10 @@
     BrokenUnwritten,
     /// Written whole, then broken or ended.
     Broken,
-    /// Written whole, then answered out of protocol.
+    /// Written whole, then answered out of protocol, or with an answer that began and never came whole.
     Garbled,
+    /// 08P01: the database host could not read the statement, which is the client's doing.
+    Unreadable,
     /// Written whole, then silent until the time-out.
     TimedOut,
     /// Written whole, then withdrawn by closing the socket.
@@ -44,7 +46,7 @@
     Moved,
 }
 
-pub const ALL: [Ending; 20] = {
+pub const ALL: [Ending; 21] = {
     use Ending::*;
     [
         Completed,
@@ -61,6 +63,7 @@
         BrokenUnwritten,
         Broken,
         Garbled,
+        Unreadable,
         TimedOut,
         Withdrawn,
         IdleEnded,
@@ -83,7 +86,8 @@
             Failed => Verdict::Error,
             NoAddress | DialRefused | DialTimedOut | DialBroken | BrokenUnwritten => Verdict::ConnectFailed,
             NoRoom | WithdrawnUnsent | IdleEnded | IdleExpired | IdleEvicted | Moved => Verdict::Moot,
-            Broken | Garbled => Verdict::Reset,
+            Broken => Verdict::Reset,
+            Garbled | Unreadable => Verdict::Spoilt,
             TimedOut => Verdict::TimedOut,
             Withdrawn => Verdict::Cancelled,
         }
@@ -94,6 +98,7 @@
         match code {
             "25006" | "72000" => Ending::Missed,
             "53300" => Ending::TurnedAway,
+            "08P01" => Ending::Unreadable,
             _ => Ending::Failed,
         }
     }
--- a/crates/sandstile-router/src/link.rs
+++ b/crates/sandstile-router/src/link.rs
@@ -6,7 +6,7 @@
 use crate::peer::{Errand, Job};
 use crate::pg::{self, Stage};
 use crossbeam_channel::Receiver;
-use sandstile_policy::terms::Note;
+use sandstile_policy::terms::{Note, Verdict};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
@@ -42,6 +42,9 @@
 struct Inbox {
     buf: Vec<u8>,
     at: usize,
+    /// Seconds in which what has begun is to come whole, and when that is over.
+    limit: f64,
+    whole_by: f64,
 }
 
 /// The reads of one answer of the usual size fit in one.
@@ -55,6 +58,10 @@
 }
 
 impl Inbox {
+    fn new(limit: f64) -> Self {
+        Inbox { buf: Vec::new(), at: 0, limit, whole_by: f64::INFINITY }
+    }
+
     /// Reads until one frame is whole or `until` has come, then hands it to `take`.
     fn frame(
         &mut self,
@@ -64,7 +71,8 @@
         take: impl FnOnce(u8, &[u8]) -> Result<(), pg::BadFrame>,
     ) -> Heard {
         loop {
-            match pg::frame(&self.buf[self.at..]) {
+            let begun = &self.buf[self.at..];
+            match pg::plausible(begun).and_then(|()| pg::frame(begun)) {
                 Err(_) => return Heard::Nonsense,
                 Ok(Some((tag, body))) => {
                     let taken = take(tag, &self.buf[self.at..][body.clone()]);
@@ -74,10 +82,10 @@
                 Ok(None) => {}
             }
             self.buf.drain(..std::mem::take(&mut self.at));
-            let left = clock.until(until);
-            if left.is_zero() {
-                return Heard::TimedOut;
-            }
+            let end = until.min(self.whole_by);
+            // A last look once the time is over: what came while this thread had to wait for its core counts.
+            let last = clock.until(end).is_zero();
+            let left = clock.until(end).max(Duration::from_millis(1));
             let whole = self.buf.len();
             self.buf.resize(whole + READ, 0);
             let got =
@@ -85,10 +93,18 @@
             self.buf.truncate(whole + *got.as_ref().unwrap_or(&0));
             match got {
                 Ok(0) => return Heard::Ended,
+                Ok(_) if self.whole_by.is_infinite() => self.whole_by = clock.now() + self.limit,
                 Ok(_) => {}
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
-                Err(_) => return Heard::Ended,
+                Err(e) if !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                    return Heard::Ended;
+                }
+                Err(_) if last && until > end => return Heard::Nonsense,
+                Err(_) if last => return Heard::TimedOut,
+                Err(_) => {}
+            }
+            if last && until <= end {
+                return Heard::TimedOut;
             }
         }
     }
@@ -114,7 +130,7 @@
     })?;
     let ready = stream.set_nodelay(true).and_then(|()| (&stream).write_all(&pg::hello()));
     ready.map_err(|_| Ending::DialBroken)?;
-    let mut inbox = Inbox { buf: Vec::new(), at: 0 };
+    let mut inbox = Inbox::new(f64::INFINITY);
     let mut seen = None;
     loop {
         let heard = inbox.frame(&stream, clock, until, |tag, body| {
@@ -144,9 +160,15 @@
 
 /// Does the jobs of one connection until it ends or nobody can hand it a job any more. `done` is told of each
 /// outcome and whether the connection can go on.
-pub fn work(socket: &Socket, clock: &Clock, jobs: &Receiver<Job>, mut done: impl FnMut(Job, Outcome, bool)) {
+pub fn work(
+    socket: &Socket,
+    clock: &Clock,
+    limit: f64,
+    jobs: &Receiver<Job>,
+    mut done: impl FnMut(Job, Outcome, bool),
+) {
     for job in jobs {
-        let (outcome, goes_on) = exchange(socket, clock, &job);
+        let (outcome, goes_on) = exchange(socket, clock, limit, &job);
         if !goes_on {
             // Before anybody hears of it: on an open connection this execution would still be out beside the
             // next.
@@ -159,13 +181,18 @@
     }
 }
 
-/// Writes one statement and reads its answer; nothing is ever written twice.
-fn exchange(socket: &Socket, clock: &Clock, job: &Job) -> (Outcome, bool) {
+/// Writes one statement and reads its answer; nothing is ever written twice. An answer that has begun has
+/// `limit` seconds to come whole.
+fn exchange(socket: &Socket, clock: &Clock, limit: f64, job: &Job) -> (Outcome, bool) {
     let withdrawn = || socket.withdrawn.load(SeqCst);
     let left = clock.until(job.until);
     if withdrawn() || left.is_zero() {
         return (Ending::WithdrawnUnsent.into(), !withdrawn());
     }
+    if !socket.quiet() {
+        // What came behind the last answer would be taken for this one's.
+        return (Ending::IdleEnded.into(), false);
+    }
     let message = match &job.errand {
         Errand::Statement { parcel, .. } => parcel.message(left.as_secs_f64()),
         Errand::Probe => {
@@ -182,7 +209,7 @@
         let ending = if withdrawn() { Ending::WithdrawnUnsent } else { Ending::BrokenUnwritten };
         return (ending.into(), false);
     }
-    let mut inbox = Inbox { buf: Vec::new(), at: 0 };
+    let mut inbox = Inbox::new(limit);
     let mut answer = pg::Answer::default();
     let mut ready = false;
     let heard = loop {
@@ -194,16 +221,21 @@
             break heard;
         }
     };
-    // An answer that came whole counts, even where the connection ends or falls silent right behind it.
+    // An answer that came whole counts, even where the connection ends right behind it; not where nonsense
+    // stands in its midst, for then nothing of it is sure.
     let ending = match (&answer.stage, heard) {
+        _ if withdrawn() && !ready => Ending::Withdrawn,
+        (_, Heard::Nonsense) => Ending::Garbled,
         (Stage::Whole, _) => Ending::Completed,
         (Stage::Failed(code), _) => Ending::of_sqlstate(code),
-        _ if withdrawn() => Ending::Withdrawn,
         (_, Heard::Ended) => Ending::Broken,
         (_, Heard::TimedOut) => Ending::TimedOut,
-        (_, Heard::Frame | Heard::Nonsense) => Ending::Garbled,
+        (_, Heard::Frame) => Ending::Garbled,
+    };
+    let mut note = match ending.verdict() {
+        Verdict::Spoilt => Note::default(),
+        _ => Note { position: answer.position, primary: answer.primary },
     };
-    let mut note = Note { position: answer.position, primary: answer.primary };
     if matches!(job.errand, Errand::Probe) && ending == Ending::Completed {
         report(answer.text(), &mut note);
     }
--- a/crates/sandstile-router/src/peer.rs
+++ b/crates/sandstile-router/src/peer.rs
@@ -55,7 +55,8 @@
     pub log: Logger,
     pub causes: Arc<Causes>,
     pub desk: Sender<desk::Mail>,
-    /// Seconds for a connection to come up.
+    /// Seconds for a connection to come up, or for an answer that has begun to come whole: what the network of
+    /// this deployment needs at most.
     pub dial_limit: f64,
     /// Seconds after which a database host closes an idle connection.
     pub idle_close: f64,
@@ -282,6 +283,10 @@
         if link.address_no != self.address_no {
             return self.common.counters.ended(Ending::Moved);
         }
+        if !link.socket.quiet() {
+            // More than the answer came; what waits has dials of its own.
+            return self.common.counters.ended(Ending::IdleEnded);
+        }
         if let Some((_, job)) = self.waiting.pop_front() {
             return self.hand(id, link, job);
         }
@@ -349,7 +354,7 @@
     };
     let (hand, jobs) = bounded(1);
     let _ = own.send(Mail::Up(id, socket.clone(), hand));
-    link::work(&socket, &common.clock, &jobs, |job, outcome, goes_on| {
+    link::work(&socket, &common.clock, common.dial_limit, &jobs, |job, outcome, goes_on| {
         // The peer first: a further statement for this host is to find the link free.
         let _ = own.send(Mail::Done(id, goes_on));
         report(&common, host, job, outcome);
--- a/crates/sandstile-router/src/pg.rs
+++ b/crates/sandstile-router/src/pg.rs
@@ -3,6 +3,10 @@
 
 /// A value of 64 KiB as hexadecimal digits in a query, its statement and comment beside it.
 pub const MOST_FRAME: usize = 2 * 64 * 1024 + 16 * 1024;
+/// No value is longer.
+const MOST_VALUE: usize = 64 * 1024;
+/// Names, texts and codes beside the values.
+const MOST_WORDS: usize = 8 * 1024;
 /// A startup message holds a few short names; PostgreSQL itself takes no longer ones.
 pub const MOST_STARTUP: usize = 10_000;
 
@@ -57,6 +61,28 @@
     Ok((buf.len() >= end).then_some((buf[0], 5..end)))
 }
 
+/// Whether a database host can have begun a frame like this. Guards against waiting for the rest of what never
+/// was a frame: noise whose length happens to be small, or a row longer or shorter than its value.
+pub fn plausible(buf: &[u8]) -> Result<(), BadFrame> {
+    let Some(tag) = buf.first() else { return Ok(()) };
+    let most = match tag {
+        b'D' => 4 + 6 + MOST_VALUE,
+        b'T' | b'C' | b'S' | b'E' | b'N' | b'A' | b'R' => MOST_WORDS,
+        b'K' => 12,
+        b'Z' => 5,
+        _ => return Err(BadFrame("unknown message")),
+    };
+    let fits = |n: &usize| (4..=most).contains(n);
+    let Some(length) = buf.get(1..5).map(be32) else { return Ok(()) };
+    let length = usize::try_from(length).ok().filter(fits).ok_or(BadFrame("frame length"))?;
+    let row = buf.get(5..11).filter(|_| *tag == b'D');
+    if row.is_some_and(|r| r[..2] != [0, 1] || usize::try_from(be32(&r[2..])) != Ok(length.wrapping_sub(10)))
+    {
+        return Err(BadFrame("row"));
+    }
+    Ok(())
+}
+
 /// A frame of one tag round its body.
 pub fn put(out: &mut Vec<u8>, tag: u8, parts: &[&[u8]]) {
     let length = 4 + parts.iter().map(|p| p.len()).sum::<usize>();
--- a/crates/sandstile-router/src/router.rs
+++ b/crates/sandstile-router/src/router.rs
@@ -10,7 +10,7 @@
 use crate::peer::{Common, Peers};
 use crate::pg;
 use crate::signals::Wish;
-use crossbeam_channel::{bounded, unbounded, Receiver};
+use crossbeam_channel::{unbounded, Receiver};
 use sandstile_policy::policy::Instance;
 use slog::{info, warn, Logger};
 use std::collections::BTreeSet;
@@ -35,10 +35,10 @@
 ) -> Result<(), String> {
     let clock = Clock::anchor();
     let most = launch.sockets.saturating_sub(OWN_DESCRIPTORS).max(4);
-    // A statement holds two descriptors, its client's and its link's; and a hostile client can make its
-    // connection hold two frames of the longest, for which three quarters of the memory must have room.
-    let most_clients = (most / 2).min(launch.memory / 4 * 3 / (2 * pg::MOST_FRAME)).max(2);
-    let budget = Budget::new(most, most_clients);
+    // A statement holds two descriptors, its client's and its link's. Two frames of the longest are held for a
+    // long command, as it came and as it goes on; half of the memory is for those.
+    let most_clients = (most / 2).max(2);
+    let budget = Budget::new(most, most_clients, (launch.memory / 2 / (2 * pg::MOST_FRAME)).max(1));
     let listener =
         TcpListener::bind(launch.listen).map_err(|e| format!("listen on {}: {e}", launch.listen))?;
     let (desk, mailbox) = unbounded();
@@ -52,7 +52,6 @@
         dial_limit: launch.dial_limit,
         idle_close: launch.terms.idle_close,
     };
-    let longest = launch.terms.workloads.iter().map(|w| w.timeout).fold(1.0, f64::max);
     let agent = Agent::at(launch.discovery);
     let watcher = Watcher {
         agent: agent.clone(),
@@ -70,7 +69,6 @@
     };
     spawn("desk", Box::new(move || actor.run(mailbox)))?;
     spawn("discovery", Box::new(move || watcher.run()))?;
-    let (stay, quit) = bounded(0);
     let front = Arc::new(Front {
         desk,
         workloads: launch.workloads,
@@ -79,8 +77,6 @@
         counters,
         log: log.clone(),
         next: AtomicU64::new(0),
-        quit,
-        write_limit: Duration::from_secs_f64(longest),
     });
     let door = Door::open(listener, front).map_err(|e| format!("listen: {e}"))?;
     info!(log, "serving"; "name" => launch.name, "listen" => %launch.listen, "clients" => most_clients,
@@ -104,7 +100,7 @@
         }
     }
     door.close();
-    drop(stay);
+    budget.dismiss_clients();
     budget.wait_for_no_clients();
     info!(log, "all answered");
     Ok(())
--- a/crates/sandstile-router/src/statement.rs
+++ b/crates/sandstile-router/src/statement.rs
@@ -9,6 +9,7 @@
     query: Vec<u8>,
     /// Where the digits of `d` stand in `query`.
     wait_at: Range<usize>,
+    pub id: String,
     pub workload: usize,
     pub group: String,
     /// The session's name, where the workload has sessions.
@@ -24,6 +25,7 @@
 pub enum Wrong {
     NoComment,
     Comment,
+    Id,
     Workload,
     Wait,
     Group,
@@ -35,6 +37,7 @@
         match self {
             Wrong::NoComment => "the statement begins with no comment",
             Wrong::Comment => "unreadable comment",
+            Wrong::Id => "missing or unusable id",
             Wrong::Workload => "unknown workload in c",
             Wrong::Wait => "missing or unreadable d",
             Wrong::Group => "missing cluster",
@@ -50,7 +53,9 @@
 }
 
 /// A day: no client waits so long, and more would overflow the platform's timers.
-const LONGEST_MS: f64 = 86_400_000.0;
+const LONGEST_MS: u64 = 86_400_000;
+/// Clients name statements in 16 digits; ids are kept while their statements are open.
+const LONGEST_ID: usize = 64;
 
 /// `query` is the text of a Query message without its closing zero.
 pub fn read(query: Vec<u8>, workloads: &[Workload]) -> Result<Statement, Wrong> {
@@ -61,31 +66,38 @@
     let (pairs, rest) = fields(&query, start + 2)?;
     let find = |name: &str| pairs.iter().find(|(n, _)| n == name).map(|(_, at)| at.clone());
     let text = |at: Range<usize>| std::str::from_utf8(&query[at]).unwrap_or("");
+    let id = find("id").map(text).filter(|id| (1..=LONGEST_ID).contains(&id.len())).ok_or(Wrong::Id)?;
     let class = find("c").map(text).ok_or(Wrong::Workload)?;
     let workload = workloads.iter().position(|w| w.name == class).ok_or(Wrong::Workload)?;
     let wait_at = find("d").ok_or(Wrong::Wait)?;
-    let wait = text(wait_at.clone()).parse::<f64>().ok().filter(|ms| *ms > 0.0 && *ms <= LONGEST_MS);
+    let wait = whole_ms(text(wait_at.clone())).filter(|ms| (1..=LONGEST_MS).contains(ms));
     let group = find("cluster").map(text).filter(|g| !g.is_empty()).ok_or(Wrong::Group)?;
     let after = match find("after").map(text) {
         None => None,
-        Some(ms) => Some(ms.parse::<f64>().ok().filter(|ms| ms.is_finite()).ok_or(Wrong::After)?),
+        Some(ms) => Some(whole_ms(ms).ok_or(Wrong::After)?),
     };
     let session = workloads[workload].sessions.then(|| quoted(&query[rest..])).flatten();
     let session = session.map(|name| String::from_utf8_lossy(name).into_owned());
     let retry = find("r").is_some_and(|at| text(at) == "1");
-    let group = group.to_string();
+    let (id, group) = (id.to_string(), group.to_string());
     Ok(Statement {
+        id,
         workload,
         group,
         session,
-        wait: wait.ok_or(Wrong::Wait)? / 1000.0,
-        after: after.filter(|ms| *ms > 0.0).map(|ms| ms / 1000.0),
+        wait: wait.ok_or(Wrong::Wait)? as f64 / 1000.0,
+        after: after.filter(|ms| *ms > 0).map(|ms| ms as f64 / 1000.0),
         retry,
         query,
         wait_at,
     })
 }
 
+/// Times are written in digits alone; a host would not read another number the way this router might.
+fn whole_ms(text: &str) -> Option<u64> {
+    text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse().ok()).flatten()
+}
+
 type Pairs = Vec<(String, Range<usize>)>;
 
 /// Names and the places of their values up to the comment's end, and the place behind it.
--- a/crates/sandstile-router/tests/codecs.rs
+++ b/crates/sandstile-router/tests/codecs.rs
@@ -87,10 +87,11 @@
     }
     holds(passes as fn(Vec<u8>, u16, u16, Vec<u8>, bool) -> bool);
     let wrong = |text: &str| statement::read(text.as_bytes().to_vec(), &workloads()).err();
-    assert_eq!(wrong("/* c=look,d=5 */ SELECT 1"), Some(Wrong::Group));
-    assert_eq!(wrong("/* c=look,d=-5,cluster=3 */ SELECT 1"), Some(Wrong::Wait));
-    assert_eq!(wrong("/* c=look,d=5,cluster=3,after=x */ SELECT 1"), Some(Wrong::After));
+    assert_eq!(wrong("/* id=1,c=look,d=5 */ SELECT 1"), Some(Wrong::Group));
+    assert_eq!(wrong("/* id=1,c=look,d=-5,cluster=3 */ SELECT 1"), Some(Wrong::Wait));
+    assert_eq!(wrong("/* id=1,c=look,d=5,cluster=3,after=x */ SELECT 1"), Some(Wrong::After));
     assert_eq!(wrong("/* c,d=5,cluster=3 */ SELECT 1"), Some(Wrong::Comment));
+    assert_eq!(wrong("/* c=look,d=5,cluster=3 */ SELECT 1"), Some(Wrong::Id));
     assert_eq!(wrong(""), Some(Wrong::NoComment));
 }
 
@@ -121,7 +122,7 @@
     let never_ran = |e: &Ending| {
         matches!(e.verdict(), Verdict::Full | Verdict::ConnectFailed | Verdict::Moot | Verdict::Miss)
     };
-    let written = [Completed, Failed, Broken, Garbled, TimedOut, Withdrawn];
+    let written = [Completed, Failed, Broken, Garbled, Unreadable, TimedOut, Withdrawn];
     assert!(ALL.iter().all(|e| never_ran(e) != written.contains(e)));
     assert!(ALL.iter().enumerate().all(|(i, e)| *e as usize == i), "counters are kept by this order");
     assert_eq!([Ending::of_sqlstate("25006"), Ending::of_sqlstate("72000")], [Missed, Missed]);
--- a/crates/sandstile-router/tests/program.rs
+++ b/crates/sandstile-router/tests/program.rs
@@ -3,6 +3,7 @@
 
 use sandstile_router::pg;
 use stand_ins::*;
+use std::io::Write;
 use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::Ordering::SeqCst;
 use std::thread;
@@ -32,7 +33,8 @@
     assert_eq!(byte[0], b'N');
     // The startup with the first query right behind it, split in an odd place.
     let mut bytes = pg::hello();
-    bytes.extend_from_slice(&query(&read(800)));
+    let asked = read(800);
+    bytes.extend_from_slice(&query(&asked));
     client.send(&bytes[..37]);
     client.send(&bytes[37..]);
     assert!(client.answer().ready);
@@ -42,7 +44,7 @@
     let (before, rest) = passed.split_once(",d=").expect("a d");
     let (d, after) = rest.split_once(',').expect("more fields");
     assert!((700..=800).contains(&d.parse::<u32>().expect("a number")), "{d}");
-    assert_eq!(format!("{before},d=800,{after}"), format!("{}\0", read(800)));
+    assert_eq!(format!("{before},d=800,{after}"), format!("{asked}\0"));
     assert!(client.ask(" ; ").empty);
     assert_eq!(value(&client.ask(&write(800))), b"primary");
     assert_eq!(value(&client.ask(&read(800))), b"replica");
@@ -98,6 +100,57 @@
     }
 }
 
+/// Spoilt answers end their link at once, cost a read one more execution, and rest no host.
+#[test]
+fn spoilt_answers_are_told_early_teach_nothing_and_are_never_passed_on() {
+    let row = |value: &[u8], length: u32| {
+        let mut out = Vec::new();
+        pg::put(&mut out, b'T', &[b"\0\x01payload\0", &[0; 18]]);
+        let body = [&[0, 1][..], &(value.len() as u32).to_be_bytes(), value].concat();
+        out.extend_from_slice(&[&[b'D'][..], &length.to_be_bytes(), &body].concat());
+        out
+    };
+    let spoilt: [&'static [u8]; 6] = [
+        b"no frame at all",
+        b"G\0\0\x10\0",
+        // A value said to have 3 GB, a row longer than its value, and one that stops in the middle.
+        b"D\xb2\xd0\x5e\x0a\0\x01\xb2\xd0\x5e\0value",
+        row(b"value", 500).leak(),
+        &row(b"value", 15).leak()[..40],
+        // What it tells of its host stands in a spoilt answer: nobody is to believe it.
+        [row(b"value", 15), b"S\0\0\0\x14mode\0read-write\0Z\0\0\0\xffI".to_vec()].concat().leak(),
+    ];
+    let acts: Vec<Act> = spoilt.iter().map(|bytes| Act::Say(bytes)).collect();
+    let (primary, replica) = (Host::start(true), Host::scripted(false, &acts));
+    let router = Router::before(&primary, &[&replica]);
+    let mut client = router.client();
+    let started = Instant::now();
+    for n in 1..=spoilt.len() {
+        assert_eq!(value(&client.ask(&read(1800))), b"primary");
+        // The replica has its next turn all the same.
+        assert_eq!(replica.count(), n);
+    }
+    assert!(started.elapsed() < Duration::from_millis(900), "{:?}", started.elapsed());
+    assert_eq!(value(&client.ask(&read(800))), b"replica");
+    assert_eq!(value(&client.ask(&write(800))), b"primary");
+    let (ok, log) = router.end();
+    assert!(ok && count(&log, "Garbled") == 6 && !log.contains("primary is now host 1"), "{log}");
+}
+
+/// What stands behind a good answer ends the link, and is never taken for the next statement's answer.
+#[test]
+fn more_than_the_answer_ends_the_link_and_not_the_answer() {
+    let primary = Host::scripted(true, &[Act::Twice(b"mine"), Act::Slow(30, b"next"), Act::Twice(b"third")]);
+    let router = Router::before(&primary, &[]);
+    let mut client = router.client();
+    assert_eq!(value(&client.ask(&write(800))), b"mine");
+    assert_eq!(value(&client.ask(&write(800))), b"next");
+    assert_eq!(value(&client.ask(&write(800))), b"third");
+    assert_eq!(value(&client.ask(&write(800))), b"primary");
+    let (ok, log) = router.end();
+    assert!(ok && count(&log, "dialled") == 3 && count(&log, "Completed") == 4, "{log}");
+}
+
 /// Nothing was written where a dial fails: the client may try again, and is told when.
 #[test]
 fn a_write_that_never_ran_is_rejected_with_a_time_to_return() {
@@ -181,11 +234,15 @@
     let bad: Vec<Vec<u8>> = vec![
         q("SELECT 1"),
         q("/* c=look,d=500,cluster=3"),
-        q("/* c=nothing,d=500,cluster=3 */ SELECT 'k'"),
-        q("/* c=look,cluster=3 */ SELECT 'k'"),
-        q("/* c=look,d=abc,cluster=3 */ SELECT 'k'"),
-        q("/* c=look,d=1e300,cluster=3 */ SELECT 'k'"),
-        q("/* c=look,d=500 */ SELECT 'k'"),
+        q("/* id=1,c=nothing,d=500,cluster=3 */ SELECT 'k'"),
+        q("/* id=1,c=look,cluster=3 */ SELECT 'k'"),
+        q("/* id=1,c=look,d=abc,cluster=3 */ SELECT 'k'"),
+        q("/* id=1,c=look,d=5e2,cluster=3 */ SELECT 'k'"),
+        q("/* id=1,c=look,d=-500,cluster=3 */ SELECT 'k'"),
+        q("/* id=1,c=look,d=500 */ SELECT 'k'"),
+        q("/* c=look,d=500,cluster=3 */ SELECT 'k'"),
+        q("/* id=,c=look,d=500,cluster=3 */ SELECT 'k'"),
+        q(&format!("/* id={},c=look,d=500,cluster=3 */ SELECT 'k'", "9".repeat(65))),
         q(&(read(500) + "\0 more")),
         b"Q\xff\xff\xff\xff".to_vec(),
         b"Q\x7f\xff\xff\xff".to_vec(),
@@ -203,13 +260,47 @@
     let mut no_startup = Client::connect(router.address);
     no_startup.send(b"GET / HTTP/1.1\r\n\r\n");
     assert_eq!(no_startup.answer().code.as_deref(), Some("08P01"));
+    // The id of another client's open statement: that one is answered, the copy never goes on.
+    primary.script.lock().expect("script").acts.push_back(Act::Slow(200, b"first"));
+    let (mut first, asked) = (router.client(), write(800));
+    first.send(&query(&asked));
+    wait_for("the write", || primary.count() == 1);
+    let got = router.client().ask(&asked);
+    assert!(got.code.as_deref() == Some("42710") && !got.ready, "{got:?}");
+    assert_eq!(value(&first.answer()), b"first");
     // A cluster that no list names can't be served, now; trying again is harmless.
     let unknown = read(60).replace("cluster=3", "cluster=99");
     assert_eq!(router.client().ask(&unknown).code.as_deref(), Some("53300"));
     assert_eq!(value(&router.client().ask(&write(800))), b"primary");
-    assert_eq!(primary.count(), 1);
+    assert_eq!(primary.count(), 2);
+    let (ok, log) = router.end();
+    assert!(ok && count(&log, "bad_input") == bad.len() as u64 + 2, "{log}");
+}
+
+/// Who says nothing, stops in the middle or drips is turned away in the page's time; who asked may rest as long.
+#[test]
+fn connections_without_an_open_statement_end_in_the_pages_time() {
+    let router = Router::before(&Host::start(true), &[]);
+    let started = Instant::now();
+    let mut silent = Client::connect(router.address);
+    let (mut greeted, mut half, mut dripping, mut asked) =
+        (router.client(), router.client(), Client::connect(router.address), router.client());
+    half.send(&query(&write(800))[..30]);
+    assert_eq!(value(&asked.ask(&write(800))), b"primary");
+    let drip = thread::spawn(move || {
+        while dripping.stream.write_all(b"\0").is_ok() && started.elapsed() < Duration::from_secs(8) {
+            thread::sleep(Duration::from_millis(100));
+        }
+        started.elapsed()
+    });
+    assert_eq!(half.answer().code.as_deref(), Some("08P01"));
+    for client in [&mut silent, &mut greeted, &mut asked] {
+        assert_eq!(client.answer(), Got::default());
+    }
+    assert!((1.9..3.0).contains(&started.elapsed().as_secs_f64()), "{:?}", started.elapsed());
+    assert!(drip.join().expect("a client") < Duration::from_secs(3));
     let (ok, log) = router.end();
-    assert!(ok && count(&log, "bad_input") == bad.len() as u64 + 1, "{log}");
+    assert!(ok && count(&log, "rested") == 3, "{log}");
 }
 
 #[test]
@@ -333,6 +424,18 @@
     assert!(hosts.iter().all(asked));
 }
 
+/// Database hosts turn away what they can't read: that is the client's doing, and rests no host.
+#[test]
+fn a_statement_that_a_host_cannot_read_is_no_fault_of_the_host() {
+    let primary = Host::scripted(true, &[Act::Fail("08P01")]);
+    let router = Router::before(&primary, &[]);
+    let mut client = router.client();
+    assert!(client.ask(&write(800)).code.is_some());
+    let started = Instant::now();
+    assert_eq!(value(&client.ask(&write(800))), b"primary");
+    assert!(started.elapsed() < Duration::from_millis(200), "{:?}", started.elapsed());
+}
+
 /// A statement that waits for a dial goes by whichever link is free first.
 #[test]
 fn a_dial_that_never_comes_up_costs_nothing_where_another_link_comes_free() {
--- a/crates/sandstile-router/tests/stand_ins/mod.rs
+++ b/crates/sandstile-router/tests/stand_ins/mod.rs
@@ -36,6 +36,8 @@
     Cut(usize),
     /// A row, then the end of the connection.
     RowThenEnd(&'static [u8]),
+    /// A row, and the same once more behind it.
+    Twice(&'static [u8]),
     Say(&'static [u8]),
     Silent,
 }
@@ -147,6 +149,10 @@
             let act = script.lock().expect("script").acts.pop_front();
             match act.unwrap_or(Act::Row(if primary { b"primary" } else { b"replica" })) {
                 Act::Row(value) => row(value, primary, &mut out),
+                Act::Twice(value) => {
+                    row(value, primary, &mut out);
+                    row(value, primary, &mut out);
+                }
                 Act::Slow(ms, value) => {
                     thread::sleep(Duration::from_millis(ms));
                     row(value, primary, &mut out);
@@ -257,7 +263,7 @@
 
 impl Router {
     pub fn command(config: &str) -> (Command, SocketAddr, PathBuf) {
-        let (pid, n) = (std::process::id(), NEXT.fetch_add(1, SeqCst));
+        let (pid, n) = (std::process::id(), fresh());
         let path = std::env::temp_dir().join(format!("sandstile-{pid}-{n}.json"));
         fs::write(&path, config).expect("a place for files");
         // An address of its own: a port that was free a moment ago may be some connection's own by now.
@@ -420,10 +426,15 @@
     out
 }
 
+/// Each statement has an id of its own, as clients give.
+fn fresh() -> usize {
+    NEXT.fetch_add(1, SeqCst)
+}
+
 pub fn read(d: u32) -> String {
-    format!("/* id=9b1f,c=look,d={d},cluster=3 */ SELECT payload FROM entries WHERE ref = 'k1'")
+    format!("/* id=9b1f{},c=look,d={d},cluster=3 */ SELECT payload FROM entries WHERE ref = 'k1'", fresh())
 }
 
 pub fn write(d: u32) -> String {
-    format!("/* id=9b20,c=book,d={d},cluster=3 */ INSERT INTO entries (ref, payload) VALUES ('k1', '\\x9f') RETURNING payload")
+    format!("/* id=9b20{},c=book,d={d},cluster=3 */ INSERT INTO entries (ref, payload) VALUES ('k1', '\\x9f') RETURNING payload", fresh())
 }
