Mailboxes whose reader sleeps at once, in place of a receive that spins and yields

On a core of its own a hand-over costs 3 us, so the hops themselves are not it; the limit is kept by stopping the process, which wakes each thread, so it feeds itself. At fault: each blocking recv of desk, peer, link and client (crossbeam spins 127 pauses and yields four times first).

--- a/crates/sandstile-router/src/client.rs
+++ b/crates/sandstile-router/src/client.rs
@@ -5,10 +5,11 @@
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::desk::{Answer, Asked, Mail, Reply};
+use crate::mailbox::{slot, Post};
 use crate::peer::STACK;
 use crate::pg::{self, Startup};
 use crate::statement::{self, Statement, Workload};
-use crossbeam_channel::{bounded, RecvTimeoutError, Sender};
+use crossbeam_channel::RecvTimeoutError;
 use slog::{debug, Logger};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpStream};
@@ -19,7 +20,7 @@
 
 /// What all clients share.
 pub struct Front {
-    pub desk: Sender<Mail>,
+    pub desk: Post<Mail>,
     pub workloads: Vec<Workload>,
     pub clock: Clock,
     pub budget: Arc<Budget>,
@@ -211,7 +212,7 @@
 
     /// Puts a statement before the desk and waits for its one answer; `None` once the client has left.
     fn ask(&mut self, statement: Statement, until: f64) -> Option<Answer> {
-        let (reply, answers) = bounded(1);
+        let (reply, answers) = slot();
         let stmt = self.front.next.fetch_add(1, Relaxed);
         let asked = Asked {
             stmt,
@@ -225,13 +226,13 @@
             parcel: Arc::new(statement),
             reply: Reply(reply),
         };
-        self.front.desk.send(Mail::Asked(asked)).ok()?;
+        self.front.desk.send(Mail::Asked(asked));
         loop {
-            match answers.recv_timeout(LOOK) {
+            match answers.recv(Some(LOOK)) {
                 Ok(answer) => return Some(answer),
                 Err(RecvTimeoutError::Disconnected) => return None,
                 Err(RecvTimeoutError::Timeout) if self.left() => {
-                    let _ = self.front.desk.send(Mail::ClientGone(stmt));
+                    self.front.desk.send(Mail::ClientGone(stmt));
                     return None;
                 }
                 Err(RecvTimeoutError::Timeout) => {}
--- a/crates/sandstile-router/src/desk.rs
+++ b/crates/sandstile-router/src/desk.rs
@@ -5,8 +5,9 @@
 use crate::counters::Counters;
 use crate::discovery::Update;
 use crate::ending::{Ending, Outcome};
+use crate::mailbox::{Mailbox, Post};
 use crate::peer::{Errand, Job, Peers};
-use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
+use crossbeam_channel::RecvTimeoutError;
 use sandstile_intake::list::List;
 use sandstile_intake::names::Names;
 use sandstile_policy::policy::Instance;
@@ -33,11 +34,11 @@
 }
 
 /// Takes the one final answer. A client that has left no longer reads it.
-pub struct Reply(pub Sender<Answer>);
+pub struct Reply(pub Post<Answer>);
 
 impl Reply {
     fn give(self, answer: Answer) {
-        let _ = self.0.try_send(answer);
+        self.0.send(answer);
     }
 }
 
@@ -120,19 +121,15 @@
     }
 
     /// Runs until nobody can write to it any more.
-    pub fn run(mut self, mailbox: Receiver<Mail>) {
+    pub fn run(mut self, mailbox: Mailbox<Mail>) {
         loop {
             let sleep = self.policy.wake_at().map(|at| self.clock.until(at).max(SHORTEST_SLEEP));
-            let first = match sleep {
-                Some(sleep) => mailbox.recv_timeout(sleep),
-                None => mailbox.recv().map_err(RecvTimeoutError::from),
-            };
-            match first {
+            match mailbox.recv(sleep) {
                 Ok(mail) => self.take(mail),
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
-            while let Ok(mail) = mailbox.try_recv() {
+            while let Some(mail) = mailbox.try_recv() {
                 self.take(mail);
             }
             self.decide();
--- a/crates/sandstile-router/src/discovery.rs
+++ b/crates/sandstile-router/src/discovery.rs
@@ -2,8 +2,8 @@
 //! list stands and the watch is opened again from where it was.
 use crate::counters::Counters;
 use crate::desk::Mail;
+use crate::mailbox::Post;
 use crate::pg;
-use crossbeam_channel::Sender;
 use sandstile_intake::list::{readiness, Entry};
 use sandstile_policy::terms::Readiness;
 use serde_json::Value;
@@ -106,7 +106,7 @@
 pub struct Watcher {
     pub agent: Arc<Agent>,
     pub index: u64,
-    pub desk: Sender<Mail>,
+    pub desk: Post<Mail>,
     pub counters: Arc<Counters>,
     pub log: Logger,
     pub told: BTreeSet<String>,
@@ -220,7 +220,8 @@
             info!(self.log, "listed as {:?}", entry.readiness; "host" => &entry.host, "since" => entry.since);
         }
         self.index = update.index;
-        self.desk.send(Mail::Listed(update)).map_err(|_| "the desk has gone".to_string())
+        self.desk.send(Mail::Listed(update));
+        Ok(())
     }
 }
 
--- a/crates/sandstile-router/src/lib.rs
+++ b/crates/sandstile-router/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod launch;
 pub mod link;
 pub mod listen;
+pub mod mailbox;
 pub mod peer;
 pub mod pg;
 pub mod router;
--- a/crates/sandstile-router/src/link.rs
+++ b/crates/sandstile-router/src/link.rs
@@ -3,9 +3,9 @@
 use crate::budget::{Budget, Holder, Slot};
 use crate::clock::Clock;
 use crate::ending::{Ending, Outcome};
+use crate::mailbox::Mailbox;
 use crate::peer::{Errand, Job};
 use crate::pg::{self, Stage};
-use crossbeam_channel::Receiver;
 use sandstile_policy::terms::{Note, Verdict};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
@@ -164,10 +164,10 @@
     socket: &Socket,
     clock: &Clock,
     limit: f64,
-    jobs: &Receiver<Job>,
+    jobs: &Mailbox<Job>,
     mut done: impl FnMut(Job, Outcome, bool),
 ) {
-    for job in jobs {
+    while let Ok(job) = jobs.recv(None) {
         let (outcome, goes_on) = exchange(socket, clock, limit, &job);
         if !goes_on {
             // Before anybody hears of it: on an open connection this execution would still be out beside the
--- a/crates/sandstile-router/src/peer.rs
+++ b/crates/sandstile-router/src/peer.rs
@@ -6,7 +6,8 @@
 use crate::desk::{self, Parcel};
 use crate::ending::{Ending, Outcome};
 use crate::link::{self, Socket};
-use crossbeam_channel::{bounded, unbounded, Receiver, RecvTimeoutError, Sender};
+use crate::mailbox::{mailbox, slot, Mailbox, Post};
+use crossbeam_channel::RecvTimeoutError;
 use slog::{debug, info, o, Logger};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -39,7 +40,7 @@
     Do(Job),
     Recall(u64, usize),
     Address(SocketAddr),
-    Up(u64, Arc<Socket>, Sender<Job>),
+    Up(u64, Arc<Socket>, Post<Job>),
     DialEnded(u64, Ending),
     /// A link's job is done; whether the link can take another.
     Done(u64, bool),
@@ -54,7 +55,7 @@
     pub counters: Arc<Counters>,
     pub log: Logger,
     pub causes: Arc<Causes>,
-    pub desk: Sender<desk::Mail>,
+    pub desk: Post<desk::Mail>,
     /// Seconds for a connection to come up, or for an answer that has begun to come whole: what the network of
     /// this deployment needs at most.
     pub dial_limit: f64,
@@ -90,7 +91,7 @@
 /// The desk's side: a mailbox for each database host.
 pub struct Peers {
     common: Common,
-    mailboxes: Vec<Option<(Sender<Mail>, Option<SocketAddr>)>>,
+    mailboxes: Vec<Option<(Post<Mail>, Option<SocketAddr>)>>,
 }
 
 impl Peers {
@@ -111,14 +112,14 @@
         // An entry that has left may come without an address; the last one stands.
         if let Some(address) = address.filter(|a| *known != Some(*a)) {
             *known = Some(address);
-            let _ = mailbox.send(Mail::Address(address));
+            mailbox.send(Mail::Address(address));
         }
     }
 
     fn tell(&self, host: usize, mail: Mail) {
         let mailbox = self.mailboxes.get(host).and_then(Option::as_ref);
         // A peer's actor ends with the process only; the decisions name no host that no list has named.
-        mailbox.expect("a peer for each host").0.send(mail).expect("a living peer");
+        assert!(mailbox.expect("a peer for each host").0.send(mail), "a living peer");
     }
 
     pub fn send(&self, host: usize, job: Job) {
@@ -138,7 +139,7 @@
 
 struct Link {
     socket: Arc<Socket>,
-    jobs: Sender<Job>,
+    jobs: Post<Job>,
     /// Counts the addresses: a link of an earlier one is not used again.
     address_no: u64,
 }
@@ -153,7 +154,7 @@
 struct Peer {
     host: usize,
     common: Common,
-    own: Sender<Mail>,
+    own: Post<Mail>,
     address: Option<SocketAddr>,
     address_no: u64,
     /// Last used last.
@@ -167,8 +168,8 @@
 }
 
 impl Peer {
-    fn start(host: usize, name: &str, common: Common) -> Sender<Mail> {
-        let (own, mailbox) = unbounded();
+    fn start(host: usize, name: &str, common: Common) -> Post<Mail> {
+        let (own, mailbox) = mailbox();
         let log = common.log.new(o!("host" => name.to_string()));
         let peer = Peer {
             host,
@@ -192,14 +193,10 @@
         self.common.idle_close * 0.75
     }
 
-    fn run(mut self, mailbox: Receiver<Mail>) {
+    fn run(mut self, mailbox: Mailbox<Mail>) {
         loop {
             let oldest = self.idle.first().map(|r| self.common.clock.until(r.since + self.rest_limit()));
-            let mail = match oldest {
-                Some(wait) => mailbox.recv_timeout(wait.max(Duration::from_millis(1))),
-                None => mailbox.recv().map_err(RecvTimeoutError::from),
-            };
-            match mail {
+            match mailbox.recv(oldest.map(|wait| wait.max(Duration::from_millis(1)))) {
                 Ok(mail) => self.take(mail),
                 Err(RecvTimeoutError::Timeout) => self.expire(),
                 Err(RecvTimeoutError::Disconnected) => return,
@@ -292,7 +289,7 @@
         }
         let own = self.own.clone();
         let idle = self.common.budget.idle(Holder::Link, move || {
-            let _ = own.send(Mail::Evict(id));
+            own.send(Mail::Evict(id));
         });
         self.idle.push(Resting { id, link, since: self.common.clock.now(), _idle: idle });
     }
@@ -301,11 +298,10 @@
         if matches!(job.errand, Errand::Statement { .. }) {
             self.common.counters.sent.add();
         }
-        match link.jobs.try_send(job.clone()) {
-            Ok(()) => {
-                self.busy.insert(id, (link, job));
-            }
-            Err(_) => self.report(job, Ending::IdleEnded.into()),
+        if link.jobs.send(job.clone()) {
+            self.busy.insert(id, (link, job));
+        } else {
+            self.report(job, Ending::IdleEnded.into());
         }
     }
 
@@ -340,23 +336,23 @@
         Errand::Statement { stmt, execution, .. } => desk::Mail::Ended { stmt, execution, outcome },
         Errand::Probe => desk::Mail::Probed { host, outcome },
     };
-    let _ = common.desk.send(mail);
+    common.desk.send(mail);
 }
 
 /// The body of a link's thread.
-fn line(id: u64, host: usize, address: SocketAddr, common: Common, own: Sender<Mail>) {
+fn line(id: u64, host: usize, address: SocketAddr, common: Common, own: Post<Mail>) {
     let socket = match link::dial(address, common.dial_limit, &common.clock, &common.budget) {
         Ok(socket) => Arc::new(socket),
         Err(ending) => {
-            let _ = own.send(Mail::DialEnded(id, ending));
+            own.send(Mail::DialEnded(id, ending));
             return;
         }
     };
-    let (hand, jobs) = bounded(1);
-    let _ = own.send(Mail::Up(id, socket.clone(), hand));
+    let (hand, jobs) = slot();
+    own.send(Mail::Up(id, socket.clone(), hand));
     link::work(&socket, &common.clock, common.dial_limit, &jobs, |job, outcome, goes_on| {
         // The peer first: a further statement for this host is to find the link free.
-        let _ = own.send(Mail::Done(id, goes_on));
+        own.send(Mail::Done(id, goes_on));
         report(&common, host, job, outcome);
     });
 }
--- a/crates/sandstile-router/src/router.rs
+++ b/crates/sandstile-router/src/router.rs
@@ -7,10 +7,11 @@
 use crate::discovery::{Agent, Watcher};
 use crate::launch::Launch;
 use crate::listen::Door;
+use crate::mailbox::mailbox;
 use crate::peer::{Common, Peers};
 use crate::pg;
 use crate::signals::Wish;
-use crossbeam_channel::{unbounded, Receiver};
+use crossbeam_channel::Receiver;
 use sandstile_policy::policy::Instance;
 use slog::{info, warn, Logger};
 use std::collections::BTreeSet;
@@ -41,7 +42,7 @@
     let budget = Budget::new(most, most_clients, (launch.memory / 2 / (2 * pg::MOST_FRAME)).max(1));
     let listener =
         TcpListener::bind(launch.listen).map_err(|e| format!("listen on {}: {e}", launch.listen))?;
-    let (desk, mailbox) = unbounded();
+    let (desk, mailbox) = mailbox();
     let common = Common {
         clock,
         budget: budget.clone(),
@@ -63,7 +64,7 @@
     };
     let policy = Instance::new(&launch.terms, launch.seed, clock.now());
     let actor = Desk::new(policy, clock, counters.clone(), log.clone(), Peers::new(common));
-    desk.send(Mail::Listed(launch.known)).expect("the mailbox is here");
+    desk.send(Mail::Listed(launch.known));
     let spawn = |name: &str, body: Box<dyn FnOnce() + Send>| {
         thread::Builder::new().name(name.to_string()).spawn(body).map_err(|e| format!("thread {name}: {e}"))
     };
--- a/crates/sandstile-router/tests/codecs.rs
+++ b/crates/sandstile-router/tests/codecs.rs
@@ -1,12 +1,18 @@
 //! Random bytes and pieces through the codecs and the mapping of endings, each from a fixed seed.
+use crossbeam_channel::RecvTimeoutError;
 use quickcheck::{Gen, QuickCheck, Testable};
 use sandstile_intake::{facts, list, names::Names};
 use sandstile_policy::terms::{Readiness, Verdict};
 use sandstile_router::desk::Parcel;
 use sandstile_router::discovery::{Chunks, Update};
 use sandstile_router::ending::{Ending, ALL};
+use sandstile_router::mailbox;
 use sandstile_router::pg::{self, Answer, Stage};
 use sandstile_router::statement::{self, Workload, Wrong};
+use std::thread;
+use std::time::Duration;
+
+const PATIENCE: Duration = Duration::from_secs(10);
 
 fn holds(property: impl Testable) {
     QuickCheck::new().rng(Gen::from_size_and_seed(200, 11)).tests(2_000).quickcheck(property);
@@ -185,3 +191,28 @@
     let facts: Vec<String> = facts::flatten(&json).into_iter().map(|(k, v)| format!("{k}={v}")).collect();
     assert_eq!(facts, ["a.b=1.5,x", "a.c=", "classes.0.name=n o", "classes.count=1", "n=", "t=true"]);
 }
+
+/// Mail that came before its reader first looked, while it sleeps, and the end of the last that could write.
+#[test]
+fn mailboxes_wake_their_reader_for_mail_and_for_the_end() {
+    let (post, mailbox) = mailbox::mailbox();
+    let writers: Vec<_> = (0..4u32)
+        .map(|n| {
+            let post = post.clone();
+            thread::spawn(move || (0..250).for_each(|i| assert!(post.send(n * 250 + i))))
+        })
+        .collect();
+    let mut got: Vec<u32> = (0..1000).map(|_| mailbox.recv(Some(PATIENCE)).expect("mail")).collect();
+    got.sort_unstable();
+    assert!(got.into_iter().eq(0..1000));
+    writers.into_iter().for_each(|w| w.join().expect("a writer"));
+    assert_eq!(mailbox.recv(Some(Duration::from_millis(5))), Err(RecvTimeoutError::Timeout));
+    let last = thread::spawn(move || drop(post));
+    assert_eq!(mailbox.recv(None), Err(RecvTimeoutError::Disconnected));
+    last.join().expect("a writer");
+    let (post, slot) = mailbox::slot();
+    assert!(post.send(1) && !post.send(2));
+    assert_eq!(slot.recv(None), Ok(1));
+    drop(slot);
+    assert!(!post.send(3));
+}
