Hosts that left are forgotten; what crosses a link's close rests no host; one look a statement

At fault: list.rs kept what is gone for ever, and with it peers' threads, causes, and the module's record, whose pool bound (members: list.len()) grew with each host replaced; desk.rs kept 65536 sessions, also of such as never wrote; ending.rs took any break for the host's; consider() pushed a look each time a crowd was considered. Changed: Instance::forget, List::drop_gone, Names::release, Peers::end; sessions are indexed on their first write, 4096 of them; Crossed and CutShort are Spoilt to the module (the next dial tells whether the host is gone); one look is kept for each statement; a crowd is sorted by keys computed once. Folded: the module reads its terms from the terms themselves. Ruled out: early closes come before our 22.5 s rest limit, at any age, so a shorter limit would not end them.

--- a/crates/sandstile-intake/src/list.rs
+++ b/crates/sandstile-intake/src/list.rs
@@ -20,7 +20,24 @@
 }
 
 impl List {
-    /// What a whole list leaves out is gone, and stays known. Sorted by host id, as the decisions want it.
+    /// Drops those that are gone and that `forgotten` lets go of, and yields their names and indices.
+    pub fn drop_gone(&mut self, mut forgotten: impl FnMut(usize) -> bool) -> Vec<(String, usize)> {
+        let mut dropped = Vec::new();
+        self.members.retain(|name, member| {
+            let goes = member.readiness == Readiness::Gone && forgotten(member.host);
+            if goes {
+                dropped.push((name.clone(), member.host));
+            }
+            !goes
+        });
+        dropped
+    }
+
+    pub fn has_group(&self, group: usize) -> bool {
+        self.members.values().any(|member| member.group == group)
+    }
+
+    /// What a whole list leaves out is gone, and stays known until dropped. Sorted by host id, as the decisions want it.
     pub fn merge(
         &mut self,
         whole: bool,
--- a/crates/sandstile-intake/src/names.rs
+++ b/crates/sandstile-intake/src/names.rs
@@ -6,6 +6,8 @@
     names: Vec<String>,
     most: usize,
     next: usize,
+    /// Released, to be given anew.
+    free: Vec<usize>,
 }
 
 impl Default for Names {
@@ -17,15 +19,17 @@
 impl Names {
     /// Beyond so many names, the one that came first gives its index to the new one.
     pub fn bounded(most: usize) -> Self {
-        Names { index: HashMap::new(), names: Vec::new(), most, next: 0 }
+        Names { index: HashMap::new(), names: Vec::new(), most, next: 0, free: Vec::new() }
     }
 
     pub fn of(&mut self, name: &str) -> usize {
         if let Some(&i) = self.index.get(name) {
             return i;
         }
-        let at = self.next % self.most;
-        self.next += 1;
+        let at = self.free.pop().unwrap_or_else(|| {
+            self.next += 1;
+            (self.next - 1) % self.most
+        });
         if at == self.names.len() {
             self.names.push(name.to_string());
         } else {
@@ -36,6 +40,20 @@
         at
     }
 
+    /// Forgets what has left for good; its index goes to a later one. For names without a bound.
+    pub fn release(&mut self, name: &str) {
+        if let Some(at) = self.index.remove(name) {
+            self.names[at].clear();
+            self.free.push(at);
+        }
+    }
+
+    pub fn release_where(&mut self, left: impl Fn(usize) -> bool) {
+        let names: Vec<String> =
+            self.names.iter().filter(|n| self.find(n).is_some_and(&left)).cloned().collect();
+        names.iter().for_each(|name| self.release(name));
+    }
+
     pub fn find(&self, name: &str) -> Option<usize> {
         self.index.get(name).copied()
     }
--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -66,25 +66,16 @@
 pub struct Instance {
     now: f64,
     chance: Chance,
+    terms: Terms,
     kinds: Vec<Kind>,
     margin: f64,
     share_all: f64,
     most: usize,
-    may_recall: bool,
-    may_probe: bool,
-    max_return: f64,
-    binds_alone: bool,
-    cold_from: f64,
     cold_s: f64,
     /// Half of the stated multiple: the other half is for sizes of work and for what only knocks.
     cold_ease: f64,
-    checked: bool,
-    stamped: bool,
-    remembered: bool,
-    marked: bool,
     ask_every: f64,
     ask_at: f64,
-    idle_close: f64,
     refused_at: f64,
     /// Some host has told its role; some answer came without one.
     told: bool,
@@ -124,24 +115,15 @@
         Instance {
             now,
             chance: Chance(Rand32::new(seed)),
+            terms: terms.clone(),
             kinds: terms.workloads.iter().map(kind).collect(),
             // What a host may hold for an instance that has yet to measure: eight in all.
             share_all: 8.0 / terms.routers.max(1) as f64,
             margin: 1.5 * terms.tick + 0.001,
             most: terms.most_executions.max(1),
-            may_recall: terms.may_recall,
-            may_probe: terms.may_probe,
-            max_return: terms.max_return,
-            binds_alone: terms.drain_binds_alone,
-            cold_from: terms.cold_from,
             cold_s: terms.cold_s.max(0.001),
             cold_ease: (terms.cold_multiple / 2.0).max(1.0),
-            checked: terms.checked,
-            stamped: terms.stamped,
-            remembered: terms.tokens_remembered,
-            marked: terms.marked_retries,
             ask_every: terms.ask_within / 4.0,
-            idle_close: terms.idle_close,
             ask_at: if terms.on_request { now } else { f64::INFINITY },
             ..Instance::default()
         }
@@ -150,14 +132,12 @@
     /// The whole list as it now stands, sorted by id; hosts that left it are handed as gone.
     pub fn members(&mut self, now: f64, list: &[Member]) {
         self.now = now;
-        if self.ask_at > now {
-            // The answer to a call already made: the subscription stands until the service says otherwise.
-            self.ask_at = f64::INFINITY;
-        }
+        // The answer to a call already made: the subscription stands until the service says otherwise.
+        self.ask_at = if self.ask_at > now { f64::INFINITY } else { self.ask_at };
         self.groups.iter_mut().for_each(|g| g.members.clear());
         for m in list {
             if self.hosts.len() <= m.host {
-                self.hosts.resize(m.host + 1, Host { crowd: 1.0, bare: 1.0, ..Host::default() });
+                self.hosts.resize(m.host + 1, Host::unknown());
             }
             let host = &mut self.hosts[m.host];
             (host.group, host.zone, host.listed) = (m.group, m.zone, m.readiness);
@@ -184,6 +164,21 @@
         }
     }
 
+    /// Forgets a host that has left for good, once no statement reckons with it: its index may be given anew.
+    pub fn forget(&mut self, host: usize) -> bool {
+        let h = &self.hosts[host];
+        let left = h.listed == Readiness::Gone && (h.mute || !self.sendable(h));
+        let held = |s: &Statement| s.executions.iter().any(|e| e.host == host);
+        let forgotten = left && !self.statements.values().any(held);
+        if forgotten {
+            let group = &mut self.groups[h.group];
+            group.members.retain(|m| *m != host);
+            group.primary = group.primary.filter(|p| *p != host);
+            self.hosts[host] = Host::unknown();
+        }
+        forgotten
+    }
+
     /// A call to the list service failed or its subscription dropped.
     pub fn list_failed(&mut self, now: f64) {
         self.now = now;
@@ -204,12 +199,13 @@
         }
         // A try shorter than most is a later one, if a first one failed: clients that take to naming more
         // time or less must not make later tries of all the others.
-        let later = (a.retry || !self.marked) && a.time_left < k.first_try.0 - 0.01 && k.owed >= 1.0;
+        let later =
+            (a.retry || !self.terms.marked_retries) && a.time_left < k.first_try.0 - 0.01 && k.owed >= 1.0;
         k.owed -= if later { 1.0 } else { 0.0 };
         let elapsed = if later { (k.timeout - a.time_left).max(0.0) } else { 0.0 };
         let need = match k.consistency {
-            Consistency::Session if !self.remembered => a.token_age.map_or(0.0, |age| now - age),
-            Consistency::Session if !self.checked => number,
+            Consistency::Session if !self.terms.tokens_remembered => a.token_age.map_or(0.0, |age| now - age),
+            Consistency::Session if !self.terms.checked => number,
             // Hosts refuse by the session's own writes, so lag memory foretells with no more than those.
             Consistency::Session => {
                 a.session.and_then(|s| self.sessions.get(s)).map_or(0.0, |own| own.min(number))
@@ -297,14 +293,14 @@
                 host.strikes = 0;
                 host.meter.roll(now, true);
                 host.ghosts.retain(|until| *until > now);
-                host.reached = host.reached.max(if self.checked { need } else { 0.0 });
+                host.reached = host.reached.max(if self.terms.checked { need } else { 0.0 });
             }
             // A withdrawal may stop nothing: a place freed at once would let leaving clients fill the hosts.
             TimedOut | Cancelled => {
                 host.crowd = host.crowd.max((took / kind.base).min(10.0));
                 host.ghosts.push(now + STUCK * kind.usual);
             }
-            Miss if !write && !self.stamped => host.stood = (need - 0.1, now),
+            Miss if !write && !self.terms.stamped => host.stood = (need - 0.1, now),
             ConnectFailed => host.unreachable_since = host.unreachable_since.or(Some(now)),
             _ => {}
         }
@@ -385,7 +381,7 @@
             let mut order = std::mem::take(&mut self.groups[g].waiting);
             order.retain(|id| self.statements.get(id).is_some_and(|s| s.waiting && !s.answered));
             // The newest first among equals: in a crowd the oldest would be sent just too late to be in time.
-            order.sort_by(|a, b| self.density(*b).total_cmp(&self.density(*a)).then(b.cmp(a)));
+            order.sort_by_cached_key(|id| Reverse((self.density(*id).to_bits(), *id)));
             self.groups[g].waiting = order.clone();
             if let Some(decision) = order.into_iter().find_map(|stmt| self.consider(stmt)) {
                 self.groups[g].touched = true;
@@ -401,7 +397,7 @@
             // Hundreds of routers probe at once: a cold host's probes are paid from the same credit.
             let cold = self.share(&self.hosts[host]) < 1.0;
             let paid = !cold || self.hosts[host].credit >= 0.1;
-            if self.may_probe && paid && self.sendable(&self.hosts[host]) {
+            if self.terms.may_probe && paid && self.sendable(&self.hosts[host]) {
                 self.hosts[host].credit -= if cold { 0.1 } else { 0.0 };
                 return Some(Decision::Probe { host });
             }
@@ -472,7 +468,12 @@
                 look = look.min(heard + patience);
             }
         }
-        self.looks.push(Reverse((look.max(now + 0.002).to_bits(), id)));
+        let look = look.max(now + 0.002);
+        // A sooner one that is still to come does for this one too: a crowd is considered again and again.
+        if s.look <= now || look < s.look {
+            s.look = look;
+            self.looks.push(Reverse((look.to_bits(), id)));
+        }
         if open {
             return None;
         }
@@ -497,7 +498,7 @@
         let repeats = k.effect == Effect::Deduplicated && k.scope == DedupScope::All;
         let harmless = k.effect == Effect::Idempotent || repeats || !may_have_run;
         match harmless {
-            true => Decision::Reject { stmt: id, return_after: self.max_return },
+            true => Decision::Reject { stmt: id, return_after: self.terms.max_return },
             false => Decision::Abort { stmt: id },
         }
     }
@@ -507,7 +508,7 @@
         let now = self.now;
         let s = self.statements.get_mut(&id).expect("a statement under consideration");
         s.waiting = false;
-        let (recalled, pool) = (!self.may_recall, self.groups[s.group].pool(index));
+        let (recalled, pool) = (!self.terms.may_recall, self.groups[s.group].pool(index));
         (self.pools[pool].held, self.pools[pool].sent) = (self.pools[pool].held + 1, now);
         let execution = Execution { host: index, pool, sent: now, ended: None, may_have_run: true, recalled };
         s.executions.push(execution);
@@ -541,11 +542,12 @@
     /// The share of its capacity that a host may be taken to have; the list tells its start.
     fn share(&self, h: &Host) -> f64 {
         let age = (self.now - h.fresh_since) / self.cold_s;
-        (self.cold_from + (1.0 - self.cold_from) * age).clamp(0.0, 1.0)
+        (self.terms.cold_from + (1.0 - self.terms.cold_from) * age).clamp(0.0, 1.0)
     }
 
     fn sendable(&self, h: &Host) -> bool {
-        h.listed == Readiness::Active || (self.binds_alone && h.listed == Readiness::Gone && !h.seen_draining)
+        h.listed == Readiness::Active
+            || (self.terms.drain_binds_alone && h.listed == Readiness::Gone && !h.seen_draining)
     }
 
     /// Guards the rules at the point of choice: list, cold share, and the effect of what may have run.
@@ -563,7 +565,7 @@
         };
         let warm = self.share(h) >= 1.0 || h.credit >= 1.0;
         // Where hosts do not check, only one that list or answer calls primary surely holds the present.
-        let current = self.checked || k.consistency != Consistency::Fresh || h.maybe_primary;
+        let current = self.terms.checked || k.consistency != Consistency::Fresh || h.maybe_primary;
         current && h.group == s.group && self.sendable(h) && warm && s.executions.iter().all(fits)
     }
 
@@ -628,9 +630,10 @@
             let m = g.members[at];
             let h = &self.hosts[m];
             // While hosts refuse connections, one that answered lately most likely has a line open still.
-            let line = now > self.refused_at + self.idle_close || now < h.answered_at + self.idle_close;
+            let line =
+                now > self.refused_at + self.terms.idle_close || now < h.answered_at + self.terms.idle_close;
             let ready = self.lawful(s, m) && !tried(m, 0.1) && h.rests_until <= now && line;
-            let known = self.checked || h.reached >= least;
+            let known = self.terms.checked || h.reached >= least;
             let foretold = h.stood.0 + CATCH_UP * (now - h.stood.1);
             (unknown, up) = (unknown || !known, up || (foretold >= least && Some(m) != primary));
             if Some(m) == primary || last || !ready || !known {
@@ -654,14 +657,15 @@
         let g = &self.groups[s.group];
         if let Some(p) = primary {
             let h = &self.hosts[p];
-            let usable = !h.mute && !tried(p, 0.0) && self.lawful(s, p) && (self.checked || h.maybe_primary);
+            let usable =
+                !h.mute && !tried(p, 0.0) && self.lawful(s, p) && (self.terms.checked || h.maybe_primary);
             // The primary's room belongs to the writes, as far as they are worth more for their work.
             let share = (k.density() / self.densest(true)).min(1.0) * if full { 0.5 } else { 0.8 };
             if usable && self.room(p, s.workload, share) {
                 return Some(p);
             }
         }
-        if !full && behind.is_none() && s.executions.is_empty() && self.checked && n > 0 {
+        if !full && behind.is_none() && s.executions.is_empty() && self.terms.checked && n > 0 {
             // All replicas rest: one must still be asked, or a group of sick hosts would never be heard of.
             let ask = |m: &usize| self.hosts[*m].open.len() < 2 && self.lawful(s, *m);
             let found = (0..n).map(|i| g.members[(g.cursor + i) % n]).find(ask);
--- a/crates/sandstile-policy/src/state.rs
+++ b/crates/sandstile-policy/src/state.rs
@@ -36,10 +36,18 @@
     pub errors: i32,
     pub answered: bool,
     pub waiting: bool,
+    /// When it is looked at next.
+    pub look: f64,
     pub retry: bool,
     pub later: bool,
 }
 
+impl Host {
+    pub fn unknown() -> Host {
+        Host { crowd: 1.0, bare: 1.0, ..Host::default() }
+    }
+}
+
 #[derive(Clone, Default)]
 pub struct Host {
     pub group: usize,
--- a/crates/sandstile-policy/src/terms.rs
+++ b/crates/sandstile-policy/src/terms.rs
@@ -41,7 +41,7 @@
 }
 
 /// The terms of a deployment, as handed to an instance at its start.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Terms {
     pub workloads: Vec<Workload>,
     pub tick: f64,
@@ -108,7 +108,7 @@
     TimedOut,
     ConnectFailed,
     Reset,
-    /// The answer can't be read, or the statement could not: it may have run, and nothing is learnt of the host.
+    /// No answer that can be read, by no fault of the host's: it may have run, and nothing is learnt of the host.
     Spoilt,
     Cancelled,
     Moot,
--- a/crates/sandstile-policy/tests/rules.rs
+++ b/crates/sandstile-policy/tests/rules.rs
@@ -7,7 +7,7 @@
 
 fn verdict(n: usize) -> Verdict {
     use Verdict::*;
-    [Completed, Miss, Error, Full, TimedOut, ConnectFailed, Reset, Cancelled, Moot][n]
+    [Completed, Miss, Error, Full, TimedOut, ConnectFailed, Reset, Cancelled, Moot, Spoilt][n]
 }
 
 fn rules_hold(flags: u16, inputs: Vec<(u8, u16)>) -> bool {
@@ -23,7 +23,7 @@
                     w.open.iter().flat_map(|(id, o)| (0..o.sent.len()).map(|e| (*id, e))).collect();
                 if !sent.is_empty() {
                     let (stmt, e) = sent[sent.len() - 1 - n % sent.len().min(12)];
-                    let verdict = verdict(if n.is_multiple_of(3) { 0 } else { n / 3 % 9 });
+                    let verdict = verdict(if n.is_multiple_of(3) { 0 } else { n / 3 % 10 });
                     let role = [None, Some(true), Some(false)][n / 7 % 3];
                     w.end(stmt, e, verdict, role, (n % 40) as f64 / 20.0);
                 }
@@ -107,11 +107,52 @@
 
 #[test]
 fn a_write_that_may_have_run_is_aborted_at_once_and_never_resent() {
+    for verdict in [Verdict::Error, Verdict::Spoilt, Verdict::Reset] {
+        let mut w = World::new(terms(0b110_0111), 7);
+        w.serve(2, verdict, Some(true));
+        w.step(0.005);
+        assert!(w.decisions.contains(&Decision::Abort { stmt: 0 }));
+        assert_eq!(w.sends().len(), 1);
+    }
+}
+
+/// An answer that can't be read is no sign of a sick host: it keeps its turn, and a primary its writes.
+#[test]
+fn a_spoilt_answer_rests_no_host() {
     let mut w = World::new(terms(0b110_0111), 7);
-    w.serve(2, Verdict::Error, Some(true));
+    assert_eq!(w.serve(2, Verdict::Spoilt, None), 2);
+    assert_eq!(w.serve(2, Verdict::Completed, Some(true)), 2);
+    let read = w.arrive(0, 1.0);
+    w.step(0.005);
+    let first = w.sends().last().expect("a send").1;
+    w.end(read, 0, Verdict::Spoilt, None, 0.0);
     w.step(0.005);
-    assert!(w.decisions.contains(&Decision::Abort { stmt: 0 }));
-    assert_eq!(w.sends().len(), 1);
+    let second = w.sends().last().expect("another execution").1;
+    w.end(read, 1, Verdict::Completed, Some(false), 0.0);
+    let hosts: Vec<usize> = (0..3).map(|_| w.serve(0, Verdict::Completed, Some(false))).collect();
+    assert!(second != first && hosts.contains(&first), "{first} {second} {hosts:?}");
+}
+
+/// A host that has left is kept for as long as a statement reckons with it, and its index can then be another's.
+#[test]
+fn a_host_that_has_left_for_good_is_forgotten_once_nothing_needs_it() {
+    let mut w = World::new(terms(0b110_0111), 7);
+    let read = w.arrive(0, 1.0);
+    w.step(0.005);
+    let host = w.sends().last().expect("a send").1;
+    assert!(!w.policy.forget(host), "it is active");
+    w.list[host].readiness = Readiness::Gone;
+    w.relist();
+    assert!(!w.policy.forget(host), "a read is out there");
+    w.end(read, 0, Verdict::Completed, Some(false), 0.0);
+    w.step(0.005);
+    assert!(w.policy.forget(host));
+    let hosts: Vec<usize> = (0..4).map(|_| w.serve(0, Verdict::Completed, Some(false))).collect();
+    assert!(!hosts.contains(&host), "{hosts:?}");
+    w.list[host].readiness = Readiness::Active;
+    w.relist();
+    let hosts: Vec<usize> = (0..4).map(|_| w.serve(0, Verdict::Completed, Some(false))).collect();
+    assert!(hosts.contains(&host), "{hosts:?}");
 }
 
 #[test]
--- a/crates/sandstile-router/src/client.rs
+++ b/crates/sandstile-router/src/client.rs
@@ -220,6 +220,7 @@
             workload: statement.workload,
             group: statement.group.clone(),
             session: statement.session.clone(),
+            writes: statement.writes,
             until,
             after: statement.after,
             retry: statement.retry,
--- a/crates/sandstile-router/src/desk.rs
+++ b/crates/sandstile-router/src/desk.rs
@@ -49,6 +49,7 @@
     pub workload: usize,
     pub group: String,
     pub session: Option<String>,
+    pub writes: bool,
     /// When the client's time is up.
     pub until: f64,
     /// When the session last wrote, where the client says so.
@@ -69,6 +70,7 @@
 /// A statement until the decisions let go of it.
 struct Open {
     id: String,
+    group: usize,
     parcel: Arc<dyn Parcel>,
     reply: Option<Reply>,
     /// The database host of each execution.
@@ -91,15 +93,18 @@
     /// Final answers of this round. They go out behind its withdrawals, or a dial that comes up just then
     /// could still write a statement that has been answered.
     answers: Vec<(Reply, Answer)>,
+    /// Probes out at each database host that has any.
+    probes: BTreeMap<usize, usize>,
     /// Statements that may be over once the decisions of this round are out.
     ending: Vec<u64>,
 }
 
 /// Timers of the platform are no finer; a sleep of nothing would spin.
 const SHORTEST_SLEEP: Duration = Duration::from_millis(1);
-/// About 10 MB of names. An index that is used again brings an older write's position along, so a read of the
-/// new session is at worst kept from a replica that lags behind that.
-const MOST_SESSIONS: usize = 1 << 16;
+/// Sessions that have written, the latest; about 0.5 MB of names. Their writes are what replicas may lag behind,
+/// for seconds. An index that is used again brings an older write's position along, so a read of the new session
+/// is at worst kept from a replica that lags behind that.
+const MOST_SESSIONS: usize = 1 << 12;
 
 impl Desk {
     pub fn new(policy: Instance, clock: Clock, counters: Arc<Counters>, log: Logger, peers: Peers) -> Self {
@@ -116,6 +121,7 @@
             open: BTreeMap::new(),
             ids: BTreeSet::new(),
             answers: Vec::new(),
+            probes: BTreeMap::new(),
             ending: Vec::new(),
         }
     }
@@ -149,13 +155,22 @@
                     // Groups that no list has named share one that has no members, or clients could fill the
                     // memory with names.
                     group: self.groups.find(&asked.group).unwrap_or_else(|| self.groups.of("")),
-                    session: asked.session.map(|name| self.sessions.of(&name)),
+                    // One that has written nothing needs nothing, and is not worth a name.
+                    session: asked.session.and_then(|name| match asked.writes {
+                        true => Some(self.sessions.of(&name)),
+                        false => self.sessions.find(&name),
+                    }),
                     time_left: asked.until - now,
                     token_age: asked.after.map(|at| (now - at).max(0.0)),
                     retry: asked.retry,
                 };
-                let open =
-                    Open { id: asked.id, parcel: asked.parcel, reply: Some(asked.reply), hosts: Vec::new() };
+                let open = Open {
+                    id: asked.id,
+                    group: arrival.group,
+                    parcel: asked.parcel,
+                    reply: Some(asked.reply),
+                    hosts: Vec::new(),
+                };
                 self.open.insert(asked.stmt, open);
                 self.policy.arrived(now, asked.stmt, &arrival);
             }
@@ -180,6 +195,9 @@
                 self.policy.ended(now, stmt, execution, outcome.ending.verdict(), over, outcome.note);
             }
             Mail::Probed { host, outcome } => {
+                if let Some(out) = self.probes.get_mut(&host) {
+                    *out -= 1;
+                }
                 self.policy.probed(now, host, outcome.ending == Ending::Completed, outcome.note);
             }
             Mail::Listed(update) => {
@@ -194,10 +212,26 @@
                 }
                 let list = self.list.merge(update.whole, &update.entries, &mut self.hosts, &mut self.groups);
                 self.policy.members(now, &list);
+                self.forget();
             }
         }
     }
 
+    /// Lets go of hosts that have left for good, and of groups that have no host left. A host with a probe out
+    /// stays until the next list, or its answer would count for whoever has the index by then.
+    fn forget(&mut self) {
+        let (policy, probes) = (&mut self.policy, &mut self.probes);
+        probes.retain(|_, out| *out > 0);
+        for (name, host) in self.list.drop_gone(|host| !probes.contains_key(&host) && policy.forget(host)) {
+            info!(self.log, "host {host} is forgotten"; "host" => &name);
+            self.peers.end(host);
+            self.hosts.release(&name);
+        }
+        let open: BTreeSet<usize> = self.open.values().map(|open| open.group).collect();
+        let left = |group: usize| !self.list.has_group(group) && !open.contains(&group);
+        self.groups.release_where(left);
+    }
+
     fn decide(&mut self) {
         let now = self.clock.now();
         self.policy.passed(now);
@@ -223,7 +257,10 @@
                         self.peers.recall(host, stmt, execution);
                     }
                 }
-                Decision::Probe { host } => self.peers.probe(host),
+                Decision::Probe { host } => {
+                    *self.probes.entry(host).or_default() += 1;
+                    self.peers.probe(host);
+                }
                 // The watch stands from the start and reopens by itself.
                 Decision::Subscribe => {}
                 Decision::Log(line) => info!(self.log, "decisions: {line}"),
--- a/crates/sandstile-router/src/ending.rs
+++ b/crates/sandstile-router/src/ending.rs
@@ -26,8 +26,13 @@
     WithdrawnUnsent,
     /// Broke before the last byte was written.
     BrokenUnwritten,
-    /// Written whole, then broken or ended.
+    /// Written whole on a new connection, then broken or ended without a byte of an answer.
     Broken,
+    /// The same where the connection had answered before: hosts and what lies between close those that rest, and
+    /// the statement crossed it. A host that has gone is told by the next dial.
+    Crossed,
+    /// Written whole, then broken or ended in the midst of the answer of a host that is alive.
+    CutShort,
     /// Written whole, then answered out of protocol, or with an answer that began and never came whole.
     Garbled,
     /// 08P01: the database host could not read the statement, which is the client's doing.
@@ -46,7 +51,7 @@
     Moved,
 }
 
-pub const ALL: [Ending; 21] = {
+pub const ALL: [Ending; 23] = {
     use Ending::*;
     [
         Completed,
@@ -62,6 +67,8 @@
         WithdrawnUnsent,
         BrokenUnwritten,
         Broken,
+        Crossed,
+        CutShort,
         Garbled,
         Unreadable,
         TimedOut,
@@ -87,7 +94,7 @@
             NoAddress | DialRefused | DialTimedOut | DialBroken | BrokenUnwritten => Verdict::ConnectFailed,
             NoRoom | WithdrawnUnsent | IdleEnded | IdleExpired | IdleEvicted | Moved => Verdict::Moot,
             Broken => Verdict::Reset,
-            Garbled | Unreadable => Verdict::Spoilt,
+            Crossed | CutShort | Garbled | Unreadable => Verdict::Spoilt,
             TimedOut => Verdict::TimedOut,
             Withdrawn => Verdict::Cancelled,
         }
--- a/crates/sandstile-router/src/launch.rs
+++ b/crates/sandstile-router/src/launch.rs
@@ -79,7 +79,11 @@
             memory: limit("memory_mb")? * 1024 * 1024,
             known: known.0,
             workloads: workloads
-                .map(|(name, w)| Workload { name, sessions: sessions(w.consistency) })
+                .map(|(name, w)| Workload {
+                    name,
+                    sessions: sessions(w.consistency),
+                    writes: w.consistency == Consistency::Write,
+                })
                 .collect(),
             dial_limit: dial / 1000.0,
             terms,
--- a/crates/sandstile-router/src/link.rs
+++ b/crates/sandstile-router/src/link.rs
@@ -167,8 +167,10 @@
     jobs: &Mailbox<Job>,
     mut done: impl FnMut(Job, Outcome, bool),
 ) {
+    let mut used = false;
     while let Ok(job) = jobs.recv(None) {
-        let (outcome, goes_on) = exchange(socket, clock, limit, &job);
+        let (outcome, goes_on) = exchange(socket, clock, limit, &job, used);
+        used = true;
         if !goes_on {
             // Before anybody hears of it: on an open connection this execution would still be out beside the
             // next.
@@ -182,8 +184,8 @@
 }
 
 /// Writes one statement and reads its answer; nothing is ever written twice. An answer that has begun has
-/// `limit` seconds to come whole.
-fn exchange(socket: &Socket, clock: &Clock, limit: f64, job: &Job) -> (Outcome, bool) {
+/// `limit` seconds to come whole; `used` says that the connection has answered before.
+fn exchange(socket: &Socket, clock: &Clock, limit: f64, job: &Job, used: bool) -> (Outcome, bool) {
     let withdrawn = || socket.withdrawn.load(SeqCst);
     let left = clock.until(job.until);
     if withdrawn() || left.is_zero() {
@@ -228,6 +230,8 @@
         (_, Heard::Nonsense) => Ending::Garbled,
         (Stage::Whole, _) => Ending::Completed,
         (Stage::Failed(code), _) => Ending::of_sqlstate(code),
+        (_, Heard::Ended) if inbox.whole_by.is_finite() => Ending::CutShort,
+        (_, Heard::Ended) if used => Ending::Crossed,
         (_, Heard::Ended) => Ending::Broken,
         (_, Heard::TimedOut) => Ending::TimedOut,
         (_, Heard::Frame) => Ending::Garbled,
--- a/crates/sandstile-router/src/peer.rs
+++ b/crates/sandstile-router/src/peer.rs
@@ -45,6 +45,8 @@
     /// A link's job is done; whether the link can take another.
     Done(u64, bool),
     Evict(u64),
+    /// The database host has left for good, and nothing is under way.
+    End,
 }
 
 /// What all peers share.
@@ -122,6 +124,14 @@
         assert!(mailbox.expect("a peer for each host").0.send(mail), "a living peer");
     }
 
+    /// For a database host that has left for good.
+    pub fn end(&mut self, host: usize) {
+        self.tell(host, Mail::End);
+        self.mailboxes[host] = None;
+        let mut causes = self.common.causes.0.lock().expect("no thread panics under the lock");
+        causes.retain(|(of, _), _| *of != host);
+    }
+
     pub fn send(&self, host: usize, job: Job) {
         self.tell(host, Mail::Do(job));
     }
@@ -197,6 +207,7 @@
         loop {
             let oldest = self.idle.first().map(|r| self.common.clock.until(r.since + self.rest_limit()));
             match mailbox.recv(oldest.map(|wait| wait.max(Duration::from_millis(1)))) {
+                Ok(Mail::End) => return,
                 Ok(mail) => self.take(mail),
                 Err(RecvTimeoutError::Timeout) => self.expire(),
                 Err(RecvTimeoutError::Disconnected) => return,
@@ -239,6 +250,7 @@
                     self.free(id, link);
                 }
             }
+            Mail::End => {}
             Mail::Evict(id) => {
                 if let Some(at) = self.idle.iter().position(|r| r.id == id) {
                     self.idle.remove(at);
--- a/crates/sandstile-router/src/statement.rs
+++ b/crates/sandstile-router/src/statement.rs
@@ -14,6 +14,7 @@
     pub group: String,
     /// The session's name, where the workload has sessions.
     pub session: Option<String>,
+    pub writes: bool,
     /// Seconds that the client waits, from its sending.
     pub wait: f64,
     /// Unix seconds of the session's last write, where the client carries it.
@@ -50,6 +51,7 @@
 pub struct Workload {
     pub name: String,
     pub sessions: bool,
+    pub writes: bool,
 }
 
 /// A day: no client waits so long, and more would overflow the platform's timers.
@@ -85,6 +87,7 @@
         workload,
         group,
         session,
+        writes: workloads[workload].writes,
         wait: wait.ok_or(Wrong::Wait)? as f64 / 1000.0,
         after: after.filter(|ms| *ms > 0).map(|ms| ms as f64 / 1000.0),
         retry,
--- a/crates/sandstile-router/tests/codecs.rs
+++ b/crates/sandstile-router/tests/codecs.rs
@@ -20,7 +20,7 @@
 
 fn workloads() -> Vec<Workload> {
     [("look", false), ("own", true)]
-        .map(|(name, sessions)| Workload { name: name.to_string(), sessions })
+        .map(|(name, sessions)| Workload { name: name.to_string(), sessions, writes: false })
         .into()
 }
 
@@ -128,7 +128,7 @@
     let never_ran = |e: &Ending| {
         matches!(e.verdict(), Verdict::Full | Verdict::ConnectFailed | Verdict::Moot | Verdict::Miss)
     };
-    let written = [Completed, Failed, Broken, Garbled, Unreadable, TimedOut, Withdrawn];
+    let written = [Completed, Failed, Broken, Crossed, CutShort, Garbled, Unreadable, TimedOut, Withdrawn];
     assert!(ALL.iter().all(|e| never_ran(e) != written.contains(e)));
     assert!(ALL.iter().enumerate().all(|(i, e)| *e as usize == i), "counters are kept by this order");
     assert_eq!([Ending::of_sqlstate("25006"), Ending::of_sqlstate("72000")], [Missed, Missed]);
@@ -176,6 +176,9 @@
     assert_eq!(kept.merge(false, &update.entries, &mut hosts, &mut groups).len(), 2);
     let gone = kept.merge(true, &update.entries[..1], &mut hosts, &mut groups);
     assert_eq!(gone.iter().map(|m| m.readiness).collect::<Vec<_>>(), [Readiness::Draining, Readiness::Gone]);
+    assert!(kept.drop_gone(|_| false).is_empty());
+    assert_eq!(kept.drop_gone(|_| true), [("c".to_string(), 1)]);
+    assert!(kept.has_group(0) && !kept.has_group(1));
 }
 
 #[test]
@@ -183,6 +186,11 @@
     let mut names = Names::bounded(2);
     assert_eq!(["a", "b", "a", "c", "b", "a"].map(|n| names.of(n)), [0, 1, 0, 0, 1, 1]);
     assert_eq!((names.find("b"), names.find("a"), names.name(0)), (None, Some(1), "c"));
+    let mut names = Names::default();
+    assert_eq!(["a", "b", "c"].map(|n| names.of(n)), [0, 1, 2]);
+    names.release("b");
+    names.release_where(|at| at == 0);
+    assert_eq!(["c", "d", "e", "f"].map(|n| names.of(n)), [2, 0, 1, 3]);
 }
 
 #[test]
--- a/crates/sandstile-router/tests/program.rs
+++ b/crates/sandstile-router/tests/program.rs
@@ -400,6 +400,54 @@
     assert!(ok && log.contains("the former configuration stays"), "{log}");
 }
 
+/// Hosts replaced under new ids, as releases do for ever: what has left takes its thread and its records along.
+#[test]
+fn hosts_that_have_left_for_good_are_forgotten() {
+    let (primary, replica, agent) = (Host::start(true), Host::start(false), Agent::start());
+    let router = Router::start(&config(agent.address, &known(&primary, &[&replica])));
+    let mut watch = agent.watch();
+    watch.begin();
+    let mut client = router.client();
+    assert_eq!(value(&client.ask(&read(800))), b"replica");
+    let peers = || {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", router.child.id())).expect("a process");
+        let names =
+            tasks.flatten().map(|t| std::fs::read_to_string(t.path().join("comm")).unwrap_or_default());
+        names.filter(|n| n.starts_with("peer")).count()
+    };
+    assert_eq!(peers(), 2);
+    let mut index = 41;
+    for n in 1..=8 {
+        let (old, new) = (format!("s-{n}"), format!("s-{}", n + 1));
+        for entry in [
+            entry(&new, replica.address, false, "active"),
+            entry(&old, replica.address, false, "leaving"),
+            entry(&old, replica.address, false, "left"),
+        ] {
+            index += 1;
+            watch.chunk(&(list(index, false, &[entry]) + "\n"));
+        }
+        wait_for("the old one's end", || replica.ended.load(SeqCst) == n && peers() == 2);
+        wait_for("the new one's turn", || value(&client.ask(&read(800))) == b"replica");
+    }
+    let (ok, log) = router.end();
+    assert!(ok && log.matches("is forgotten").count() == 8 && log.contains("host 1 is s-9"), "{log}");
+}
+
+/// A statement that crosses the host's close of a link that rested: the host is well, and keeps its turn.
+#[test]
+fn a_link_that_ends_under_its_next_statement_rests_no_host() {
+    let acts = [Act::Row(b"one"), Act::Cut(0), Act::Row(b"two"), Act::Cut(20), Act::Row(b"three")];
+    let (primary, replica) = (Host::start(true), Host::scripted(false, &acts));
+    let router = Router::before(&primary, &[&replica]);
+    let mut client = router.client();
+    for wanted in [&b"one"[..], b"primary", b"two", b"primary", b"three"] {
+        assert_eq!(value(&client.ask(&read(800))), wanted);
+    }
+    let (ok, log) = router.end();
+    assert!(ok && (count(&log, "Crossed"), count(&log, "CutShort")) == (1, 1), "{log}");
+}
+
 /// The list names who was primary once; answers say who is. Probes look for it where nobody answers as one.
 #[test]
 fn a_write_finds_the_primary_that_the_list_does_not_name() {
--- a/crates/sandstile-wirehost/src/instance.rs
+++ b/crates/sandstile-wirehost/src/instance.rs
@@ -78,6 +78,7 @@
                 };
                 let list = self.list.merge(whole, lines, &mut self.hosts, &mut self.groups);
                 self.policy.members(now, &list);
+                self.list.drop_gone(|host| self.policy.forget(host));
             }
             "INGRESS" => {
                 let call = fields.text("a request id")?;
