--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -496,11 +496,10 @@
         k.owed = (k.owed + if s.later { 0.0 } else { 3.0 }).min(64.0);
         let may_have_run = s.executions.iter().any(|e| e.may_have_run);
         let repeats = k.effect == Effect::Deduplicated && k.scope == DedupScope::All;
-        let harmless = k.effect == Effect::Idempotent || repeats || !may_have_run;
-        match harmless {
-            true => Decision::Reject { stmt: id, return_after: self.terms.max_return },
-            false => Decision::Abort { stmt: id },
+        if k.effect == Effect::Idempotent || repeats || !may_have_run {
+            return Decision::Reject { stmt: id, return_after: self.terms.max_return };
         }
+        Decision::Abort { stmt: id }
     }
 
     /// The one place that sends.
@@ -554,10 +553,8 @@
     fn lawful(&self, s: &Statement, index: usize) -> bool {
         let (h, k) = (&self.hosts[index], &self.kinds[s.workload]);
         let fits = |e: &Execution| match k.effect {
-            _ if !e.may_have_run => true,
-            _ if e.ended.is_none() => false,
-            Effect::Idempotent => true,
-            Effect::NonIdempotent => false,
+            _ if !e.may_have_run || e.ended.is_none() => !e.may_have_run,
+            Effect::Idempotent | Effect::NonIdempotent => k.effect == Effect::Idempotent,
             Effect::Deduplicated => {
                 let near = k.scope != DedupScope::Zone || self.hosts[e.host].zone == h.zone;
                 near && self.now < e.sent + k.window - self.margin
