--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -447,11 +447,9 @@
         // A late one behind more than its host completes in its time is told at half of it, not held in vain.
         let g = &self.groups[s.group];
         let jammed = |p: usize| g.ahead(id) >= self.hosts[p].meter.rate * (s.end - s.half);
-        let rate: f64 = g.members.iter().map(|m| self.hosts[*m].meter.rate).sum();
-        let hopeless = spent && s.waiting && g.ahead(id) > 4.0 + rate * (worth_until - now);
         let late = now < s.half && worth_until < s.half - self.margin && s.executions.is_empty();
         let last = if late && g.primary.is_some_and(jammed) { s.half } else { s.end } - self.margin;
-        if now >= last || (spent && now > worth_until) || hopeless || no_more {
+        if now >= last || (spent && now > worth_until) || no_more {
             return Some(self.answer(id));
         }
         let mut look = if spent { worth_until.min(last) } else { last };
