--- a/crates/sandstile-router/src/client.rs
+++ b/crates/sandstile-router/src/client.rs
@@ -155,6 +155,11 @@
             self.buf.shrink_to(READ);
         }
         loop {
+            let left = self.front.clock.until(self.since + REST);
+            if left.is_zero() && holder == Holder::Stranger && !self.buf.is_empty() {
+                // Or one that sends empty queries without end would be served for ever.
+                return Input::Bad { code: "08P01", what: "no statement in time" };
+            }
             let next = if begun { command(&self.buf) } else { greeting(&self.buf) };
             match next {
                 Ok(Some((input, length))) => {
@@ -179,7 +184,6 @@
                     }
                 })
             });
-            let left = self.front.clock.until(self.since + REST);
             if left.is_zero() && self.buf.is_empty() {
                 self.front.counters.rested.add();
                 return Input::End;
--- a/crates/sandstile-router/src/desk.rs
+++ b/crates/sandstile-router/src/desk.rs
@@ -196,7 +196,7 @@
             }
             Mail::Probed { host, outcome } => {
                 if let Some(out) = self.probes.get_mut(&host) {
-                    *out -= 1;
+                    *out = out.saturating_sub(1);
                 }
                 self.policy.probed(now, host, outcome.ending == Ending::Completed, outcome.note);
             }
--- a/crates/sandstile-router/tests/program.rs
+++ b/crates/sandstile-router/tests/program.rs
@@ -293,12 +293,21 @@
         }
         started.elapsed()
     });
+    // Served for as long as any stranger is, and no longer.
+    let mut flood = router.client();
+    let flooding = thread::spawn(move || {
+        while flood.stream.write_all(&query(";").repeat(50)).is_ok() && started.elapsed().as_secs() < 8 {
+            flood.answer();
+        }
+        started.elapsed()
+    });
     assert_eq!(half.answer().code.as_deref(), Some("08P01"));
     for client in [&mut silent, &mut greeted, &mut asked] {
         assert_eq!(client.answer(), Got::default());
     }
     assert!((1.9..3.0).contains(&started.elapsed().as_secs_f64()), "{:?}", started.elapsed());
     assert!(drip.join().expect("a client") < Duration::from_secs(3));
+    assert!(flooding.join().expect("a client") < Duration::from_secs(3));
     let (ok, log) = router.end();
     assert!(ok && count(&log, "rested") == 3, "{log}");
 }
