Clients hold a third of the descriptors and 16 more; a wake after a stop costs one call

At fault: router.rs let clients hold half of all descriptors (184 of 384), client.rs took the long way after EINTR. Ruled out: the desk (0.2 % of 8.9 %) and rejections (11 of 993 taken).

--- a/crates/sandstile-router/src/client.rs
+++ b/crates/sandstile-router/src/client.rs
@@ -208,7 +208,15 @@
     fn read(&mut self) -> io::Result<usize> {
         let whole = self.buf.len();
         self.buf.resize(whole + READ, 0);
-        let got = (&self.socket.stream).read(&mut self.buf[whole..]);
+        let got = loop {
+            // A process that is stopped to keep it to its share of a core wakes with this, all threads at once:
+            // nothing but the time is worth a look then.
+            match (&self.socket.stream).read(&mut self.buf[whole..]) {
+                Err(e)
+                    if e.kind() == ErrorKind::Interrupted && self.front.clock.now() < self.since + REST => {}
+                got => break got,
+            }
+        };
         self.at = self.front.clock.now();
         self.buf.truncate(whole + *got.as_ref().unwrap_or(&0));
         got
--- a/crates/sandstile-router/src/router.rs
+++ b/crates/sandstile-router/src/router.rs
@@ -36,8 +36,10 @@
 ) -> Result<(), String> {
     let clock = Clock::anchor();
     let most = launch.sockets.saturating_sub(OWN_DESCRIPTORS).max(4);
-    // A statement holds two descriptors, its client's and its link's. Half of the memory is for long frames.
-    let most_clients = (most / 2).max(2);
+    // Clients hold at most a third of the descriptors for statements, each with a link beside it. Some more may
+    // come and go; a connection that rests has a thread, which costs whenever the process is stopped and goes on.
+    // Half of the memory is for long frames.
+    let most_clients = (launch.sockets / 3 + OWN_DESCRIPTORS).min(most / 2).max(2);
     let budget = Budget::new(most, most_clients, (launch.memory / 2).max(4 * pg::MOST_FRAME));
     let listener =
         TcpListener::bind(launch.listen).map_err(|e| format!("listen on {}: {e}", launch.listen))?;
--- a/crates/sandstile-router/tests/program.rs
+++ b/crates/sandstile-router/tests/program.rs
@@ -568,6 +568,15 @@
     assert_eq!(answers, 20);
     let held = std::fs::read_dir(format!("/proc/{}/fd", router.child.id())).expect("a process").count();
     assert!(held <= 64, "{held}");
+    // With more to give out, no more rest than statements could need: each has a thread.
+    let known = known(&primary, &[&replica]);
+    let roomy = config(Agent::start().address, &known).replace("\"sockets\":64", "\"sockets\":256");
+    let roomy = Router::start(&roomy);
+    let crowd: Vec<Client> = (0..200).map(|_| Client::connect(roomy.address)).collect();
+    assert_eq!(value(&roomy.client().ask(&read(1500))), b"replica");
+    let held = std::fs::read_dir(format!("/proc/{}/fd", roomy.child.id())).expect("a process").count();
+    assert!((60..=256 / 3 + 32).contains(&held), "{held}");
+    drop((crowd, roomy));
     // A client that never reads and one that sends a byte at a time hold up nobody.
     let mut stuck = router.client();
     replica.script.lock().expect("script").acts.extend(vec![Act::Row(long); 200]);
