Threads of clients are used again; a descriptor given back at once is not waited for

Cause: Budget::take told an idle one to go, then waited 20 ms for a notice that had come already, for the quick thread was gone before the wait began; each accept at the bound could lose so much. The wait now looks first (wait_timeout_while); the new test takes 4 s without that.

--- a/crates/sandstile-router/src/budget.rs
+++ b/crates/sandstile-router/src/budget.rs
@@ -79,13 +79,21 @@
         self.held.lock().expect("no holder panics under the lock")
     }
 
+    fn crowd(&self, holder: Holder, held: &Held) -> bool {
+        holder != Holder::Link && held.clients >= self.most_clients
+    }
+
+    fn full(&self, holder: Holder, held: &Held) -> bool {
+        self.crowd(holder, held) || held.links + held.clients >= self.most
+    }
+
     /// Waits so long at most, while idle ones are told to go, the oldest first.
     pub fn take(self: &Arc<Self>, holder: Holder, wait: Duration) -> Option<Slot> {
         let until = Instant::now() + wait;
         let mut held = self.held();
         loop {
-            let crowd = holder != Holder::Link && held.clients >= self.most_clients;
-            if !crowd && held.links + held.clients < self.most {
+            let crowd = self.crowd(holder, &held);
+            if !self.full(holder, &held) {
                 match holder {
                     Holder::Link => held.links += 1,
                     _ => held.clients += 1,
@@ -103,7 +111,10 @@
             if left.is_zero() {
                 return None;
             }
-            held = self.freed.wait_timeout(held, left.min(ASK_AGAIN)).expect("no holder panics").0;
+            // One that was quick to go has gone by now, and tells nobody a second time.
+            let still = |held: &mut Held| self.full(holder, held);
+            let freed = self.freed.wait_timeout_while(held, left.min(ASK_AGAIN), still);
+            held = freed.expect("no holder panics").0;
         }
     }
 
--- a/crates/sandstile-router/src/client.rs
+++ b/crates/sandstile-router/src/client.rs
@@ -14,8 +14,8 @@
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed, Ordering::SeqCst};
-use std::sync::Arc;
-use std::thread;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread::{self, ThreadId};
 use std::time::Duration;
 
 /// What all clients share.
@@ -27,9 +27,10 @@
     pub counters: Arc<Counters>,
     pub log: Logger,
     pub next: AtomicU64,
+    pub crew: Crew,
 }
 
-struct Socket {
+pub struct Socket {
     stream: TcpStream,
     /// The end that is read is this router's own doing, and no client has left.
     shut: AtomicBool,
@@ -47,14 +48,48 @@
 pub fn serve(front: Arc<Front>, stream: TcpStream, slot: Slot) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = Arc::new(Socket { stream, shut: AtomicBool::new(false), _slot: slot });
-    let body = move || {
+    if let Some((_, post)) = front.crew.resting().pop() {
+        post.send(socket);
+        return Ok(());
+    }
+    let body = move || work(&front, socket);
+    thread::Builder::new().name("client".to_string()).stack_size(STACK).spawn(body).map(drop)
+}
+
+/// Threads that have served a client and wait for the next, the latest last. In a crowd of connections that ask
+/// once, making a thread for each costs more than all else that is done for it.
+#[derive(Default)]
+pub struct Crew(Mutex<Vec<(ThreadId, Post<Arc<Socket>>)>>);
+
+impl Crew {
+    fn resting(&self) -> MutexGuard<'_, Vec<(ThreadId, Post<Arc<Socket>>)>> {
+        self.0.lock().expect("no thread panics under the lock")
+    }
+
+    /// Takes the thread off the list; `false` where it has been given a client already.
+    fn leaves(&self, id: ThreadId) -> bool {
+        let mut resting = self.resting();
+        let at = resting.iter().position(|(other, _)| *other == id);
+        at.map(|at| resting.remove(at)).is_some()
+    }
+}
+
+/// The body of a client's thread: one connection after another, as long as they come.
+fn work(front: &Front, first: Arc<Socket>) {
+    let (post, mailbox) = slot();
+    let (id, mut next) = (thread::current().id(), Some(first));
+    while let Some(socket) = next.take() {
         let at = front.clock.now();
-        let connection =
-            Connection { front: &front, socket: &socket, buf: Vec::new(), room: None, at, since: at };
+        let connection = Connection { front, socket: &socket, buf: Vec::new(), room: None, at, since: at };
         let _ = connection.run();
         let _ = socket.stream.shutdown(Shutdown::Both);
-    };
-    thread::Builder::new().name("client".to_string()).stack_size(STACK).spawn(body).map(drop)
+        drop(socket);
+        front.crew.resting().push((id, post.clone()));
+        next = mailbox.recv(Some(Duration::from_secs_f64(REST))).ok();
+        if next.is_none() && !front.crew.leaves(id) {
+            next = mailbox.recv(None).ok();
+        }
+    }
 }
 
 enum Input {
--- a/crates/sandstile-router/src/router.rs
+++ b/crates/sandstile-router/src/router.rs
@@ -1,6 +1,6 @@
 //! Builds the actors of one router, and takes them down in order.
 use crate::budget::Budget;
-use crate::client::Front;
+use crate::client::{Crew, Front};
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::desk::{Desk, Mail};
@@ -79,6 +79,7 @@
         counters,
         log: log.clone(),
         next: AtomicU64::new(0),
+        crew: Crew::default(),
     });
     let door = Door::open(listener, front).map_err(|e| format!("listen: {e}"))?;
     info!(log, "serving"; "name" => launch.name, "listen" => %launch.listen, "clients" => most_clients,
--- a/crates/sandstile-router/tests/codecs.rs
+++ b/crates/sandstile-router/tests/codecs.rs
@@ -3,14 +3,16 @@
 use quickcheck::{Gen, QuickCheck, Testable};
 use sandstile_intake::{facts, list, names::Names};
 use sandstile_policy::terms::{Readiness, Verdict};
+use sandstile_router::budget::{Budget, Holder};
 use sandstile_router::desk::Parcel;
 use sandstile_router::discovery::{Chunks, Update};
 use sandstile_router::ending::{Ending, ALL};
 use sandstile_router::mailbox;
 use sandstile_router::pg::{self, Answer, Stage};
 use sandstile_router::statement::{self, Workload, Wrong};
+use std::collections::VecDeque;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const PATIENCE: Duration = Duration::from_secs(10);
 
@@ -200,6 +202,23 @@
     assert_eq!(facts, ["a.b=1.5,x", "a.c=", "classes.0.name=n o", "classes.count=1", "n=", "t=true"]);
 }
 
+/// One that goes within its being told, as quick threads do, has its descriptor taken at once.
+#[test]
+fn a_descriptor_given_back_at_once_is_not_waited_for() {
+    let budget = Budget::new(4, 2, 0);
+    let mut held: VecDeque<_> =
+        (0..2).map(|_| budget.take(Holder::Client, PATIENCE).expect("room")).collect();
+    let started = Instant::now();
+    for _ in 0..200 {
+        let goes = held.pop_front();
+        let idle = budget.idle(Holder::Client, move || drop(goes));
+        held.push_back(budget.take(Holder::Client, PATIENCE).expect("the idle one's"));
+        drop(idle);
+    }
+    assert!(started.elapsed() < Duration::from_secs(1), "{:?}", started.elapsed());
+    assert!(budget.room(1).is_none());
+}
+
 /// Mail that came before its reader first looked, while it sleeps, and the end of the last that could write.
 #[test]
 fn mailboxes_wake_their_reader_for_mail_and_for_the_end() {
