Above half of what clients may hold, what rests goes for what comes

Clients share a third of the descriptors, 128, so nobody was left a connection. At fault: budget.rs told what rests to go only at its own bound.

--- a/crates/sandstile-router/src/budget.rs
+++ b/crates/sandstile-router/src/budget.rs
@@ -98,6 +98,14 @@
                     Holder::Link => held.links += 1,
                     _ => held.clients += 1,
                 }
+                // Clients share what they may hold here: where half of it is taken, what rests goes for what
+                // comes, or a crowd that asks nothing would leave the others no connection.
+                if holder != Holder::Link && held.clients > self.most_clients / 2 {
+                    let resting = held.idle.range((Holder::Stranger, 0)..).next().map(|(key, _)| *key);
+                    let leave = resting.and_then(|key| held.idle.remove(&key));
+                    drop(held);
+                    leave.into_iter().for_each(|leave| leave());
+                }
                 return Some(Slot { budget: self.clone(), holder });
             }
             let helps = |key: &&(Holder, u64)| !crowd || key.0 != Holder::Link;
--- a/crates/sandstile-router/tests/codecs.rs
+++ b/crates/sandstile-router/tests/codecs.rs
@@ -219,6 +219,25 @@
     assert!(budget.room(1).is_none());
 }
 
+/// Where half of what clients may hold is taken, the oldest that rests goes for each that comes, strangers first.
+#[test]
+fn a_crowd_that_rests_leaves_room_for_those_who_ask() {
+    let budget = Budget::new(20, 8, 0);
+    let (tell, told) = crossbeam_channel::unbounded();
+    let rest = |holder, name: &'static str| {
+        let tell = tell.clone();
+        budget.idle(holder, move || tell.send(name).expect("a reader"))
+    };
+    let _idle = [
+        rest(Holder::Link, "link"),
+        rest(Holder::Client, "client"),
+        rest(Holder::Stranger, "first"),
+        rest(Holder::Stranger, "second"),
+    ];
+    let _held: Vec<_> = (0..7).map(|_| budget.take(Holder::Client, PATIENCE).expect("room")).collect();
+    assert_eq!(told.try_iter().collect::<Vec<_>>(), ["first", "second", "client"]);
+}
+
 /// Mail that came before its reader first looked, while it sleeps, and the end of the last that could write.
 #[test]
 fn mailboxes_wake_their_reader_for_mail_and_for_the_end() {
