--- a/crates/sandstile-router/src/budget.rs
+++ b/crates/sandstile-router/src/budget.rs
@@ -98,11 +98,12 @@
                     Holder::Link => held.links += 1,
                     _ => held.clients += 1,
                 }
-                // Clients share what they may hold here: where half of it is taken, what rests goes for what
-                // comes, or a crowd that asks nothing would leave the others no connection.
-                if holder != Holder::Link && held.clients > self.most_clients / 2 {
-                    let resting = held.idle.range((Holder::Stranger, 0)..).next().map(|(key, _)| *key);
-                    let leave = resting.and_then(|key| held.idle.remove(&key));
+                // Clients share what they may hold here: where half of it rests, the oldest goes for what comes,
+                // or a crowd that asks nothing would leave the others no connection.
+                let mut resting = held.idle.range((Holder::Stranger, 0)..).map(|(key, _)| *key);
+                let oldest = resting.next();
+                if holder != Holder::Link && resting.count() >= self.most_clients / 2 {
+                    let leave = oldest.and_then(|key| held.idle.remove(&key));
                     drop(held);
                     leave.into_iter().for_each(|leave| leave());
                 }
