--- a/crates/sandstile-router/src/budget.rs
+++ b/crates/sandstile-router/src/budget.rs
@@ -98,11 +98,11 @@
                     Holder::Link => held.links += 1,
                     _ => held.clients += 1,
                 }
-                // Clients share what they may hold here: where half of it rests, the oldest goes for what comes,
+                // Clients share what they may hold here: where a quarter rests, the oldest goes for what comes,
                 // or a crowd that asks nothing would leave the others no connection.
                 let mut resting = held.idle.range((Holder::Stranger, 0)..).map(|(key, _)| *key);
                 let oldest = resting.next();
-                if holder != Holder::Link && resting.count() >= self.most_clients / 2 {
+                if holder != Holder::Link && resting.count() >= self.most_clients / 4 {
                     let leave = oldest.and_then(|key| held.idle.remove(&key));
                     drop(held);
                     leave.into_iter().for_each(|leave| leave());
