--- a/crates/sandstile-intake/src/list.rs
+++ b/crates/sandstile-intake/src/list.rs
@@ -37,7 +37,8 @@
         self.members.values().any(|member| member.group == group)
     }
 
-    /// What a whole list leaves out is gone, and stays known until dropped. Sorted by host id, as the decisions want it.
+    /// What a whole list leaves out is gone, and stays known until dropped. Sorted by host id, as the decisions
+    /// want it.
     pub fn merge(
         &mut self,
         whole: bool,
--- a/crates/sandstile-router/src/budget.rs
+++ b/crates/sandstile-router/src/budget.rs
@@ -1,6 +1,6 @@
-//! One budget of descriptors for clients and links, and one of memory for long commands and long values. What is idle is on record here, so that the oldest can be
-//! told to go when a descriptor is wanted: links first, for a client's connection costs the client a new one, and
-//! clients that have asked nothing before those that have.
+//! One budget of descriptors for clients and links, and one of memory for long commands and long values. What is
+//! idle is on record here, so that the oldest can be told to go when a descriptor is wanted: links first, for a
+//! client's connection costs the client a new one, and clients that have asked nothing before those that have.
 use std::collections::BTreeMap;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
--- a/crates/sandstile-router/src/link.rs
+++ b/crates/sandstile-router/src/link.rs
@@ -99,8 +99,9 @@
             }
             self.buf.drain(..std::mem::take(&mut self.at));
             // What is known to come is read in few pieces, and takes no more than its room.
-            let more = end.saturating_sub(self.buf.len()).clamp(READ, pg::USUAL_VALUE);
-            self.buf.reserve_exact(more.max(end.saturating_sub(self.buf.len())));
+            let missing = end.saturating_sub(self.buf.len());
+            let more = missing.clamp(READ, pg::USUAL_VALUE);
+            self.buf.reserve_exact(more.max(missing));
             let stop = until.min(self.more_by);
             // A last look once the time is over: what came while this thread had to wait for its core counts.
             let last = clock.until(stop).is_zero();
--- a/crates/sandstile-router/src/peer.rs
+++ b/crates/sandstile-router/src/peer.rs
@@ -292,7 +292,8 @@
         if link.address_no != self.address_no {
             return self.common.counters.ended(Ending::Moved);
         }
-        if !link.socket.quiet() {
+        // One that goes to rest is looked at when it is taken again.
+        if !self.waiting.is_empty() && !link.socket.quiet() {
             // More than the answer came; what waits has dials of its own.
             return self.common.counters.ended(Ending::IdleEnded);
         }
--- a/crates/sandstile-router/tests/program.rs
+++ b/crates/sandstile-router/tests/program.rs
@@ -3,7 +3,7 @@
 
 use sandstile_router::pg;
 use stand_ins::*;
-use std::io::Write;
+use std::io::{ErrorKind, Write};
 use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::Ordering::SeqCst;
 use std::thread;
@@ -560,6 +560,11 @@
     let (primary, replica) = (Host::start(true), Host::start(false));
     let router = Router::before(&primary, &[&replica]);
     let mut flood: Vec<Client> = (0..90).map(|_| Client::connect(router.address)).collect();
+    // All are in, and nobody is told to go for want of room any more.
+    flood.iter().for_each(|c| c.stream.set_nonblocking(true).expect("a socket"));
+    let gone =
+        |c: &&Client| c.stream.peek(&mut [0]).map_or_else(|e| e.kind() != ErrorKind::WouldBlock, |n| n == 0);
+    wait_for("the flood", || flood.iter().filter(gone).count() >= 80);
     let mut answers = 0;
     for _ in 0..20 {
         let mut client = router.client();
