The frames of PostgreSQL's protocol stand in a package of their own, for both sides

Need: router, emulator and load tool are to share one codec without sockets. Change: the router's pg.rs becomes crates/sandstile-pgwire (frame, frontend, backend, answer); new are the server's ear, rows, parameters and error fields. The router uses it under the old name; no behaviour changed.

--- /dev/null
+++ b/crates/sandstile-pgwire/src/answer.rs
@@ -0,0 +1,96 @@
+//! Folding the frames that answer one query.
+use crate::frame::{be32, put, BadFrame};
+use std::ops::Range;
+
+/// The SQLSTATE of an ErrorResponse's body.
+pub fn sqlstate(body: &[u8]) -> Option<&str> {
+    field(body, b'C')
+}
+
+/// One field of an ErrorResponse's body: `C` the SQLSTATE, `D` the detail, `M` the message.
+pub fn field(body: &[u8], key: u8) -> Option<&str> {
+    body.split(|b| *b == 0).find(|f| f.first() == Some(&key)).and_then(|f| std::str::from_utf8(&f[1..]).ok())
+}
+
+/// How far an answer of a database host has come.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Stage {
+    #[default]
+    Nothing,
+    Described,
+    Row,
+    /// The row and its CommandComplete.
+    Whole,
+    Failed(String),
+}
+
+/// Folds the frames that answer one query.
+#[derive(Debug, Default)]
+pub struct Answer {
+    pub stage: Stage,
+    /// RowDescription, DataRow and CommandComplete, as they came.
+    pub rows: Vec<u8>,
+    /// Where in `rows` the one value stands.
+    pub value: Range<usize>,
+    pub position: Option<f64>,
+    pub primary: Option<bool>,
+}
+
+impl Answer {
+    /// Takes one frame; `true` once it was ReadyForQuery.
+    pub fn take(&mut self, tag: u8, body: &[u8]) -> Result<bool, BadFrame> {
+        let next = match (tag, &self.stage) {
+            (b'Z', _) => return Ok(true),
+            (b'S', _) => {
+                self.parameter(body);
+                return Ok(false);
+            }
+            (b'N' | b'A', _) => return Ok(false),
+            (b'E', Stage::Nothing | Stage::Described | Stage::Row) => {
+                let code = sqlstate(body).ok_or(BadFrame("error without a code"))?;
+                self.stage = Stage::Failed(code.to_string());
+                return Ok(false);
+            }
+            (b'T', Stage::Nothing) if body.starts_with(&[0, 1]) => Stage::Described,
+            (b'D', Stage::Described) => {
+                let length = body.get(2..6).map(be32).and_then(|n| usize::try_from(n).ok());
+                let whole = body.starts_with(&[0, 1]) && length.is_some_and(|n| body.len() == 6 + n);
+                if !whole {
+                    return Err(BadFrame("row"));
+                }
+                let start = self.rows.len() + 5 + 6;
+                self.value = start..start + body.len() - 6;
+                Stage::Row
+            }
+            (b'C', Stage::Row) => Stage::Whole,
+            _ => return Err(BadFrame("answer out of order")),
+        };
+        self.stage = next;
+        put(&mut self.rows, tag, &[body]);
+        Ok(false)
+    }
+
+    fn parameter(&mut self, body: &[u8]) {
+        let mut words = body.split(|b| *b == 0).map(|w| std::str::from_utf8(w).unwrap_or(""));
+        match (words.next().unwrap_or(""), words.next().unwrap_or("")) {
+            ("wal_time", ms) => {
+                self.position = ms.parse::<f64>().ok().filter(|p| p.is_finite()).map(|p| p / 1e3)
+            }
+            ("mode", mode) => self.primary = role(mode),
+            _ => {}
+        }
+    }
+
+    pub fn text(&self) -> &str {
+        std::str::from_utf8(&self.rows[self.value.clone()]).unwrap_or("")
+    }
+}
+
+/// The word that answers and lists use for a role: is it the primary's?
+pub fn role(mode: &str) -> Option<bool> {
+    match mode {
+        "read-write" => Some(true),
+        "read-only" => Some(false),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/sandstile-pgwire/src/backend.rs
@@ -0,0 +1,62 @@
+//! What the serving side says: greetings, rows, errors, parameters.
+use crate::frame::put;
+
+/// The greeting to a client: admitted, and ready.
+pub fn welcome(out: &mut Vec<u8>) {
+    put(out, b'R', &[&0i32.to_be_bytes()]);
+    for (name, value) in [("server_encoding", "UTF8"), ("client_encoding", "UTF8"), ("DateStyle", "ISO")] {
+        put(out, b'S', &[name.as_bytes(), b"\0", value.as_bytes(), b"\0"]);
+    }
+    // No statement is cancelled by key, so the key says nothing.
+    put(out, b'K', &[&[0; 8]]);
+    ready(out);
+}
+
+pub fn ready(out: &mut Vec<u8>) {
+    put(out, b'Z', &[b"I"]);
+}
+
+pub fn empty_query(out: &mut Vec<u8>) {
+    put(out, b'I', &[]);
+    ready(out);
+}
+
+/// `fatal` ends the connection; else the caller adds what follows.
+pub fn error(out: &mut Vec<u8>, fatal: bool, code: &str, message: &str, detail: Option<&str>) {
+    let severity: &[u8] = if fatal { b"FATAL" } else { b"ERROR" };
+    let mut body = Vec::with_capacity(64);
+    let fields = [(b'S', severity), (b'V', severity), (b'C', code.as_bytes()), (b'M', message.as_bytes())];
+    for (key, value) in fields.into_iter().chain(detail.map(|d| (b'D', d.as_bytes()))) {
+        body.push(key);
+        body.extend_from_slice(value);
+        body.push(0);
+    }
+    put(out, b'E', &[&body, b"\0"]);
+}
+
+/// One value as the answer to a query, without what closes it: RowDescription, DataRow, CommandComplete.
+pub fn row(out: &mut Vec<u8>, value: &[u8]) {
+    // Column 0 of no table, bytea (type 17) in binary form.
+    let column = [&[0; 6][..], &17u32.to_be_bytes(), &(-1i16).to_be_bytes(), &(-1i32).to_be_bytes(), &[0, 1]];
+    put(out, b'T', &[b"\0\x01payload\0", &column.concat()]);
+    put(out, b'D', &[&[0, 1], &(value.len() as u32).to_be_bytes(), value]);
+    put(out, b'C', &[b"SELECT 1\0"]);
+}
+
+/// A ParameterStatus.
+pub fn parameter(out: &mut Vec<u8>, name: &str, value: &str) {
+    put(out, b'S', &[name.as_bytes(), b"\0", value.as_bytes(), b"\0"]);
+}
+
+/// CommandComplete alone, for commands that yield no row and have no effect here.
+pub fn done(out: &mut Vec<u8>, tag: &str) {
+    put(out, b'C', &[tag.as_bytes(), b"\0"]);
+}
+
+/// The word that answers and lists use for a role.
+pub fn mode(primary: bool) -> &'static str {
+    match primary {
+        true => "read-write",
+        false => "read-only",
+    }
+}
--- /dev/null
+++ b/crates/sandstile-pgwire/src/frame.rs
@@ -0,0 +1,95 @@
+//! Where frames begin and end, and which of them nobody can have meant.
+use std::ops::Range;
+
+/// A value of 64 KiB as hexadecimal digits in a query, its statement and comment beside it.
+pub const MOST_FRAME: usize = 2 * 64 * 1024 + 16 * 1024;
+/// Values as the protocol's page has them; longer ones come all the same, and pass while there is room.
+pub const USUAL_VALUE: usize = 64 * 1024;
+/// Names, texts and codes beside the values.
+const MOST_WORDS: usize = 8 * 1024;
+/// A startup message holds a few short names; PostgreSQL itself takes no longer ones.
+pub const MOST_STARTUP: usize = 10_000;
+
+pub(crate) const PROTOCOL_3: i32 = 3 << 16;
+const CANCEL: i32 = 80_877_102;
+const SSL: i32 = 80_877_103;
+const GSS: i32 = 80_877_104;
+
+/// Nothing that could be a frame of the protocol.
+#[derive(Debug, PartialEq, Eq)]
+pub struct BadFrame(pub &'static str);
+
+#[derive(Debug, PartialEq, Eq)]
+pub enum Startup {
+    Begin,
+    /// A wish for encryption, declined with one byte.
+    Encrypt,
+    Cancel,
+}
+
+pub(crate) fn be32(bytes: &[u8]) -> i32 {
+    i32::from_be_bytes([bytes[0], bytes[1], bytes[2], bytes[3]])
+}
+
+/// The first message of a connection and its length; `None` until it is whole.
+pub fn startup(buf: &[u8]) -> Result<Option<(Startup, usize)>, BadFrame> {
+    if buf.len() < 4 {
+        return Ok(None);
+    }
+    let length = usize::try_from(be32(buf)).ok().filter(|n| (8..=MOST_STARTUP).contains(n));
+    let length = length.ok_or(BadFrame("startup length"))?;
+    if buf.len() < length {
+        return Ok(None);
+    }
+    let kind = match be32(&buf[4..]) {
+        SSL | GSS if length == 8 => Startup::Encrypt,
+        CANCEL if length == 16 => Startup::Cancel,
+        // Any minor version: what it asks for beyond ours is left out of our answers.
+        code if code >> 16 == PROTOCOL_3 >> 16 => Startup::Begin,
+        _ => return Err(BadFrame("startup code")),
+    };
+    Ok(Some((kind, length)))
+}
+
+/// The next frame's tag and the place of its body; `None` until it is whole.
+pub fn frame(buf: &[u8]) -> Result<Option<(u8, Range<usize>)>, BadFrame> {
+    let head = end(buf, MOST_FRAME)?;
+    Ok(head.filter(|end| buf.len() >= *end).map(|end| (buf[0], 5..end)))
+}
+
+/// Where the frame that begins here ends; `None` until its length has come.
+pub fn end(buf: &[u8], most: usize) -> Result<Option<usize>, BadFrame> {
+    let Some(length) = buf.get(1..5).map(be32) else { return Ok(None) };
+    let length = usize::try_from(length).ok().filter(|n| (4..=most).contains(n));
+    Ok(Some(1 + length.ok_or(BadFrame("frame length"))?))
+}
+
+/// Whether a database host can have begun a frame like this. Guards against waiting for the rest of what never
+/// was a frame: noise whose length happens to be small, or a row longer or shorter than its value.
+pub fn plausible(buf: &[u8], longest_value: usize) -> Result<(), BadFrame> {
+    let Some(tag) = buf.first() else { return Ok(()) };
+    let most = match tag {
+        b'D' => 4 + 6 + longest_value.max(USUAL_VALUE),
+        b'T' | b'C' | b'S' | b'E' | b'N' | b'A' | b'R' => MOST_WORDS,
+        b'K' => 12,
+        b'Z' => 5,
+        _ => return Err(BadFrame("unknown message")),
+    };
+    let fits = |n: &usize| (4..=most).contains(n);
+    let Some(length) = buf.get(1..5).map(be32) else { return Ok(()) };
+    let length = usize::try_from(length).ok().filter(fits).ok_or(BadFrame("frame length"))?;
+    let row = buf.get(5..11).filter(|_| *tag == b'D');
+    if row.is_some_and(|r| r[..2] != [0, 1] || usize::try_from(be32(&r[2..])) != Ok(length.wrapping_sub(10)))
+    {
+        return Err(BadFrame("row"));
+    }
+    Ok(())
+}
+
+/// A frame of one tag round its body.
+pub fn put(out: &mut Vec<u8>, tag: u8, parts: &[&[u8]]) {
+    let length = 4 + parts.iter().map(|p| p.len()).sum::<usize>();
+    out.push(tag);
+    out.extend_from_slice(&(length as u32).to_be_bytes());
+    parts.iter().for_each(|part| out.extend_from_slice(part));
+}
--- /dev/null
+++ b/crates/sandstile-pgwire/tests/frames.rs
@@ -0,0 +1,105 @@
+//! Round trips and truncation of every message, on seeded random content.
+use quickcheck::{Gen, QuickCheck};
+use sandstile_pgwire as pg;
+
+fn check() -> QuickCheck {
+    QuickCheck::new().rng(Gen::from_size_and_seed(64, 0x5a5a)).tests(300)
+}
+
+fn text(raw: &[u8]) -> Vec<u8> {
+    raw.iter().copied().filter(|b| *b != 0).collect()
+}
+
+/// Everything the asking side can say comes out of the ear as it went in, in pieces of any size.
+#[test]
+fn what_is_asked_is_heard_however_it_is_cut() {
+    fn holds(texts: Vec<Vec<u8>>, piece: u8) -> bool {
+        let texts: Vec<Vec<u8>> = texts.iter().map(|t| text(t)).collect();
+        let mut bytes = pg::hello();
+        texts.iter().for_each(|t| pg::query(&mut bytes, t));
+        pg::terminate(&mut bytes);
+        let (mut ear, mut heard) = (pg::Ear::default(), Vec::new());
+        for part in bytes.chunks(usize::from(piece) + 1) {
+            ear.hear(part);
+            while let Some(what) = ear.message().expect("own frames") {
+                heard.push(what);
+            }
+        }
+        let mut want = vec![pg::Heard::Begin];
+        want.extend(texts.into_iter().map(pg::Heard::Query));
+        want.push(pg::Heard::Terminate);
+        heard == want && ear.waiting() == 0
+    }
+    check().quickcheck(holds as fn(Vec<Vec<u8>>, u8) -> bool);
+}
+
+/// An answer cut at every byte is never whole before its last byte, and nothing panics.
+#[test]
+fn an_answer_is_whole_at_its_last_byte_and_not_before() {
+    fn fold(bytes: &[u8]) -> (pg::Answer, bool) {
+        let (mut answer, mut at, mut ready) = (pg::Answer::default(), 0, false);
+        while let Ok(Some((tag, body))) = pg::frame(&bytes[at..]) {
+            ready = answer.take(tag, &bytes[at..][body.clone()]).expect("own frames");
+            at += body.end;
+        }
+        (answer, ready)
+    }
+    fn holds(value: Vec<u8>, ms: u32, primary: bool) -> bool {
+        let mut bytes = Vec::new();
+        pg::row(&mut bytes, &value);
+        let rows = bytes.len();
+        pg::parameter(&mut bytes, "mode", pg::mode(primary));
+        pg::parameter(&mut bytes, "wal_time", &ms.to_string());
+        pg::ready(&mut bytes);
+        for cut in 0..bytes.len() {
+            let (answer, ready) = fold(&bytes[..cut]);
+            assert!(!ready);
+            assert_eq!(answer.stage == pg::Stage::Whole, cut >= rows);
+            pg::plausible(&bytes[..cut], usize::MAX).expect("a host can say so");
+        }
+        let (answer, ready) = fold(&bytes);
+        ready
+            && answer.rows[answer.value.clone()] == value[..]
+            && answer.primary == Some(primary)
+            && answer.position == Some(f64::from(ms) / 1e3)
+    }
+    check().tests(60).quickcheck(holds as fn(Vec<u8>, u32, bool) -> bool);
+}
+
+/// Noise is refused or waited for, and never makes anybody panic or hold more than the longest frame.
+#[test]
+fn noise_is_refused_without_a_panic() {
+    fn holds(noise: Vec<u8>, begun: bool) -> bool {
+        let mut ear = pg::Ear::default();
+        if begun {
+            ear.hear(&pg::hello());
+            assert_eq!(ear.message(), Ok(Some(pg::Heard::Begin)));
+        }
+        ear.hear(&noise);
+        while let Ok(Some(_)) = ear.message() {}
+        let _ = pg::plausible(&noise, 1 << 20);
+        let _ = pg::sqlstate(&noise);
+        ear.waiting() <= noise.len()
+    }
+    check().tests(2000).quickcheck(holds as fn(Vec<u8>, bool) -> bool);
+    for length in [i32::MIN, -1, 0, 3, pg::MOST_FRAME as i32 + 1, i32::MAX] {
+        let frame = [&b"Q"[..], &length.to_be_bytes(), b"x"].concat();
+        assert!(pg::frame(&frame).is_err(), "{length}");
+    }
+}
+
+#[test]
+fn fields_of_errors_come_back() {
+    fn holds(message: Vec<u8>, ms: u16) -> bool {
+        let message: String = String::from_utf8_lossy(&text(&message)).into_owned();
+        let mut out = Vec::new();
+        pg::error(&mut out, false, "53300", &message, Some(&ms.to_string()));
+        let (tag, body) = pg::frame(&out).expect("own frame").expect("whole");
+        let body = &out[body];
+        tag == b'E'
+            && pg::sqlstate(body) == Some("53300")
+            && pg::field(body, b'M') == Some(&message)
+            && pg::field(body, b'D').and_then(|d| d.parse().ok()) == Some(ms)
+    }
+    check().quickcheck(holds as fn(Vec<u8>, u16) -> bool);
+}
--- a/crates/sandstile-router/src/lib.rs
+++ b/crates/sandstile-router/src/lib.rs
@@ -12,7 +12,8 @@
 pub mod listen;
 pub mod mailbox;
 pub mod peer;
-pub mod pg;
 pub mod router;
 pub mod signals;
 pub mod statement;
+
+pub use sandstile_pgwire as pg;
