Rehearsal scripts in HCL: checked whole with places and hints, cues, traffic

Need: operators write an evening down before it is played, and a typo has to be told before anything starts. No I/O, no clock. Result: 25 planted mistakes are each named with their line; cues fire once; arrivals follow rate and seed.

--- /dev/null
+++ b/crates/sandstile-scenario/src/script.rs
@@ -0,0 +1,655 @@
+//! A rehearsal as a whole: fleet, workloads, traffic, routers and cues, each checked against the others before
+//! anything starts.
+use crate::read::{Problem, Section, Source};
+use sandstile_fleet::plan::*;
+use sandstile_fleet::{Kind, Plan, Target};
+
+/// What clients and routers are told of a workload, beside what hosts do for it.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    /// Seconds.
+    pub slo: f64,
+    /// Seconds that a client waits over all its tries.
+    pub timeout: f64,
+    pub importance: f64,
+    pub late_share: f64,
+}
+
+/// A rise of the rate for a while.
+#[derive(Clone, Debug)]
+pub struct Jump {
+    pub at: f64,
+    pub lasts: f64,
+    pub times: f64,
+    /// Seconds in which it rises, and falls again.
+    pub ramp: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Stream {
+    pub name: String,
+    pub workload: usize,
+    /// Indices of groups, drawn from evenly.
+    pub groups: Vec<usize>,
+    /// Statements a second.
+    pub rate: f64,
+    /// Names that statements draw from; a workload with sessions takes them as sessions.
+    pub sessions: usize,
+    pub jumps: Vec<Jump>,
+    /// After each completed statement, one of this workload by the same session after so many seconds.
+    pub then: Option<(usize, f64)>,
+    /// The share of sessions that ask the next router for what follows.
+    pub roams: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Clients {
+    /// Further tries of a statement that was rejected, and of an idempotent one that failed.
+    pub retries: usize,
+    /// Seconds before a try where the rejection named no time.
+    pub pause: f64,
+    /// Connections to each router at the most.
+    pub connections: usize,
+}
+
+#[derive(Clone, Debug)]
+pub struct Routers {
+    pub count: usize,
+    pub memory_mb: usize,
+    pub sockets: usize,
+}
+
+#[derive(Clone, Debug)]
+pub struct Allowed {
+    pub executions: usize,
+    pub recall: bool,
+    pub probes: bool,
+    /// 0 where a rejection names no time.
+    pub return_s: f64,
+    pub dial_s: f64,
+}
+
+/// What the audit holds the run against.
+#[derive(Clone, Debug)]
+pub struct Rules {
+    /// Seconds after a drain was told in which statements may still come.
+    pub grace: f64,
+    /// Seconds by which each limit of time is extended.
+    pub slack: f64,
+}
+
+/// When a cue is due.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Trigger {
+    /// Seconds after the start.
+    At(f64),
+    /// So many seconds after something has happened.
+    After(When, f64),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum When {
+    /// The fault of this name begins, or ends.
+    Begins(String),
+    Ends(String),
+    /// The change that the fault of this name brings to the list is written to a router.
+    Announced(String),
+    /// Part of the n-th statement of a workload has been read by a host.
+    Arriving(usize, u64),
+    /// The n-th statement of a workload has been read whole.
+    Begun(usize, u64),
+    /// It has run, and nothing was said yet.
+    Ran(usize, u64),
+    /// The first bytes of its answer are out.
+    HalfSaid(usize, u64),
+    /// A group has a new primary, for the n-th time.
+    Primary(String, u64),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Act {
+    Fault { kind: Kind, target: Target, lasts: f64 },
+    Agent { kind: AgentFault, lasts: f64 },
+    Router { number: usize, how: How, back: f64 },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum AgentFault {
+    /// The agent says nothing; watches stay open.
+    Silent,
+    /// News come so many seconds late.
+    Delay(f64),
+    /// It answers at another address, which routers learn by SIGHUP.
+    Move,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum How {
+    Term,
+    Kill,
+}
+
+#[derive(Clone, Debug)]
+pub struct Cue {
+    pub name: String,
+    pub trigger: Trigger,
+    pub act: Act,
+    /// Its line in the file.
+    pub line: usize,
+}
+
+#[derive(Clone, Debug)]
+pub struct Script {
+    pub title: String,
+    pub seconds: f64,
+    /// What `--quick` plays it in.
+    pub quick: f64,
+    /// Seconds after the start that reports leave out.
+    pub settle: f64,
+    pub plan: Plan,
+    pub terms: Vec<Terms>,
+    pub streams: Vec<Stream>,
+    pub clients: Clients,
+    pub routers: Routers,
+    pub allowed: Allowed,
+    pub rules: Rules,
+    pub discovery_delay: f64,
+    pub cues: Vec<Cue>,
+}
+
+const LONG: f64 = 86_400.0;
+
+impl Script {
+    /// Reads a whole script, or says all that is wrong with it.
+    pub fn read(file: &str, text: &str) -> Result<Script, Vec<Problem>> {
+        let source = Source::new(file, text);
+        let script = source.parse().map(|body| script(&Section::of(&source, &body)));
+        let problems = source.problems();
+        match script {
+            Some(script) if problems.is_empty() => Ok(script),
+            _ => Err(problems),
+        }
+    }
+
+    /// The same evening in less time: the script's own times shrink, those of hosts, statements and what follows
+    /// an event stay.
+    pub fn quick(mut self) -> Script {
+        let part = (self.quick / self.seconds).min(1.0);
+        self.seconds *= part;
+        self.settle *= part;
+        for stream in &mut self.streams {
+            for jump in &mut stream.jumps {
+                jump.at *= part;
+                jump.lasts *= part;
+                jump.ramp *= part;
+            }
+        }
+        for cue in &mut self.cues {
+            if let Trigger::At(at) = &mut cue.trigger {
+                *at *= part;
+            }
+            match &mut cue.act {
+                Act::Fault { lasts, .. } | Act::Agent { lasts, .. } => *lasts *= part,
+                Act::Router { .. } => {}
+            }
+        }
+        self
+    }
+
+    pub fn workload(&self, name: &str) -> Option<usize> {
+        self.plan.workloads.iter().position(|w| w.name == name)
+    }
+}
+
+fn script(file: &Section) -> Script {
+    let title = file.needed_text("title");
+    let seconds = file.needed_number("seconds", 1.0..LONG);
+    let quick = file.number("quick", 1.0..LONG, seconds.min(30.0));
+    let settle = file.number("settle", 0.0..LONG, seconds * 0.05);
+    let seed = file.number("seed", 0.0..9e15, 1.0) as u64;
+    let discovery_delay = file.ms("discovery_delay_ms", 0.0..60_000.0, 0.02);
+    let guarded = file.yes("guards", true);
+    let tokens = file.word(
+        "tokens",
+        &[("remembered", Tokens::Remembered), ("carried", Tokens::Carried)],
+        Some(Tokens::Remembered),
+    );
+    let kinds: Vec<MachineKind> = file.blocks("machine", true).iter().map(machine).collect();
+    let kind_names: Vec<String> = kinds.iter().map(|k| k.name.clone()).collect();
+    let mut nodes = Vec::new();
+    for section in file.blocks("node", true) {
+        let kind = section.reference("machine", "machine", &kind_names);
+        let zone = section.text("zone").unwrap_or_else(|| "a".to_string());
+        section.finish();
+        nodes.push(Node { name: section.name.clone(), zone, kind: kind.unwrap_or(0) });
+    }
+    let node_names: Vec<String> = nodes.iter().map(|n| n.name.clone()).collect();
+    let groups: Vec<Group> = file.blocks("group", true).iter().map(|s| group(s, &node_names)).collect();
+    let group_names: Vec<String> = groups.iter().map(|g| g.name.clone()).collect();
+    let (workloads, terms): (Vec<Workload>, Vec<Terms>) =
+        file.blocks("workload", true).iter().map(workload).unzip();
+    let workload_names: Vec<String> = workloads.iter().map(|w| w.name.clone()).collect();
+    for (what, empty) in [
+        ("machine", kinds.is_empty()),
+        ("node", nodes.is_empty()),
+        ("group", groups.is_empty()),
+        ("workload", workloads.is_empty()),
+    ] {
+        if empty {
+            file.source().wrong(
+                0,
+                format!("the file has no {what}"),
+                Some(format!("{what} \"NAME\" {{ … }}")),
+            );
+        }
+    }
+    let streams = file.blocks("traffic", true);
+    let streams = streams.iter().map(|s| stream(s, &workload_names, &group_names)).collect();
+    let plan = Plan { seed, kinds, nodes, groups, workloads, tokens, guarded };
+    let clients = file.only("clients");
+    let clients = clients.map_or(Clients { retries: 2, pause: 0.1, connections: 128 }, |s| {
+        let clients = Clients {
+            retries: s.count("retries", 0.0..10.0, 2),
+            pause: s.ms("pause_ms", 0.0..60_000.0, 0.1),
+            connections: s.count("connections", 1.0..2000.0, 128),
+        };
+        s.finish();
+        clients
+    });
+    let routers = file.only("routers").map_or(Routers { count: 2, memory_mb: 192, sockets: 1024 }, |s| {
+        let routers = Routers {
+            count: s.count("count", 1.0..32.0, 2),
+            memory_mb: s.count("memory_mb", 16.0..65_536.0, 192),
+            sockets: s.count("sockets", 64.0..65_536.0, 1024),
+        };
+        s.finish();
+        routers
+    });
+    let allowed = file.only("allowed").map_or_else(Allowed::usual, |s| {
+        let usual = Allowed::usual();
+        let allowed = Allowed {
+            executions: s.count("executions", 1.0..16.0, usual.executions),
+            recall: s.yes("recall", usual.recall),
+            probes: s.yes("probes", usual.probes),
+            return_s: s.ms("return_ms", 0.0..60_000.0, usual.return_s),
+            dial_s: s.ms("dial_ms", 10.0..10_000.0, usual.dial_s),
+        };
+        s.finish();
+        allowed
+    });
+    let rules = file.only("rules").map_or(Rules { grace: 1.0, slack: 0.05 }, |s| {
+        let rules =
+            Rules { grace: s.ms("grace_ms", 0.0..60_000.0, 1.0), slack: s.ms("slack_ms", 0.0..1000.0, 0.05) };
+        s.finish();
+        rules
+    });
+    let cues = cues(file, &plan, &group_names, &workload_names, &node_names, routers.count, seconds);
+    file.finish();
+    Script {
+        title,
+        seconds,
+        quick,
+        settle,
+        plan,
+        terms,
+        streams,
+        clients,
+        routers,
+        allowed,
+        rules,
+        discovery_delay,
+        cues,
+    }
+}
+
+impl Allowed {
+    fn usual() -> Self {
+        Allowed { executions: 4, recall: true, probes: true, return_s: 2.0, dial_s: 0.25 }
+    }
+}
+
+fn machine(s: &Section) -> MachineKind {
+    let usual = MachineKind::standard(&s.name);
+    let kind = MachineKind {
+        cores: s.numbers("cores", 0.01..100.0).unwrap_or(usual.cores),
+        discipline: s.word(
+            "discipline",
+            &[("sharing", Discipline::Sharing), ("queue", Discipline::Queue)],
+            Some(usual.discipline),
+        ),
+        queue: s.count("queue", 1.0..100_000.0, usual.queue),
+        cold_share: s.number("cold_share", 0.01..1.0, usual.cold_share),
+        warm_s: s.number("warm_s", 0.0..3600.0, usual.warm_s),
+        tip_multiple: s.number("tip_multiple", 1.0..1000.0, usual.tip_multiple),
+        tip_s: s.number("tip_s", 0.01..60.0, usual.tip_s),
+        restart_s: s.number("restart_s", 0.01..3600.0, usual.restart_s),
+        stops_when_left: s.yes("stops_when_left", usual.stops_when_left),
+        connections: s.count("connections", 1.0..10_000.0, usual.connections),
+        idle_s: s.number("idle_s", 0.05..86_400.0, usual.idle_s),
+        setup_work: s.ms("setup_work_ms", 0.0..1000.0, usual.setup_work),
+        name: usual.name,
+    };
+    s.finish();
+    kind
+}
+
+fn group(s: &Section, nodes: &[String]) -> Group {
+    let names = s.texts("nodes").unwrap_or_default();
+    if !s.has("nodes") {
+        s.wrong("nodes", format!("{} lacks nodes", s.what), Some("the first primary first".to_string()));
+    }
+    let found: Vec<usize> = names.iter().filter_map(|n| s.find("nodes", "node", n, nodes)).collect();
+    let mut once = found.clone();
+    once.sort_unstable();
+    once.dedup();
+    if once.len() < found.len() {
+        s.wrong("nodes", "one node stands twice in a group", None);
+    }
+    let apply = s.ms("apply_ms", 0.0..10_000.0, 0.0005);
+    let group = Group {
+        name: s.name.clone(),
+        nodes: found,
+        ship_s: s.ms("ship_ms", 0.0..60_000.0, 0.010),
+        apply: Work::Exponential(apply),
+        detect_s: s.number("detect_s", 0.05..600.0, 2.0),
+        elect_s: s.number("elect_s", 0.0..600.0, 0.5),
+        hold_s: s.ms("hold_ms", 0.0..10_000.0, 0.020),
+        dedup_s: s.number("dedup_s", 0.0..3600.0, 60.0),
+    };
+    s.finish();
+    group
+}
+
+fn workload(s: &Section) -> (Workload, Terms) {
+    let consistency = s.word(
+        "consistency",
+        &[
+            ("write", Consistency::Write),
+            ("fresh", Consistency::Fresh),
+            ("session", Consistency::Session),
+            ("bounded", Consistency::Bounded),
+            ("any", Consistency::Any),
+        ],
+        None,
+    );
+    let usual = match consistency {
+        Consistency::Write => Effect::NonIdempotent,
+        _ => Effect::Idempotent,
+    };
+    let effect = s.word(
+        "effect",
+        &[
+            ("idempotent", Effect::Idempotent),
+            ("deduplicated", Effect::Deduplicated),
+            ("non-idempotent", Effect::NonIdempotent),
+        ],
+        Some(usual),
+    );
+    if consistency == Consistency::Bounded && !s.has("bound_ms") {
+        s.wrong("consistency", "a bounded read lacks bound_ms", None);
+    }
+    let bound_s = s.ms("bound_ms", 0.0..3_600_000.0, 1.0);
+    let mean = s.needed_number("work_ms", 0.0..60_000.0) / 1000.0;
+    let sigma = s.optional_number("sigma", 0.0..3.0);
+    let spread = s.text("spread").unwrap_or_else(|| "exponential".to_string());
+    let work = match spread.as_str() {
+        "fixed" => Work::Fixed(mean),
+        "exponential" => Work::Exponential(mean),
+        "lognormal" => Work::LogNormal { mean, sigma: sigma.unwrap_or(1.0) },
+        other => {
+            let all = Some("one of: fixed, exponential, lognormal".to_string());
+            s.wrong("spread", format!("spread = \"{other}\""), all);
+            Work::Fixed(mean)
+        }
+    };
+    if sigma.is_some() && spread != "lognormal" {
+        s.wrong("sigma", "sigma goes with spread = \"lognormal\"", None);
+    }
+    let slo = s.needed_number("slo_ms", 1.0..86_400_000.0) / 1000.0;
+    let timeout = s.needed_number("timeout_ms", 1.0..86_400_000.0) / 1000.0;
+    if slo > timeout {
+        s.wrong("slo_ms", "slo_ms is beyond timeout_ms", None);
+    }
+    let terms = Terms {
+        slo,
+        timeout,
+        importance: s.number("importance", 0.0..1000.0, 1.0),
+        late_share: s.number("late_share", 0.0..1.0, 0.3),
+    };
+    let value_bytes = s.count("value_bytes", 0.0..60_000.0, 100);
+    s.finish();
+    let name = s.name.clone();
+    if name.is_empty() || !name.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-' || b == b'_') {
+        let hint = Some("letters, digits, - and _".to_string());
+        s.source().wrong(s.at, format!("\"{name}\" is no name for a workload"), hint);
+    }
+    (Workload { name, effect, consistency, bound_s, work, value_bytes }, terms)
+}
+
+fn stream(s: &Section, workloads: &[String], groups: &[String]) -> Stream {
+    let workload = s.reference("workload", "workload", workloads).unwrap_or(0);
+    let chosen = match s.texts("groups") {
+        Some(names) => names.iter().filter_map(|n| s.find("groups", "group", n, groups)).collect(),
+        None => (0..groups.len()).collect(),
+    };
+    let mut jumps = Vec::new();
+    for j in s.blocks("jump", false) {
+        let at = j.needed_number("at", 0.0..LONG);
+        let lasts = j.number("for", 0.0..LONG, LONG);
+        let times = j.needed_number("times", 0.0..1000.0);
+        jumps.push(Jump { at, lasts, times, ramp: j.number("ramp", 0.0..LONG, 0.0) });
+        j.finish();
+    }
+    let then = s.has("then").then(|| s.reference("then", "workload", workloads)).flatten();
+    let think = s.ms("think_ms", 0.0..600_000.0, 0.05);
+    let stream = Stream {
+        name: s.name.clone(),
+        workload,
+        groups: chosen,
+        rate: s.needed_number("rate", 0.001..1_000_000.0),
+        sessions: s.count("sessions", 1.0..1e9, 1000),
+        jumps,
+        then: then.map(|w| (w, think)),
+        roams: s.number("roams", 0.0..1.0, 0.0),
+    };
+    s.finish();
+    stream
+}
+
+struct Names<'a> {
+    plan: &'a Plan,
+    groups: &'a [String],
+    workloads: &'a [String],
+    nodes: &'a [String],
+    faults: Vec<String>,
+    seconds: f64,
+}
+
+fn cues(
+    file: &Section,
+    plan: &Plan,
+    groups: &[String],
+    workloads: &[String],
+    nodes: &[String],
+    routers: usize,
+    seconds: f64,
+) -> Vec<Cue> {
+    let (faults, agents) = (file.blocks("fault", true), file.blocks("agent", true));
+    let restarts = file.blocks("restart", true);
+    let all = faults.iter().chain(&agents).chain(&restarts);
+    let names =
+        Names { plan, groups, workloads, nodes, faults: all.map(|s| s.name.clone()).collect(), seconds };
+    let mut cues = Vec::new();
+    let mut push = |s: &Section, act: Act| {
+        let trigger = trigger(s, &names);
+        s.finish();
+        cues.push(Cue { name: s.name.clone(), trigger, act, line: s.source().line(s.at) });
+    };
+    for s in &faults {
+        let (kind, target, lasts) = (fault(s), target(s, &names), lasts(s));
+        push(s, Act::Fault { kind, target, lasts });
+    }
+    for s in &agents {
+        let kind = s.needed_text("kind");
+        let kind = match kind.as_str() {
+            "silent" => AgentFault::Silent,
+            "move" => AgentFault::Move,
+            "delay" => AgentFault::Delay(s.needed_number("delay_ms", 0.0..60_000.0) / 1000.0),
+            other => {
+                let all = Some("one of: silent, delay, move".to_string());
+                s.wrong("kind", format!("kind = \"{other}\""), all);
+                AgentFault::Silent
+            }
+        };
+        let lasts = lasts(s);
+        push(s, Act::Agent { kind, lasts });
+    }
+    for s in &restarts {
+        let number = s.needed_number("router", 0.0..31.0) as usize;
+        if number >= routers {
+            let hint = Some(format!("there are {routers}, counted from 0"));
+            s.wrong("router", format!("no router {number}"), hint);
+        }
+        let how = s.word("kind", &[("term", How::Term), ("kill", How::Kill)], None);
+        let back = s.number("back", 0.0..3600.0, 1.0);
+        push(s, Act::Router { number, how, back });
+    }
+    cues
+}
+
+fn lasts(s: &Section) -> f64 {
+    match s.has("for") {
+        true => s.needed_number("for", 0.001..LONG),
+        false => f64::INFINITY,
+    }
+}
+
+fn fault(s: &Section) -> Kind {
+    let kind = s.needed_text("kind");
+    let share = || s.needed_number("share", 0.0..1.0);
+    match kind.as_str() {
+        "pause" => Kind::Pause,
+        "hang" => Kind::Hang,
+        "slow" => Kind::Slow(share()),
+        "slow_replay" => Kind::SlowReplay(share()),
+        "crash" => Kind::Crash,
+        "lost" => Kind::Lost,
+        "drain" => Kind::Drain,
+        "replace" => Kind::Replace,
+        "fast_errors" => Kind::FastErrors(share()),
+        "spoilt" => Kind::Spoilt(share()),
+        "neighbour" => Kind::Neighbour(share()),
+        "refuse_connections" => Kind::RefuseConnections,
+        "slow_connections" => Kind::SlowConnections(s.needed_number("delay_ms", 0.0..60_000.0) / 1000.0),
+        "early_close" => Kind::EarlyClose(s.needed_number("idle_ms", 1.0..600_000.0) / 1000.0),
+        other => {
+            let all = "pause, hang, slow, slow_replay, crash, lost, drain, replace, fast_errors, spoilt, \
+                       neighbour, refuse_connections, slow_connections, early_close";
+            s.wrong("kind", format!("kind = \"{other}\""), Some(format!("one of: {all}")));
+            Kind::Pause
+        }
+    }
+}
+
+/// `host:NAME`, `node:NAME`, `primary:GROUP`, `replica:GROUP:N` or `group:GROUP`.
+fn target(s: &Section, names: &Names) -> Target {
+    let text = s.needed_text("on");
+    let mut words = text.split(':');
+    let (kind, name) = (words.next().unwrap_or(""), words.next().unwrap_or("").to_string());
+    let number = words.next();
+    let group = |name: &str| s.find("on", "group", name, names.groups).is_some();
+    let fits = match (kind, number) {
+        ("host", None) => {
+            // A host that comes by a replacement has no name before that.
+            let plan = names.plan;
+            let all = plan.groups.iter().enumerate().flat_map(|(g, group)| {
+                group.nodes.iter().map(move |n| plan.host_name(g, *n)).collect::<Vec<_>>()
+            });
+            let all: Vec<String> = all.collect();
+            s.find("on", "host", &name, &all);
+            return Target::Host(name);
+        }
+        ("node", None) => s.find("on", "node", &name, names.nodes).map(|_| Target::Node(name.clone())),
+        ("primary", None) => group(&name).then(|| Target::Primary(name.clone())),
+        ("group", None) => group(&name).then(|| Target::Group(name.clone())),
+        ("replica", Some(n)) if n.parse::<usize>().is_ok() => {
+            group(&name).then(|| Target::Replica(name.clone(), n.parse().unwrap_or(0)))
+        }
+        _ => {
+            let forms = "host:NAME, node:NAME, primary:GROUP, replica:GROUP:N or group:GROUP";
+            s.wrong("on", format!("on = \"{text}\""), Some(forms.to_string()));
+            None
+        }
+    };
+    fits.unwrap_or(Target::Host(name))
+}
+
+/// `at` in seconds, or `when` with `plus_ms`.
+fn trigger(s: &Section, names: &Names) -> Trigger {
+    let (at, when) = (s.optional_number("at", 0.0..LONG), s.text("when"));
+    let plus = s.ms("plus_ms", 0.0..600_000.0, 0.0);
+    if at.is_some_and(|at| at > names.seconds) {
+        s.wrong("at", "at lies behind the end", Some(format!("seconds = {}", names.seconds)));
+    }
+    match (at, when) {
+        (Some(at), None) if !s.has("plus_ms") => Trigger::At(at),
+        (None, Some(text)) => Trigger::After(when_of(s, &text, names), plus),
+        (Some(_), None) => {
+            s.wrong("plus_ms", "plus_ms goes with when", None);
+            Trigger::At(0.0)
+        }
+        (Some(_), Some(_)) => {
+            s.wrong("when", format!("{} has both at and when", s.what), None);
+            Trigger::At(0.0)
+        }
+        (None, None) => {
+            if !s.has("at") {
+                let hint = Some("at = SECONDS, or when = \"EVENT\"".to_string());
+                s.source().wrong(s.at, format!("{} lacks at or when", s.what), hint);
+            }
+            Trigger::At(0.0)
+        }
+    }
+}
+
+fn when_of(s: &Section, text: &str, names: &Names) -> When {
+    let words: Vec<&str> = text.split(':').collect();
+    let name = words.get(1).map_or(String::new(), |w| w.to_string());
+    let nth = words.get(2).and_then(|n| n.parse::<u64>().ok()).filter(|n| *n > 0);
+    let known = |what: &str, of: &[String]| s.find("when", what, &name, of);
+    let itself = || {
+        if name == s.name {
+            s.wrong("when", format!("{} waits for itself", s.what), None);
+        }
+    };
+    match (words.first().copied().unwrap_or(""), words.len(), nth) {
+        (word @ ("begins" | "ends" | "announced"), 2, _) => {
+            known("fault, agent or restart", &names.faults);
+            itself();
+            match word {
+                "begins" => When::Begins(name),
+                "ends" => When::Ends(name),
+                _ => When::Announced(name),
+            }
+        }
+        (word @ ("arriving" | "begun" | "ran" | "half_said"), 3, Some(nth)) => {
+            let workload = known("workload", names.workloads).unwrap_or(0);
+            match word {
+                "arriving" => When::Arriving(workload, nth),
+                "begun" => When::Begun(workload, nth),
+                "ran" => When::Ran(workload, nth),
+                _ => When::HalfSaid(workload, nth),
+            }
+        }
+        ("primary", 3, Some(nth)) => {
+            known("group", names.groups);
+            When::Primary(name, nth)
+        }
+        _ => {
+            let forms = "begins:NAME, ends:NAME, announced:NAME, arriving:WORKLOAD:N, begun:WORKLOAD:N, \
+                         ran:WORKLOAD:N, half_said:WORKLOAD:N or primary:GROUP:N";
+            s.wrong("when", format!("when = \"{text}\""), Some(forms.to_string()));
+            When::Begins(name)
+        }
+    }
+}
--- /dev/null
+++ b/crates/sandstile-scenario/tests/scripts.rs
@@ -0,0 +1,153 @@
+//! Scripts that read, scripts that do not and say where, cues and traffic.
+use sandstile_fleet::{Kind, Target};
+use sandstile_scenario::script::*;
+use sandstile_scenario::traffic::{level, Traffic};
+use sandstile_scenario::{Director, Happening, Script};
+
+const GOOD: &str = r#"title = "A small evening"
+seconds = 20
+quick = 5
+machine "std" {
+  cores = [1, 0.5]
+  queue = 32
+}
+node "a" { machine = "std" }
+node "b" {
+  machine = "std"
+  zone = "b"
+}
+group "1" {
+  nodes = ["a", "b"]
+}
+workload "look" {
+  consistency = "any"
+  work_ms = 5
+  slo_ms = 200
+  timeout_ms = 800
+}
+workload "save" {
+  consistency = "write"
+  work_ms = 5
+  slo_ms = 200
+  timeout_ms = 800
+}
+traffic "browse" {
+  workload = "look"
+  rate = 100
+  jump {
+    at = 10
+    for = 4
+    times = 3
+  }
+}
+fault "p" {
+  kind = "pause"
+  on = "primary:1"
+  at = 5
+  for = 2
+}
+fault "c" {
+  kind = "crash"
+  on = "replica:1:0"
+  when = "begun:save:3"
+  plus_ms = 20
+}
+restart "r" {
+  router = 1
+  kind = "term"
+  when = "ends:p"
+}
+"#;
+
+#[test]
+fn a_script_reads_whole() {
+    let script = Script::read("good.hcl", GOOD).expect("good");
+    assert_eq!((script.seconds, script.plan.groups[0].nodes.len(), script.cues.len()), (20.0, 2, 3));
+    let fault = Act::Fault { kind: Kind::Pause, target: Target::Primary("1".to_string()), lasts: 2.0 };
+    assert_eq!(script.cues[0].act, fault);
+    assert_eq!(script.cues[1].trigger, Trigger::After(When::Begun(1, 3), 0.020));
+    let quick = script.quick();
+    assert_eq!((quick.seconds, quick.streams[0].jumps[0].at), (5.0, 2.5));
+    assert_eq!(quick.cues[0].trigger, Trigger::At(1.25));
+    assert_eq!(quick.cues[1].trigger, Trigger::After(When::Begun(1, 3), 0.020));
+}
+
+/// Each edit of the good script is refused with the line of what is wrong, and a hint where one helps.
+#[test]
+fn what_is_wrong_is_named_with_its_place() {
+    let line = |needle: &str| GOOD[..GOOD.find(needle).expect(needle)].matches('\n').count() + 1;
+    for (from, to, at, says) in [
+        ("queue = 32", "quue = 32", line("queue = 32"), "did you mean queue"),
+        ("queue = 32", "queue = \"32\"", line("queue = 32"), "no number"),
+        ("queue = 32", "queue = 0", line("queue = 32"), "wanted: 1 to"),
+        ("queue = 32", "queue = 1.5", line("queue = 32"), "whole"),
+        ("cores = [1, 0.5]", "cores = []", line("cores"), "list"),
+        ("machine = \"std\"\n", "machine = \"sdt\"\n", line("machine = \"std\"\n"), "did you mean std"),
+        ("nodes = [\"a\", \"b\"]", "nodes = [\"a\", \"x\"]", line("nodes"), "no node is named"),
+        ("nodes = [\"a\", \"b\"]", "nodes = [\"a\", \"a\"]", line("nodes"), "twice"),
+        ("consistency = \"any\"", "consistency = \"bounded\"", line("consistency"), "bound_ms"),
+        ("consistency = \"any\"", "consistency = \"anny\"", line("consistency"), "did you mean any"),
+        ("slo_ms = 200", "slo_ms = 900", line("slo_ms"), "beyond"),
+        ("rate = 100", "", line("traffic"), "lacks rate"),
+        ("kind = \"pause\"", "kind = \"pose\"", line("kind = \"pause\""), "one of"),
+        ("on = \"primary:1\"", "on = \"primary:2\"", line("on = \"primary"), "no group"),
+        ("on = \"primary:1\"", "on = \"1\"", line("on = \"primary"), "host:NAME"),
+        ("at = 5", "at = 25", line("at = 5"), "behind the end"),
+        ("at = 5", "at = 5\nwhen = \"begins:c\"", line("at = 5") + 1, "both"),
+        ("at = 5", "", line("fault \"p\""), "at or when"),
+        ("begun:save:3", "begun:svae:3", line("begun"), "did you mean save"),
+        ("begun:save:3", "begun:save", line("begun"), "begun:WORKLOAD:N"),
+        ("begun:save:3", "begins:c", line("begun"), "itself"),
+        ("router = 1", "router = 2", line("router = 1"), "counted from 0"),
+        ("fault \"c\"", "fault \"p\"", line("fault \"c\""), "second"),
+        ("title = ", "tilte = ", 1, "did you mean title"),
+        ("seconds = 20", "seconds = ", 2, ""),
+    ] {
+        let text = GOOD.replacen(from, to, 1);
+        let problems = Script::read("bad.hcl", &text).expect_err(to);
+        let told = problems.iter().any(|p| p.line == at && p.to_string().contains(says));
+        assert!(told, "{from} -> {to}: {problems:?}");
+        assert!(problems[0].to_string().starts_with("bad.hcl:"), "{}", problems[0]);
+    }
+}
+
+/// No text makes the reader panic.
+#[test]
+fn a_script_cut_anywhere_is_refused_or_read() {
+    for cut in (0..GOOD.len()).step_by(7) {
+        let _ = Script::read("cut.hcl", &GOOD[..cut]);
+    }
+    for junk in ["", "{", "a = ", "fault {}", "group \"1\" \"2\" {}", "machine \"x\" { cores = [-1] }"] {
+        assert!(Script::read("junk.hcl", junk).is_err(), "{junk}");
+    }
+}
+
+#[test]
+fn cues_are_due_once_and_in_their_order() {
+    let script = Script::read("good.hcl", GOOD).expect("good");
+    let mut d = Director::new(&script.cues, 100.0);
+    assert_eq!((d.due(104.9), d.next()), (None, Some(105.0)));
+    assert_eq!((d.due(105.0), d.due(110.0)), (Some(0), None));
+    for n in 0..5 {
+        d.happened(106.0 + f64::from(n), &Happening::Begun { workload: 1 });
+    }
+    assert_eq!((d.next(), d.due(108.01), d.due(108.03), d.due(120.0)), (Some(108.02), None, Some(1), None));
+    assert_eq!(d.missed().len(), 1);
+    d.happened(109.0, &Happening::Ended { cue: 1 });
+    d.happened(109.0, &Happening::Ended { cue: 0 });
+    assert_eq!((d.due(109.0), d.missed().len()), (Some(2), 0));
+}
+
+#[test]
+fn arrivals_follow_the_rate_and_the_seed() {
+    let script = Script::read("good.hcl", GOOD).expect("good");
+    let all: Vec<_> = Traffic::new(&script, 5).collect();
+    let within = |a: f64, b: f64| all.iter().filter(|x| x.at >= a && x.at < b).count() as f64;
+    assert!((within(0.0, 10.0) / 1000.0 - 1.0).abs() < 0.1, "{}", within(0.0, 10.0));
+    assert!((within(10.0, 14.0) / 1200.0 - 1.0).abs() < 0.1, "{}", within(10.0, 14.0));
+    assert!(all.windows(2).all(|w| w[0].at <= w[1].at));
+    assert_eq!(all, Traffic::new(&script, 5).collect::<Vec<_>>());
+    assert_ne!(all, Traffic::new(&script, 6).collect::<Vec<_>>());
+    let ramp = [Jump { at: 10.0, lasts: 10.0, times: 3.0, ramp: 2.0 }];
+    assert_eq!([9.0, 11.0, 15.0, 19.0, 21.0].map(|t| level(&ramp, t)), [1.0, 2.0, 3.0, 2.0, 1.0]);
+}
