The emulator: the fleet model on loopback sockets, with discovery and exact cues

Need: real router processes are to meet hosts that pause, vanish, drain and die at an exact moment, without knowing it. Change: crates/sandstile-emulator drives model and director from one readiness loop (mio): a listener a host, an agent a router, resets, refusals, vanished machines whose connections never come up (a full accept queue), answers cut in two, statements read in pieces, news delayed, silent or moved. Cues are carried out before words go out, so that a host can die between running a statement and answering it.

--- /dev/null
+++ b/crates/sandstile-emulator/src/lib.rs
@@ -0,0 +1,11 @@
+//! The fleet model on sockets: one listener a host, one discovery agent a router, all on 127.0.0.0/8, served by
+//! one thread with a readiness loop. The model decides what hosts do; here are only bytes, connections and what
+//! the network does to them. No router code is used.
+pub mod agent;
+pub mod clock;
+pub mod run;
+mod sockets;
+pub mod speech;
+
+pub use clock::Clock;
+pub use run::{Emulator, Handle, Note, Record, Summary, What};
--- a/crates/sandstile-pgwire/src/frontend.rs
+++ b/crates/sandstile-pgwire/src/frontend.rs
@@ -39,7 +39,7 @@
 pub struct Ear {
     buf: Vec<u8>,
     at: usize,
-    begun: bool,
+    greeted: bool,
 }
 
 impl Ear {
@@ -51,12 +51,12 @@
     /// The next whole message. After an error nothing more can be told from these bytes.
     pub fn message(&mut self) -> Result<Option<Heard>, BadFrame> {
         let buf = &self.buf[self.at..];
-        if !self.begun {
+        if !self.greeted {
             let Some((kind, length)) = startup(buf)? else { return Ok(None) };
             self.at += length;
             return Ok(Some(match kind {
                 Startup::Begin => {
-                    self.begun = true;
+                    self.greeted = true;
                     Heard::Begin
                 }
                 Startup::Encrypt => Heard::Encrypt,
@@ -77,6 +77,11 @@
 
     /// Bytes that came and belong to no message yet.
     pub fn waiting(&self) -> usize {
-        self.buf.len() - self.at
+        self.begun().len()
+    }
+
+    /// What has come of a message that is not whole.
+    pub fn begun(&self) -> &[u8] {
+        &self.buf[self.at..]
     }
 }
