--- /dev/null
+++ b/crates/sandstile-audit/src/lib.rs
@@ -0,0 +1,9 @@
+//! The audit of a rehearsal: a trace of JSON lines goes in, violations with their stories and the service come
+//! out. Whoever wrote the router's decisions wrote nothing here, and no code is shared with them.
+pub mod judge;
+pub mod service;
+pub mod trace;
+
+pub use judge::{judge, Finding, Rule};
+pub use service::{service, Service};
+pub use trace::Trace;
--- /dev/null
+++ b/crates/sandstile-audit/src/trace.rs
@@ -0,0 +1,293 @@
+//! The trace, read whole and sorted by what each line is about. Times are Unix seconds.
+use serde_json::Value;
+use std::collections::BTreeMap;
+
+/// What the run held its parts to.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub title: String,
+    pub seed: u64,
+    pub begin: f64,
+    pub end: f64,
+    /// Seconds at the start that service leaves out.
+    pub settle: f64,
+    pub grace: f64,
+    pub slack: f64,
+    pub routers: usize,
+    pub workloads: BTreeMap<String, Workload>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Workload {
+    pub effect: Effect,
+    /// `write`, `fresh`, `session`, `bounded` or `any`.
+    pub consistency: String,
+    pub slo: f64,
+    pub timeout: f64,
+    pub importance: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Idempotent,
+    Deduplicated,
+    NonIdempotent,
+}
+
+/// One try of a client.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    pub t: f64,
+    /// When it was meant to be asked.
+    pub intended: f64,
+    /// The id of the first try of the same wish.
+    pub first: String,
+    pub workload: String,
+    pub group: String,
+    pub session: String,
+    pub router: usize,
+    pub wait: f64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answered {
+    /// The value's own words: for which statement, by which host, at which position.
+    Completed {
+        made_for: Option<String>,
+        by: Option<String>,
+        position: Option<f64>,
+    },
+    Rejected,
+    Failed {
+        code: String,
+    },
+}
+
+/// A host read a statement whole.
+#[derive(Clone, Debug)]
+pub struct Taken {
+    pub t: f64,
+    pub host: String,
+}
+
+#[derive(Clone, Debug)]
+pub struct Ran {
+    pub t: f64,
+    pub host: String,
+    pub commit: Option<f64>,
+    pub reached: f64,
+    pub need: f64,
+}
+
+/// All that is on record of one statement.
+#[derive(Clone, Debug, Default)]
+pub struct Statement {
+    pub asked: Option<Asked>,
+    pub answered: Vec<(f64, Answered)>,
+    /// When and how a try ended without an answer.
+    pub unanswered: Option<(f64, String)>,
+    pub taken: Vec<Taken>,
+    pub ran: Vec<Ran>,
+    /// Hosts' own words: host and code.
+    pub said: Vec<(f64, String, String)>,
+    pub lines: Vec<(f64, String)>,
+}
+
+/// What a router did, or what was done to it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RouterState {
+    Started,
+    Term,
+    Killed,
+    /// With its exit code, if it had one.
+    Ended(Option<i64>),
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Trace {
+    pub terms: Option<Terms>,
+    /// It ended as it should, not in the middle.
+    pub whole: bool,
+    pub statements: BTreeMap<String, Statement>,
+    /// When a router was first told that a host leaves.
+    pub leaving: BTreeMap<(usize, String), f64>,
+    pub routers: Vec<(f64, usize, RouterState)>,
+    /// Faults that stood: kind, host, begin, end.
+    pub faults: Vec<(String, String, f64, f64)>,
+    pub tipped: Vec<(f64, String, f64, f64)>,
+    /// The greatest multiple that a cold host was offered, and what it bears.
+    pub pushed: BTreeMap<String, (f64, f64)>,
+    /// Commits that no host has any more: when, group, statement, position.
+    pub lost: Vec<(f64, String, String, f64)>,
+    pub primaries: Vec<(f64, String, String)>,
+    /// Why the run itself says little, where it does.
+    pub unsound: Option<String>,
+    pub lines: usize,
+}
+
+impl Trace {
+    /// Reads all lines. The message names the line that can't be read.
+    pub fn read(text: &str) -> Result<Trace, String> {
+        let mut trace = Trace::default();
+        for (n, line) in text.lines().enumerate() {
+            if line.trim().is_empty() {
+                continue;
+            }
+            let json: Value = serde_json::from_str(line).map_err(|e| format!("line {}: {e}", n + 1))?;
+            trace.take(&json, line).map_err(|what| format!("line {}: {what}", n + 1))?;
+            trace.lines += 1;
+        }
+        for statement in trace.statements.values_mut() {
+            statement.lines.sort_by(|a, b| a.0.total_cmp(&b.0));
+            statement.answered.sort_by(|a, b| a.0.total_cmp(&b.0));
+            statement.taken.sort_by(|a, b| a.t.total_cmp(&b.t));
+            statement.ran.sort_by(|a, b| a.t.total_cmp(&b.t));
+        }
+        trace.routers.sort_by(|a, b| a.0.total_cmp(&b.0));
+        Ok(trace)
+    }
+
+    fn take(&mut self, json: &Value, line: &str) -> Result<(), String> {
+        let t = json["t"].as_f64().ok_or("no time")?;
+        let what = json["what"].as_str().ok_or("no what")?;
+        let text =
+            |key: &str| json[key].as_str().map(str::to_string).ok_or_else(|| format!("{what} lacks {key}"));
+        let number = |key: &str| json[key].as_f64().ok_or_else(|| format!("{what} lacks {key}"));
+        if let Some(id) = json["id"].as_str() {
+            let of = self.statements.entry(id.to_string()).or_default();
+            of.lines.push((t, line.to_string()));
+        }
+        match what {
+            "run" => self.terms = Some(terms(json, t)?),
+            "end" => {
+                self.whole = true;
+                if let Some(terms) = &mut self.terms {
+                    terms.end = t;
+                }
+                self.unsound = json["unsound"].as_str().map(str::to_string);
+            }
+            "asked" => {
+                let asked = Asked {
+                    t,
+                    intended: json["intended"].as_f64().unwrap_or(t),
+                    first: text("first")?,
+                    workload: text("workload")?,
+                    group: text("group")?,
+                    session: text("session")?,
+                    router: number("router")? as usize,
+                    wait: number("wait")?,
+                };
+                let of = self.of(&text("id")?);
+                if of.asked.is_none() {
+                    of.asked = Some(asked);
+                }
+            }
+            "answered" => {
+                let word = |key: &str| json[key].as_str().map(str::to_string);
+                let how = match json["how"].as_str() {
+                    Some("completed") => Answered::Completed {
+                        made_for: word("made_for"),
+                        by: word("by"),
+                        position: json["position"].as_f64(),
+                    },
+                    Some("rejected") => Answered::Rejected,
+                    _ => Answered::Failed { code: word("code").unwrap_or_default() },
+                };
+                self.of(&text("id")?).answered.push((t, how));
+            }
+            "unanswered" => self.of(&text("id")?).unanswered = Some((t, text("how")?)),
+            "taken" => {
+                let host = text("host")?;
+                self.of(&text("id")?).taken.push(Taken { t, host });
+            }
+            "ran" => {
+                let (host, commit) = (text("host")?, json["commit"].as_f64());
+                let (reached, need) = (number("reached")?, number("need")?);
+                self.of(&text("id")?).ran.push(Ran { t, host, commit, reached, need });
+            }
+            "said" => {
+                let (host, how) = (text("host")?, text("how")?);
+                self.of(&text("id")?).said.push((t, host, how));
+            }
+            "told" => {
+                if matches!(json["readiness"].as_str(), Some("leaving" | "left")) {
+                    let key = (number("router")? as usize, text("host")?);
+                    let at = self.leaving.entry(key).or_insert(t);
+                    *at = at.min(t);
+                }
+            }
+            "router" => {
+                let state = match json["state"].as_str() {
+                    Some("started") => RouterState::Started,
+                    Some("term") => RouterState::Term,
+                    Some("killed") => RouterState::Killed,
+                    Some("ended") => RouterState::Ended(json["code"].as_i64()),
+                    other => return Err(format!("router state {other:?}")),
+                };
+                self.routers.push((t, number("number")? as usize, state));
+            }
+            "fault_begins" => self.faults.push((text("fault")?, text("host")?, t, f64::INFINITY)),
+            "fault_ends" => {
+                let (fault, host) = (text("fault")?, text("host")?);
+                let open =
+                    |f: &&mut (String, String, f64, f64)| f.0 == fault && f.1 == host && f.3 == f64::INFINITY;
+                if let Some(open) = self.faults.iter_mut().find(open) {
+                    open.3 = t;
+                }
+            }
+            "tipped" => self.tipped.push((t, text("host")?, number("multiple")?, number("most")?)),
+            "pushed" => {
+                self.pushed.insert(text("host")?, (number("multiple")?, number("most")?));
+            }
+            "lost_commit" => self.lost.push((t, text("group")?, text("id")?, number("commit")?)),
+            "primary" => self.primaries.push((t, text("group")?, text("host")?)),
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn of(&mut self, id: &str) -> &mut Statement {
+        self.statements.entry(id.to_string()).or_default()
+    }
+
+    /// Whether a router was killed, or had ended, between these times.
+    pub fn killed(&self, router: usize, from: f64, to: f64) -> bool {
+        self.routers
+            .iter()
+            .any(|(t, n, s)| *n == router && *s == RouterState::Killed && *t >= from && *t <= to)
+    }
+}
+
+fn terms(json: &Value, t: f64) -> Result<Terms, String> {
+    let number = |key: &str| json[key].as_f64().ok_or_else(|| format!("run lacks {key}"));
+    let mut workloads = BTreeMap::new();
+    for w in json["workloads"].as_array().ok_or("run lacks workloads")? {
+        let name = w["name"].as_str().ok_or("a workload without a name")?;
+        let effect = match w["effect"].as_str() {
+            Some("idempotent") => Effect::Idempotent,
+            Some("deduplicated") => Effect::Deduplicated,
+            // What nobody has vouched for is not to be repeated.
+            _ => Effect::NonIdempotent,
+        };
+        let of = |key: &str| w[key].as_f64().ok_or_else(|| format!("workload {name} lacks {key}"));
+        let workload = Workload {
+            effect,
+            consistency: w["consistency"].as_str().unwrap_or("fresh").to_string(),
+            slo: of("slo")?,
+            timeout: of("timeout")?,
+            importance: of("importance")?,
+        };
+        workloads.insert(name.to_string(), workload);
+    }
+    Ok(Terms {
+        title: json["title"].as_str().unwrap_or("").to_string(),
+        seed: json["seed"].as_u64().unwrap_or(0),
+        begin: t,
+        end: t,
+        settle: number("settle")?,
+        grace: number("grace")?,
+        slack: number("slack")?,
+        routers: number("routers")? as usize,
+        workloads,
+    })
+}
