--- /dev/null
+++ b/crates/sandstile-lab/src/lib.rs
@@ -0,0 +1,7 @@
+//! Rehearsals: the emulator, real router processes and clients on one machine, a trace of all of it, and what
+//! the audit says of that.
+pub mod book;
+pub mod clients;
+pub mod processes;
+pub mod rehearse;
+pub mod report;
--- /dev/null
+++ b/crates/sandstile-lab/src/main.rs
@@ -0,0 +1,211 @@
+//! The command line of the lab.
+use clap::{Parser, Subcommand, ValueEnum};
+use sandstile_emulator::Clock;
+use sandstile_lab::{processes, rehearse, report};
+use sandstile_scenario::Script;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use tracing::{error, info};
+
+/// Rehearsals of sandstile: real routers before emulated database hosts.
+#[derive(Parser)]
+#[command(name = "sandstile-lab", version, about)]
+struct Cli {
+    /// The form of the log on standard error
+    #[arg(long, global = true, value_enum, default_value_t = Form::Text)]
+    log: Form,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum Form {
+    Text,
+    Json,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Check scripts whole, without starting anything
+    Check {
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+    },
+    /// List the scripts of a folder
+    List {
+        #[arg(default_value = "rehearsals")]
+        dir: PathBuf,
+    },
+    /// Start hosts and discovery alone, and print a configuration for a router; SIGINT or SIGTERM ends it
+    Emulate {
+        file: PathBuf,
+        /// Begin the script's cues at once
+        #[arg(long)]
+        cues: bool,
+    },
+    /// Play a script: emulator, routers, clients, trace and summary
+    Rehearse {
+        file: PathBuf,
+        /// In place of the script's seed
+        #[arg(long)]
+        seed: Option<u64>,
+        /// The router's program; the one beside this program if absent
+        #[arg(long)]
+        router: Option<PathBuf>,
+        /// Where trace, logs and summary go
+        #[arg(long, default_value = "target/rehearsal")]
+        out: PathBuf,
+        /// In the script's quick time
+        #[arg(long)]
+        quick: bool,
+    },
+    /// Judge the rules from a rehearsal's trace; exits with 1 where one is broken
+    Audit {
+        dir: PathBuf,
+        /// How many stories to print
+        #[arg(long, default_value_t = 5)]
+        stories: usize,
+        /// Lost writes and silence count as broken too
+        #[arg(long)]
+        strict: bool,
+    },
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let filter = tracing_subscriber::EnvFilter::try_from_default_env().unwrap_or_else(|_| "info".into());
+    let log =
+        tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_target(false);
+    match cli.log {
+        Form::Text => log.with_ansi(false).init(),
+        Form::Json => log.json().init(),
+    }
+    let done = match cli.command {
+        Command::Check { files } => check(&files),
+        Command::List { dir } => list(&dir),
+        Command::Emulate { file, cues } => emulate(&file, cues),
+        Command::Rehearse { file, seed, router, out, quick } => play(&file, seed, router, out, quick),
+        Command::Audit { dir, stories, strict } => audit(&dir, stories, strict),
+    };
+    match done {
+        Ok(code) => code,
+        Err(what) => {
+            error!("{what}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn read(file: &Path) -> Result<Script, String> {
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
+    Script::read(&file.display().to_string(), &text).map_err(|problems| {
+        let lines: Vec<String> = problems.iter().map(|p| p.to_string()).collect();
+        lines.join("\n")
+    })
+}
+
+fn check(files: &[PathBuf]) -> Result<ExitCode, String> {
+    let mut bad = 0;
+    for file in files {
+        match read(file) {
+            Ok(s) => println!(
+                "{}: \"{}\", {:.0} s ({:.0} s quick), {} hosts, {} workloads, {} cues",
+                file.display(),
+                s.title,
+                s.seconds,
+                s.quick,
+                s.plan.groups.iter().map(|g| g.nodes.len()).sum::<usize>(),
+                s.plan.workloads.len(),
+                s.cues.len()
+            ),
+            Err(what) => {
+                eprintln!("{what}");
+                bad += 1;
+            }
+        }
+    }
+    Ok(ExitCode::from(u8::from(bad > 0)))
+}
+
+fn list(dir: &Path) -> Result<ExitCode, String> {
+    let entries = std::fs::read_dir(dir).map_err(|e| format!("{}: {e}", dir.display()))?;
+    let mut files: Vec<PathBuf> = entries.flatten().map(|e| e.path()).collect();
+    files.retain(|f| f.extension().is_some_and(|e| e == "hcl"));
+    files.sort();
+    check(&files)
+}
+
+fn emulate(file: &Path, cues: bool) -> Result<ExitCode, String> {
+    let script = read(file)?;
+    let clock = Clock::anchor();
+    let (records, lines) = crossbeam_channel::unbounded();
+    let (emulator, _notes, net) = rehearse::emulator(&script, clock, records).map_err(|e| e.to_string())?;
+    let emulator = emulator.spawn().map_err(|e| e.to_string())?;
+    let listen = rehearse::router_address(net, 0);
+    let config = processes::config(&script, 0, listen, emulator.agents[0], &emulator.known());
+    println!("{config:#}");
+    info!("hosts and discovery are up; put the above into a file and name it by LB_CONFIG");
+    if cues {
+        emulator.begin(clock.now());
+    }
+    let mut signals =
+        signal_hook::iterator::Signals::new([signal_hook::consts::SIGINT, signal_hook::consts::SIGTERM])
+            .map_err(|e| e.to_string())?;
+    std::thread::spawn(move || {
+        for record in lines {
+            if let Ok(line) = serde_json::to_string(&record) {
+                tracing::debug!("{line}");
+            }
+        }
+    });
+    signals.forever().next();
+    let summary = emulator.stop().map_err(|e| e.to_string())?;
+    info!(
+        "timers late: p99 {} us, most {} us",
+        summary.late_us.value_at_quantile(0.99),
+        summary.late_us.max()
+    );
+    Ok(ExitCode::SUCCESS)
+}
+
+fn play(
+    file: &Path,
+    seed: Option<u64>,
+    router: Option<PathBuf>,
+    out: PathBuf,
+    quick: bool,
+) -> Result<ExitCode, String> {
+    let mut script = read(file)?;
+    script.plan.seed = seed.unwrap_or(script.plan.seed);
+    let this = std::env::current_exe().map_err(|e| e.to_string())?;
+    let router = router.unwrap_or_else(|| rehearse::beside(&this));
+    if !router.is_file() {
+        return Err(format!("{}: no router there; build it, or name one by --router", router.display()));
+    }
+    let summary = rehearse::rehearse(rehearse::Wanted { script, quick, router, out })?;
+    println!("{}", summary.text);
+    info!(service = summary.service, broken = summary.broken, unsound = summary.unsound, "ended");
+    Ok(ExitCode::SUCCESS)
+}
+
+fn audit(dir: &Path, stories: usize, strict: bool) -> Result<ExitCode, String> {
+    let trace = report::read(dir)?;
+    let findings = sandstile_audit::judge(&trace)?;
+    for rule in sandstile_audit::judge::RULES {
+        let of: Vec<_> = findings.iter().filter(|f| f.rule == rule).collect();
+        let kind = if rule.binds() { "rule" } else { "finding" };
+        println!("{:<10} {:<8} {}", rule.word(), kind, of.len());
+    }
+    for finding in findings.iter().filter(|f| strict || f.rule.binds()).take(stories) {
+        println!("\n{finding}");
+    }
+    for (host, (multiple, most)) in &trace.pushed {
+        println!("cold {host}: offered {multiple:.1} times what it could, {most:.1} at most");
+    }
+    if let Some(why) = &trace.unsound {
+        println!("unsound: {why}");
+    }
+    let broken = findings.iter().filter(|f| strict || f.rule.binds()).count();
+    println!("{} statements, {} lines, {broken} broken", trace.statements.len(), trace.lines);
+    Ok(ExitCode::from(u8::from(broken > 0)))
+}
--- /dev/null
+++ b/crates/sandstile-lab/src/processes.rs
@@ -0,0 +1,183 @@
+//! Router processes: their configuration, start, end, and whether they are ready.
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+use sandstile_emulator::Clock;
+use sandstile_fleet::plan::{Consistency, Effect, Tokens};
+use sandstile_pgwire as pg;
+use sandstile_scenario::Script;
+use serde_json::{json, Value};
+use std::fs::{self, File};
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+/// The settings that routers of this script are told, in the form that they read.
+pub fn settings(script: &Script) -> Value {
+    let plan = &script.plan;
+    let classes: Vec<Value> = plan
+        .workloads
+        .iter()
+        .zip(&script.terms)
+        .map(|(w, t)| {
+            let effect = match w.effect {
+                Effect::Idempotent => "idempotent",
+                Effect::Deduplicated => "deduplicated",
+                Effect::NonIdempotent => "at_most_once",
+            };
+            json!({"name": w.name, "aimMs": t.slo * 1e3, "deadlineMs": t.timeout * 1e3, "credit": t.importance,
+                "lateWorth": t.late_share, "effect": effect, "dedupScope": "group",
+                "windowMs": plan.groups.iter().map(|g| g.dedup_s).fold(f64::INFINITY, f64::min) * 1e3})
+        })
+        .collect();
+    let consistency: Vec<&str> = plan
+        .workloads
+        .iter()
+        .map(|w| match w.consistency {
+            Consistency::Write => "update",
+            Consistency::Fresh => "fresh",
+            Consistency::Session => "own_writes",
+            Consistency::Bounded => "recent",
+            Consistency::Any => "loose",
+        })
+        .collect();
+    let ages: Vec<f64> = plan.workloads.iter().map(|w| w.bound_s * 1e3).collect();
+    // Where kinds differ, routers are told the most careful figures.
+    let least = |of: &dyn Fn(&sandstile_fleet::plan::MachineKind) -> f64| {
+        plan.kinds.iter().map(of).fold(f64::INFINITY, f64::min)
+    };
+    let warm = plan.kinds.iter().map(|k| k.warm_s).fold(0.0, f64::max);
+    let a = &script.allowed;
+    json!({
+        "classes": classes, "peersTotal": script.routers.count, "tickMs": 5.0, "discovery": "pushed",
+        "allowed": {"mostTries": a.executions, "mayCancel": a.recall, "probes": a.probes,
+            "retryAfter": a.return_s > 0.0, "maxRetryAfterMs": a.return_s * 1e3, "dialTimeoutMs": a.dial_s * 1e3,
+            "idleCloseMs": least(&|k| k.idle_s) * 1e3},
+        "rules": {"coldFrom": least(&|k| k.cold_share), "coldMs": warm * 1e3,
+            "tipMultiple": least(&|k| k.tip_multiple)},
+        "clients": {"marksRetry": true},
+        "specifics": {"consistency": consistency, "maxAgeMs": ages, "answersStamped": true,
+            "guards": if plan.guarded { "reject" } else { "off" },
+            "tokens": match plan.tokens { Tokens::Remembered => "router", Tokens::Carried => "client" }},
+    })
+}
+
+/// The whole of what a router is told at its start.
+pub fn config(script: &Script, number: usize, listen: SocketAddr, agent: SocketAddr, known: &str) -> Value {
+    let known: Value = serde_json::from_str(known).unwrap_or(Value::Null);
+    json!({"name": format!("n{number}"), "listen": listen.to_string(), "discovery": agent.to_string(),
+        "seed": format!("{:x}", script.plan.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ number as u64),
+        "limits": {"cores": 1.0, "memory_mb": script.routers.memory_mb, "sockets": script.routers.sockets},
+        "known": known, "settings": settings(script)})
+}
+
+pub struct Router {
+    pub number: usize,
+    pub address: SocketAddr,
+    child: Child,
+    file: PathBuf,
+}
+
+impl Router {
+    /// Starts one; it is not ready yet.
+    pub fn start(program: &Path, dir: &Path, number: usize, config: &Value) -> io::Result<Router> {
+        let file = dir.join(format!("router-{number}.json"));
+        fs::write(&file, config.to_string())?;
+        let log = dir.join(format!("router-{number}.log"));
+        let log = File::options().create(true).append(true).open(log)?;
+        let mut command = Command::new(program);
+        command.arg("serve").env("LB_CONFIG", &file);
+        for name in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY"] {
+            command.env_remove(name);
+        }
+        command.stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log);
+        let address =
+            config["listen"].as_str().and_then(|a| a.parse().ok()).ok_or(io::ErrorKind::InvalidInput)?;
+        Ok(Router { number, address, child: command.spawn()?, file })
+    }
+
+    /// Asks an empty query until it is answered.
+    pub fn wait_ready(&mut self, limit: Duration) -> io::Result<()> {
+        let end = Instant::now() + limit;
+        while Instant::now() < end {
+            if let Some(status) = self.child.try_wait()? {
+                return Err(io::Error::other(format!("router {} ended at its start: {status}", self.number)));
+            }
+            if greets(self.address).is_ok() {
+                return Ok(());
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        Err(io::Error::other(format!("router {} was not ready in {limit:?}", self.number)))
+    }
+
+    fn signal(&self, signal: Signal) {
+        let _ = kill(Pid::from_raw(self.child.id() as i32), signal);
+    }
+
+    pub fn term(&self) {
+        self.signal(Signal::SIGTERM);
+    }
+
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+    }
+
+    /// Has it read another discovery address.
+    pub fn reload(&self, discovery: SocketAddr) -> io::Result<()> {
+        let mut config: Value = serde_json::from_str(&fs::read_to_string(&self.file)?)?;
+        config["discovery"] = discovery.to_string().into();
+        fs::write(&self.file, config.to_string())?;
+        self.signal(Signal::SIGHUP);
+        Ok(())
+    }
+
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
+    /// Waits for its end, and ends it where it has none.
+    pub fn wait(&mut self, clock: &Clock, limit: Duration) -> Option<ExitStatus> {
+        let until = clock.now() + limit.as_secs_f64();
+        while clock.now() < until {
+            if let Some(status) = self.ended() {
+                return Some(status);
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        self.kill();
+        self.child.wait().ok()
+    }
+}
+
+impl Drop for Router {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Whether an empty query is answered there.
+fn greets(address: SocketAddr) -> io::Result<()> {
+    let mut stream = TcpStream::connect_timeout(&address, Duration::from_millis(200))?;
+    stream.set_read_timeout(Some(Duration::from_millis(500)))?;
+    let mut bytes = pg::hello();
+    pg::query(&mut bytes, b"");
+    stream.write_all(&bytes)?;
+    let (mut buf, mut piece) = (Vec::new(), [0; 1024]);
+    loop {
+        let n = stream.read(&mut piece)?;
+        if n == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        buf.extend_from_slice(&piece[..n]);
+        let mut at = 0;
+        while let Ok(Some((tag, body))) = pg::frame(&buf[at..]) {
+            if tag == b'I' {
+                return Ok(());
+            }
+            at += body.end;
+        }
+    }
+}
--- /dev/null
+++ b/crates/sandstile-lab/src/rehearse.rs
@@ -0,0 +1,274 @@
+//! One rehearsal from beginning to end.
+use crate::book::{self, Book, Line};
+use crate::clients::Crew;
+use crate::processes::{self, Router};
+use crate::report;
+use crossbeam_channel::{unbounded, Receiver, RecvTimeoutError};
+use sandstile_emulator::{Clock, Emulator, Handle, Note, Record};
+use sandstile_fleet::plan::{Consistency, Effect};
+use sandstile_scenario::script::How;
+use sandstile_scenario::traffic::Traffic;
+use sandstile_scenario::Script;
+use serde_json::json;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+use tracing::{info, warn};
+
+pub struct Wanted {
+    pub script: Script,
+    pub quick: bool,
+    pub router: PathBuf,
+    pub out: PathBuf,
+}
+
+const READY: Duration = Duration::from_secs(10);
+/// After SIGTERM: the longest that a router may take to answer what it took.
+const FAREWELL: Duration = Duration::from_secs(8);
+/// The front sees a router that was told to end, and one that died, only after so long.
+const SEES_TERM: Duration = Duration::from_millis(300);
+const SEES_DEATH: Duration = Duration::from_secs(1);
+
+/// The emulator at addresses that nobody else has.
+pub fn emulator(
+    script: &Script,
+    clock: Clock,
+    records: crossbeam_channel::Sender<Record>,
+) -> io::Result<(Emulator, Receiver<Note>, u8)> {
+    let base = (std::process::id() % 200) as u8;
+    for step in 0..40u8 {
+        let net = 20 + base.wrapping_add(step.wrapping_mul(5)) % 200;
+        let (notes, told) = unbounded();
+        match Emulator::new(script, (net, 1), clock, records.clone(), notes) {
+            Ok(emulator) => return Ok((emulator, told, net)),
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Err(io::Error::other("no free loopback addresses"))
+}
+
+pub fn router_address(net: u8, number: usize) -> SocketAddr {
+    SocketAddr::from(([127, net, 240, number as u8 + 1], 6432))
+}
+
+struct Stage {
+    script: Script,
+    wanted: PathBuf,
+    out: PathBuf,
+    clock: Clock,
+    book: Book,
+    net: u8,
+    agents: Mutex<Vec<SocketAddr>>,
+    routers: Vec<Mutex<Option<Router>>>,
+    over: AtomicBool,
+}
+
+impl Stage {
+    fn note(&self, number: usize, state: &'static str, code: Option<i32>) {
+        self.book.line(self.clock.now(), Line::Router { number, state, code });
+    }
+
+    fn start(&self, number: usize, known: &str) -> io::Result<()> {
+        let agent = self.agents.lock().expect("no thread panics under the lock")[number];
+        let listen = router_address(self.net, number);
+        let config = processes::config(&self.script, number, listen, agent, known);
+        let mut router = Router::start(&self.wanted, &self.out, number, &config)?;
+        self.note(number, "started", None);
+        router.wait_ready(READY)?;
+        *self.routers[number].lock().expect("no thread panics under the lock") = Some(router);
+        Ok(())
+    }
+
+    /// Ends one as told, and starts it again after a while.
+    fn restart(&self, number: usize, how: How, back: f64, crew: &Crew, emulator: &Handle) -> io::Result<()> {
+        let taken = self.routers[number].lock().expect("no thread panics under the lock").take();
+        let Some(mut router) = taken else { return Ok(()) };
+        match how {
+            How::Term => {
+                self.note(number, "term", None);
+                router.term();
+                thread::sleep(SEES_TERM);
+            }
+            How::Kill => {
+                self.note(number, "killed", None);
+                router.kill();
+                thread::sleep(SEES_DEATH.min(Duration::from_secs_f64(back.max(0.01))));
+            }
+        }
+        crew.door(number).open.store(false, SeqCst);
+        let status = router.wait(&self.clock, FAREWELL);
+        self.note(number, "ended", status.and_then(|s| s.code()));
+        drop(router);
+        thread::sleep(Duration::from_secs_f64(back));
+        if self.over.load(SeqCst) {
+            return Ok(());
+        }
+        self.start(number, &emulator.known())?;
+        crew.door(number).open.store(true, SeqCst);
+        Ok(())
+    }
+
+    /// A router that is gone though nobody asked for that.
+    fn look_for_crashes(&self) {
+        for (number, slot) in self.routers.iter().enumerate() {
+            let mut slot = slot.lock().expect("no thread panics under the lock");
+            if let Some(status) = slot.as_mut().and_then(Router::ended) {
+                warn!(number, %status, "a router ended unasked");
+                self.note(number, "ended", status.code());
+                *slot = None;
+            }
+        }
+    }
+
+    fn run_line(&self) -> Line {
+        let workloads: Vec<_> = self
+            .script
+            .plan
+            .workloads
+            .iter()
+            .zip(&self.script.terms)
+            .map(|(w, t)| {
+                let effect = match w.effect {
+                    Effect::Idempotent => "idempotent",
+                    Effect::Deduplicated => "deduplicated",
+                    Effect::NonIdempotent => "non-idempotent",
+                };
+                let consistency = match w.consistency {
+                    Consistency::Write => "write",
+                    Consistency::Fresh => "fresh",
+                    Consistency::Session => "session",
+                    Consistency::Bounded => "bounded",
+                    Consistency::Any => "any",
+                };
+                json!({"name": w.name, "effect": effect, "consistency": consistency, "slo": t.slo,
+                    "timeout": t.timeout, "importance": t.importance})
+            })
+            .collect();
+        let rules = &self.script.rules;
+        Line::Run(Box::new(json!({"title": self.script.title, "seed": self.script.plan.seed,
+            "settle": self.script.settle, "grace": rules.grace, "slack": rules.slack,
+            "routers": self.script.routers.count, "workloads": workloads})))
+    }
+}
+
+/// Plays a script; the trace and the summary lie in `out` afterwards.
+pub fn rehearse(wanted: Wanted) -> Result<report::Summary, String> {
+    let told = |what: &'static str| move |e: io::Error| format!("{what}: {e}");
+    let script = if wanted.quick { wanted.script.quick() } else { wanted.script };
+    std::fs::create_dir_all(&wanted.out).map_err(told("the folder for results"))?;
+    for number in 0..script.routers.count {
+        // Logs of an earlier rehearsal in the same folder.
+        let _ = std::fs::remove_file(wanted.out.join(format!("router-{number}.log")));
+    }
+    let clock = Clock::anchor();
+    let (book, records, writer) = book::open(&wanted.out.join("trace.jsonl")).map_err(told("the trace"))?;
+    let (emulator, notes, net) = emulator(&script, clock, records).map_err(told("the emulator"))?;
+    let emulator = emulator.spawn().map_err(told("the emulator"))?;
+    let stage = Arc::new(Stage {
+        routers: (0..script.routers.count).map(|_| Mutex::new(None)).collect(),
+        script: script.clone(),
+        wanted: wanted.router,
+        out: wanted.out.clone(),
+        clock,
+        book: book.clone(),
+        net,
+        agents: Mutex::new(emulator.agents.clone()),
+        over: AtomicBool::new(false),
+    });
+    for number in 0..script.routers.count {
+        stage.start(number, &emulator.known()).map_err(told("a router"))?;
+    }
+    let addresses: Vec<SocketAddr> = (0..script.routers.count).map(|n| router_address(net, n)).collect();
+    let crew =
+        Crew::new(&script, script.plan.seed, &addresses, clock, book.clone()).map_err(told("clients"))?;
+    let begin = clock.now() + 0.1;
+    stage.book.line(begin, stage.run_line());
+    emulator.begin(begin);
+    info!(title = script.title, seconds = script.seconds, seed = script.plan.seed, "begins");
+    let traffic = Traffic::new(&script, script.plan.seed);
+    thread::scope(|scope| {
+        scope.spawn(|| follow(&stage, &notes, &crew, &emulator));
+        let mut next = begin + 5.0;
+        crew.play(traffic, begin, || {
+            stage.look_for_crashes();
+            if clock.now() >= next {
+                next += 5.0;
+                let (asked, answered, busy) = crew.counts();
+                info!(
+                    "{:.0} s of {:.0}: asked {asked}, answered {answered}, under way {busy}",
+                    clock.now() - begin,
+                    script.seconds
+                );
+            }
+            !emulator.ended()
+        });
+        thread::sleep(clock.until(begin + script.seconds));
+        stage.over.store(true, SeqCst);
+    });
+    let late = crew.finish();
+    for (number, slot) in stage.routers.iter().enumerate() {
+        let Some(mut router) = slot.lock().expect("no thread panics under the lock").take() else { continue };
+        stage.note(number, "term", None);
+        router.term();
+        let status = router.wait(&clock, FAREWELL);
+        stage.note(number, "ended", status.and_then(|s| s.code()));
+    }
+    let summary = emulator.stop().map_err(told("the emulator"))?;
+    let mut unsound = Vec::new();
+    if summary.unsound() {
+        unsound.push(format!(
+            "the emulator's timers were {} us late at p99",
+            summary.late_us.value_at_quantile(0.99)
+        ));
+    }
+    if late.value_at_quantile(0.99) > 5000 {
+        unsound.push(format!("clients asked {} us late at p99", late.value_at_quantile(0.99)));
+    }
+    let unsound = (!unsound.is_empty()).then(|| unsound.join("; "));
+    stage.book.line(clock.now(), Line::End { unsound });
+    drop((stage, book));
+    writer.close().map_err(told("the trace"))?;
+    let played = report::Played { script, quick: wanted.quick, emulator: summary, clients_late_us: late };
+    report::write(&wanted.out, &played)
+}
+
+/// What the emulator has the lab do, until the end.
+fn follow(stage: &Arc<Stage>, notes: &Receiver<Note>, crew: &Crew, emulator: &Handle) {
+    thread::scope(|scope| loop {
+        let note = match notes.recv_timeout(Duration::from_millis(50)) {
+            Ok(note) => note,
+            Err(RecvTimeoutError::Timeout) if !stage.over.load(SeqCst) => continue,
+            Err(_) => return,
+        };
+        match note {
+            Note::Router { number, how, back } => {
+                info!(number, ?how, "a router is restarted");
+                scope.spawn(move || {
+                    if let Err(e) = stage.restart(number, how, back, crew, emulator) {
+                        warn!(number, "no restart: {e}");
+                    }
+                });
+            }
+            Note::Moved(addresses) => {
+                info!("discovery moves");
+                *stage.agents.lock().expect("no thread panics under the lock") = addresses.clone();
+                for (slot, address) in stage.routers.iter().zip(addresses) {
+                    if let Some(router) = &*slot.lock().expect("no thread panics under the lock") {
+                        let _ = router.reload(address);
+                    }
+                }
+            }
+            Note::InVain(name) => warn!(name, "a cue found nothing to strike"),
+        }
+    });
+}
+
+/// Where the router's program lies beside this one.
+pub fn beside(this: &Path) -> PathBuf {
+    this.with_file_name("sandstile")
+}
--- /dev/null
+++ b/crates/sandstile-lab/src/report.rs
@@ -0,0 +1,164 @@
+//! What a rehearsal came to: JSON for machines, Markdown for people, both from the trace alone but for how late
+//! the rig itself was.
+use hdrhistogram::Histogram;
+use sandstile_audit::judge::RULES;
+use sandstile_audit::{judge, service, Finding, Service, Trace};
+use sandstile_emulator::Summary as Emulated;
+use sandstile_scenario::Script;
+use serde_json::{json, Value};
+use std::fmt::Write;
+use std::path::Path;
+
+pub struct Played {
+    pub script: Script,
+    pub quick: bool,
+    pub emulator: Emulated,
+    pub clients_late_us: Histogram<u64>,
+}
+
+pub struct Summary {
+    pub text: String,
+    pub broken: usize,
+    pub service: f64,
+    pub unsound: Option<String>,
+}
+
+/// Reads a folder's trace. The message says what can't be read.
+pub fn read(dir: &Path) -> Result<Trace, String> {
+    let path = dir.join("trace.jsonl");
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+    Trace::read(&text).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+pub fn write(dir: &Path, played: &Played) -> Result<Summary, String> {
+    let trace = read(dir)?;
+    let findings = judge(&trace)?;
+    let service = service(&trace).ok_or("no terms in the trace")?;
+    let json = as_json(played, &trace, &findings, &service);
+    let text = as_markdown(played, &trace, &findings, &service);
+    let put =
+        |name: &str, text: &str| std::fs::write(dir.join(name), text).map_err(|e| format!("{name}: {e}"));
+    put("summary.json", &format!("{json:#}\n"))?;
+    put("summary.md", &text)?;
+    let broken = findings.iter().filter(|f| f.rule.binds()).count();
+    Ok(Summary { text, broken, service: service.overall(), unsound: trace.unsound })
+}
+
+fn quantiles(late: &Histogram<u64>) -> Value {
+    let at = |q: f64| late.value_at_quantile(q);
+    json!({"count": late.len(), "p50_us": at(0.5), "p99_us": at(0.99), "max_us": late.max()})
+}
+
+fn counts(findings: &[Finding]) -> Value {
+    let of = |rule| findings.iter().filter(|f| f.rule == rule).count();
+    RULES
+        .iter()
+        .map(|rule| (rule.word().to_string(), Value::from(of(*rule))))
+        .collect::<serde_json::Map<_, _>>()
+        .into()
+}
+
+fn as_json(played: &Played, trace: &Trace, findings: &[Finding], service: &Service) -> Value {
+    let workloads: Vec<Value> = service
+        .workloads
+        .iter()
+        .map(|w| {
+            let at = |q: f64| w.latency.value_at_quantile(q) as f64 / 1e3;
+            let seconds: Vec<Value> = w.seconds.iter().map(|t| json!([t.wishes, t.in_time])).collect();
+            json!({"name": w.name, "wishes": w.tally.wishes, "service": w.tally.service(), "late": w.tally.late,
+                "rejected": w.tally.rejected, "failed": w.tally.failed, "unanswered": w.tally.unanswered,
+                "tries": w.tally.tries, "p50_ms": at(0.5), "p99_ms": at(0.99), "by_second": seconds})
+        })
+        .collect();
+    json!({"title": played.script.title, "seed": played.script.plan.seed, "quick": played.quick,
+        "seconds": played.script.seconds, "service": service.overall(), "workloads": workloads,
+        "found": counts(findings), "emulator_late": quantiles(&played.emulator.late_us),
+        "clients_late": quantiles(&played.clients_late_us), "most_connections": played.emulator.most_connections,
+        "unsound": trace.unsound, "missed_cues": played.emulator.missed, "lost_commits": trace.lost.len(),
+        "version": env!("CARGO_PKG_VERSION"), "trace_lines": trace.lines})
+}
+
+fn as_markdown(played: &Played, trace: &Trace, findings: &[Finding], service: &Service) -> String {
+    let mut out = String::new();
+    let script = &played.script;
+    let mode = if played.quick { ", quick" } else { "" };
+    let _ = writeln!(out, "# {} (seed {}, {:.0} s{mode})\n", script.title, script.plan.seed, script.seconds);
+    if let Some(why) = &trace.unsound {
+        let _ = writeln!(out, "**Unsound: {why}.** Figures of this run say little; play it on idle cores.\n");
+    }
+    let _ = writeln!(
+        out,
+        "Service by importance: **{:.3}**. Sockets on loopback, emulated hosts.\n",
+        service.overall()
+    );
+    out.push_str(
+        "| workload | wishes | in time | late | rejected | failed | unanswered | tries | p50 ms | p99 ms |\n",
+    );
+    out.push_str("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
+    for w in &service.workloads {
+        let (t, at) = (&w.tally, |q: f64| w.latency.value_at_quantile(q) as f64 / 1e3);
+        let _ = writeln!(
+            out,
+            "| {} | {} | {:.3} | {} | {} | {} | {} | {} | {:.1} | {:.1} |",
+            w.name,
+            t.wishes,
+            t.service(),
+            t.late,
+            t.rejected,
+            t.failed,
+            t.unanswered,
+            t.tries,
+            at(0.5),
+            at(0.99)
+        );
+    }
+    out.push_str("\n| found | times |\n| --- | --- |\n");
+    for rule in RULES {
+        let n = findings.iter().filter(|f| f.rule == rule).count();
+        let kind = if rule.binds() { "rule" } else { "finding" };
+        let _ = writeln!(out, "| {} ({kind}) | {n} |", rule.word());
+    }
+    let begin = trace.terms.as_ref().map_or(0.0, |t| t.begin);
+    out.push_str("\n| fault | host | from s | to s |\n| --- | --- | --- | --- |\n");
+    for (kind, host, from, to) in &trace.faults {
+        let to = if to.is_finite() { format!("{:.2}", to - begin) } else { "the end".to_string() };
+        let _ = writeln!(out, "| {kind} | {host} | {:.2} | {to} |", from - begin);
+    }
+    for (t, number, state) in &trace.routers {
+        let _ = writeln!(out, "| router {number} | {state:?} | {:.2} | |", t - begin);
+    }
+    for (t, group, host) in trace.primaries.iter().filter(|p| p.0 > begin) {
+        let _ = writeln!(out, "| primary of {group} | {host} | {:.2} | |", t - begin);
+    }
+    let seconds = service.workloads.iter().map(|w| w.seconds.len()).max().unwrap_or(0);
+    out.push_str("\nShare in time by second (of the wishes meant for it):\n\n| s |");
+    service.workloads.iter().for_each(|w| out.push_str(&format!(" {} |", w.name)));
+    out.push_str("\n| --- |");
+    service.workloads.iter().for_each(|_| out.push_str(" --- |"));
+    out.push('\n');
+    for second in 0..seconds {
+        let _ = write!(out, "| {second} |");
+        for w in &service.workloads {
+            match w.seconds.get(second).filter(|t| t.wishes > 0) {
+                Some(t) => out.push_str(&format!(" {:.2} of {} |", t.service(), t.wishes)),
+                None => out.push_str(" |"),
+            }
+        }
+        out.push('\n');
+    }
+    let e = &played.emulator.late_us;
+    let _ = writeln!(
+        out,
+        "\nEmulator's timers late: p50 {} us, p99 {} us, most {} us ({} timers); clients' asking late: p99 {} us. \
+         {} connections at the most.",
+        e.value_at_quantile(0.5), e.value_at_quantile(0.99), e.max(), e.len(),
+        played.clients_late_us.value_at_quantile(0.99), played.emulator.most_connections
+    );
+    if !played.emulator.missed.is_empty() {
+        let _ = writeln!(out, "\nCues whose event never came: {}.", played.emulator.missed.join(", "));
+    }
+    if let Some(first) = findings.iter().find(|f| f.rule.binds()) {
+        let _ = writeln!(out, "\nThe first broken rule:\n\n```\n{first}```");
+    }
+    out
+}
--- /dev/null
+++ b/rehearsals/cold-return.hcl
@@ -0,0 +1,147 @@
+# A replica dies, and its return is cold; then a second one, so that all the group's reads want to go to hosts that
+# have just come back; one dies once more while it is cold.
+title   = "Cold return"
+seconds = 60
+quick   = 40
+seed    = 1
+
+machine "std" {
+  cores      = [1, 1]
+  queue      = 64
+  warm_s     = 5
+  cold_share = 0.3
+}
+
+node "a1" {
+  machine = "std"
+  zone    = "a"
+}
+node "a2" {
+  machine = "std"
+  zone    = "a"
+}
+node "a3" {
+  machine = "std"
+  zone    = "b"
+}
+node "b1" {
+  machine = "std"
+  zone    = "a"
+}
+node "b2" {
+  machine = "std"
+  zone    = "b"
+}
+node "b3" {
+  machine = "std"
+  zone    = "b"
+}
+
+group "1" {
+  nodes    = ["a1", "a2", "a3"]
+  ship_ms  = 10
+  apply_ms = 0.5
+  detect_s = 1.5
+  elect_s  = 0.5
+}
+group "2" {
+  nodes    = ["b1", "b2", "b3"]
+  ship_ms  = 10
+  apply_ms = 0.5
+  detect_s = 1.5
+  elect_s  = 0.5
+}
+
+workload "clip-read" {
+  consistency = "any"
+  work_ms     = 6
+  slo_ms      = 250
+  timeout_ms  = 1000
+}
+workload "feed" {
+  consistency = "bounded"
+  bound_ms    = 2000
+  work_ms     = 8
+  slo_ms      = 300
+  timeout_ms  = 1000
+}
+workload "own-bookmarks" {
+  consistency = "session"
+  work_ms     = 4
+  slo_ms      = 250
+  timeout_ms  = 1000
+  importance  = 2
+}
+workload "clip-write" {
+  consistency = "write"
+  work_ms     = 8
+  slo_ms      = 400
+  timeout_ms  = 1500
+  importance  = 3
+}
+
+traffic "browse" {
+  workload = "clip-read"
+  rate     = 120
+}
+traffic "front-page" {
+  workload = "feed"
+  rate     = 60
+}
+traffic "bookmark" {
+  workload = "clip-write"
+  rate     = 25
+  sessions = 400
+  then     = "own-bookmarks"
+  think_ms = 40
+  roams    = 0.1
+}
+
+clients {
+  retries  = 2
+  pause_ms = 100
+}
+routers {
+  count     = 2
+  memory_mb = 64
+  sockets   = 512
+}
+
+fault "first-death" {
+  kind = "crash"
+  on   = "host:s-1-a2"
+  at   = 8
+  for  = 6
+}
+fault "second-death" {
+  kind = "lost"
+  on   = "host:s-1-a3"
+  at   = 12
+  for  = 4
+}
+fault "dies-while-cold" {
+  kind    = "crash"
+  on      = "host:s-1-a2"
+  when    = "ends:first-death"
+  plus_ms = 1500
+  for     = 3
+}
+fault "slow-and-cold" {
+  kind  = "slow"
+  share = 0.5
+  on    = "host:s-1-a3"
+  when  = "ends:second-death"
+  for   = 4
+}
+# For a while group 2 has no member at all, and discovery says nothing through all of it.
+agent "silence" {
+  kind = "silent"
+  at   = 34
+  for  = 12
+}
+fault "all-of-group-2" {
+  kind = "crash"
+  on   = "group:2"
+  at   = 36
+  for  = 5
+}
--- /dev/null
+++ b/rehearsals/primary-lost-in-write.hcl
@@ -0,0 +1,133 @@
+# The primary goes in the midst of a clip write: before its last byte, between execution and answer, and after the
+# answer's first bytes. No write may run twice; none that may have run may be rejected.
+title   = "Primary lost in a write"
+seconds = 60
+quick   = 40
+seed    = 1
+
+machine "std" {
+  cores      = [1, 1]
+  queue      = 64
+  warm_s     = 5
+  cold_share = 0.3
+}
+
+node "a1" {
+  machine = "std"
+  zone    = "a"
+}
+node "a2" {
+  machine = "std"
+  zone    = "a"
+}
+node "a3" {
+  machine = "std"
+  zone    = "b"
+}
+node "b1" {
+  machine = "std"
+  zone    = "a"
+}
+node "b2" {
+  machine = "std"
+  zone    = "b"
+}
+node "b3" {
+  machine = "std"
+  zone    = "b"
+}
+
+group "1" {
+  nodes    = ["a1", "a2", "a3"]
+  ship_ms  = 10
+  apply_ms = 0.5
+  detect_s = 1.5
+  elect_s  = 0.5
+}
+group "2" {
+  nodes    = ["b1", "b2", "b3"]
+  ship_ms  = 10
+  apply_ms = 0.5
+  detect_s = 1.5
+  elect_s  = 0.5
+}
+
+workload "clip-read" {
+  consistency = "any"
+  work_ms     = 6
+  slo_ms      = 250
+  timeout_ms  = 1000
+}
+workload "feed" {
+  consistency = "bounded"
+  bound_ms    = 2000
+  work_ms     = 8
+  slo_ms      = 300
+  timeout_ms  = 1000
+}
+workload "own-bookmarks" {
+  consistency = "session"
+  work_ms     = 4
+  slo_ms      = 250
+  timeout_ms  = 1000
+  importance  = 2
+}
+workload "clip-write" {
+  consistency = "write"
+  work_ms     = 8
+  slo_ms      = 400
+  timeout_ms  = 1500
+  importance  = 3
+}
+
+traffic "browse" {
+  workload = "clip-read"
+  rate     = 120
+}
+traffic "front-page" {
+  workload = "feed"
+  rate     = 60
+}
+traffic "bookmark" {
+  workload = "clip-write"
+  rate     = 25
+  sessions = 400
+  then     = "own-bookmarks"
+  think_ms = 40
+  roams    = 0.1
+}
+
+clients {
+  retries  = 2
+  pause_ms = 100
+}
+routers {
+  count     = 2
+  memory_mb = 64
+  sockets   = 512
+}
+
+fault "before-last-byte" {
+  kind = "crash"
+  on   = "primary:1"
+  when = "arriving:clip-write:60"
+  for  = 4
+}
+fault "before-answer" {
+  kind    = "crash"
+  on      = "primary:2"
+  when    = "ran:clip-write:300"
+  for     = 4
+}
+fault "within-answer" {
+  kind = "crash"
+  on   = "primary:1"
+  when = "half_said:clip-write:500"
+  for  = 4
+}
+fault "without-a-word" {
+  kind = "lost"
+  on   = "primary:2"
+  when = "ran:clip-write:700"
+  for  = 8
+}
--- /dev/null
+++ b/rehearsals/rolling-release.hcl
@@ -0,0 +1,165 @@
+# All hosts are replaced under new names, one by one, and the routers restarted in between, one of them killed.
+title   = "Rolling release"
+seconds = 90
+quick   = 45
+seed    = 1
+
+machine "std" {
+  cores      = [1, 1]
+  queue      = 64
+  warm_s     = 5
+  cold_share = 0.3
+}
+
+node "a1" {
+  machine = "std"
+  zone    = "a"
+}
+node "a2" {
+  machine = "std"
+  zone    = "a"
+}
+node "a3" {
+  machine = "std"
+  zone    = "b"
+}
+node "b1" {
+  machine = "std"
+  zone    = "a"
+}
+node "b2" {
+  machine = "std"
+  zone    = "b"
+}
+node "b3" {
+  machine = "std"
+  zone    = "b"
+}
+
+group "1" {
+  nodes    = ["a1", "a2", "a3"]
+  ship_ms  = 10
+  apply_ms = 0.5
+  detect_s = 1.5
+  elect_s  = 0.5
+}
+group "2" {
+  nodes    = ["b1", "b2", "b3"]
+  ship_ms  = 10
+  apply_ms = 0.5
+  detect_s = 1.5
+  elect_s  = 0.5
+}
+
+workload "clip-read" {
+  consistency = "any"
+  work_ms     = 6
+  slo_ms      = 250
+  timeout_ms  = 1000
+}
+workload "feed" {
+  consistency = "bounded"
+  bound_ms    = 2000
+  work_ms     = 8
+  slo_ms      = 300
+  timeout_ms  = 1000
+}
+workload "own-bookmarks" {
+  consistency = "session"
+  work_ms     = 4
+  slo_ms      = 250
+  timeout_ms  = 1000
+  importance  = 2
+}
+workload "clip-write" {
+  consistency = "write"
+  work_ms     = 8
+  slo_ms      = 400
+  timeout_ms  = 1500
+  importance  = 3
+}
+
+traffic "browse" {
+  workload = "clip-read"
+  rate     = 120
+}
+traffic "front-page" {
+  workload = "feed"
+  rate     = 60
+}
+traffic "bookmark" {
+  workload = "clip-write"
+  rate     = 25
+  sessions = 400
+  then     = "own-bookmarks"
+  think_ms = 40
+  roams    = 0.1
+}
+
+clients {
+  retries  = 2
+  pause_ms = 100
+}
+routers {
+  count     = 2
+  memory_mb = 64
+  sockets   = 512
+}
+
+fault "replace-1-a2" {
+  kind = "replace"
+  on   = "host:s-1-a2"
+  at   = 8
+  for  = 6
+}
+
+fault "replace-2-b2" {
+  kind = "replace"
+  on   = "host:s-2-b2"
+  at   = 16
+  for  = 6
+}
+
+fault "replace-1-a3" {
+  kind = "replace"
+  on   = "host:s-1-a3"
+  at   = 26
+  for  = 6
+}
+
+fault "replace-2-b3" {
+  kind = "replace"
+  on   = "host:s-2-b3"
+  at   = 36
+  for  = 6
+}
+
+fault "replace-1-a1" {
+  kind = "replace"
+  on   = "host:s-1-a1"
+  at   = 48
+  for  = 6
+}
+
+fault "replace-2-b1" {
+  kind = "replace"
+  on   = "host:s-2-b1"
+  at   = 60
+  for  = 6
+}
+restart "first-router" {
+  router = 0
+  kind   = "term"
+  at     = 21
+  back   = 0.5
+}
+restart "second-router" {
+  router = 1
+  kind   = "kill"
+  at     = 42
+  back   = 1
+}
+agent "discovery-moves" {
+  kind = "move"
+  at   = 54
+}
