--- a/crates/sandstile-fleet/src/roles.rs
+++ b/crates/sandstile-fleet/src/roles.rs
@@ -100,7 +100,8 @@
             }
             State::Missing { .. } if seen.is_some_and(|p| p.heard) => {
                 self.state = State::Led;
-                Vec::new()
+                // It may have been asked to leave in the meantime.
+                self.look(now, members)
             }
             State::Missing { since } if now < since + self.detect_s => Vec::new(),
             State::Missing { .. } => {
--- a/crates/sandstile-fleet/tests/faults.rs
+++ b/crates/sandstile-fleet/tests/faults.rs
@@ -94,6 +94,9 @@
             }
         }
         assert_eq!(d.fleet.listing(0).readiness, Readiness::Leaving);
+        // Half a second after both: the hand-over goes on at once where the pause is over.
+        d.run(1.1);
+        assert_ne!(d.fleet.primary_of(0), Some(0), "{drain_at} {pause_at}");
         d.run(5.0);
         assert_eq!(d.word(write), "row");
         assert_ne!(d.fleet.primary_of(0), Some(0), "{drain_at} {pause_at}");
--- a/crates/sandstile-lab/src/main.rs
+++ b/crates/sandstile-lab/src/main.rs
@@ -143,14 +143,15 @@
     let emulator = emulator.spawn().map_err(|e| e.to_string())?;
     let listen = rehearse::router_address(net, 0);
     let config = processes::config(&script, 0, listen, emulator.agents[0], &emulator.known());
+    // Before anybody can read that it is up: a signal that came earlier would end it without a word.
+    let mut signals =
+        signal_hook::iterator::Signals::new([signal_hook::consts::SIGINT, signal_hook::consts::SIGTERM])
+            .map_err(|e| e.to_string())?;
     println!("{config:#}");
     info!("hosts and discovery are up; put the above into a file and name it by LB_CONFIG");
     if cues {
         emulator.begin(clock.now());
     }
-    let mut signals =
-        signal_hook::iterator::Signals::new([signal_hook::consts::SIGINT, signal_hook::consts::SIGTERM])
-            .map_err(|e| e.to_string())?;
     std::thread::spawn(move || {
         for record in lines {
             if let Ok(line) = serde_json::to_string(&record) {
--- a/crates/sandstile-lab/src/rehearse.rs
+++ b/crates/sandstile-lab/src/rehearse.rs
@@ -169,6 +169,11 @@
     let (book, records, writer) = book::open(&wanted.out.join("trace.jsonl")).map_err(told("the trace"))?;
     let (emulator, notes, net) = emulator(&script, clock, records).map_err(told("the emulator"))?;
     let emulator = emulator.spawn().map_err(told("the emulator"))?;
+    // Told to end, it ends its routers with it, and says that the evening was not played whole.
+    let stopped = Arc::new(AtomicBool::new(false));
+    for signal in [signal_hook::consts::SIGINT, signal_hook::consts::SIGTERM] {
+        signal_hook::flag::register(signal, stopped.clone()).map_err(told("signals"))?;
+    }
     let stage = Arc::new(Stage {
         routers: (0..script.routers.count).map(|_| Mutex::new(None)).collect(),
         script: script.clone(),
@@ -205,9 +210,11 @@
                     script.seconds
                 );
             }
-            !emulator.ended()
+            !emulator.ended() && !stopped.load(SeqCst)
         });
-        thread::sleep(clock.until(begin + script.seconds));
+        while clock.now() < begin + script.seconds && !stopped.load(SeqCst) {
+            thread::sleep(clock.until(begin + script.seconds).min(Duration::from_millis(50)));
+        }
         stage.over.store(true, SeqCst);
     });
     let late = crew.finish();
@@ -220,6 +227,9 @@
     }
     let summary = emulator.stop().map_err(told("the emulator"))?;
     let mut unsound = Vec::new();
+    if stopped.load(SeqCst) {
+        unsound.push("ended by a signal".to_string());
+    }
     if summary.unsound() {
         unsound.push(format!(
             "the emulator's timers were {} us late at p99",
--- /dev/null
+++ b/crates/sandstile-router/tests/rehearsal.rs
@@ -0,0 +1,111 @@
+//! A small rehearsal from beginning to end: this program, emulated hosts, clients, a trace, and its audit.
+use sandstile_audit::{judge, Trace};
+use sandstile_lab::rehearse::{rehearse, Wanted};
+use sandstile_scenario::Script;
+use std::path::Path;
+
+const SCRIPT: &str = r#"
+title = "All at once, in little"
+seconds = 8
+settle = 0
+machine "std" { cores = [1, 1] }
+node "a" { machine = "std" }
+node "b" { machine = "std" }
+node "c" { machine = "std" }
+group "1" {
+  nodes = ["a", "b", "c"]
+  detect_s = 0.6
+  elect_s = 0.2
+}
+workload "look" {
+  consistency = "any"
+  work_ms = 3
+  slo_ms = 300
+  timeout_ms = 1000
+}
+workload "own" {
+  consistency = "session"
+  work_ms = 3
+  slo_ms = 300
+  timeout_ms = 1000
+}
+workload "save" {
+  consistency = "write"
+  work_ms = 3
+  slo_ms = 400
+  timeout_ms = 1200
+}
+traffic "browse" {
+  workload = "look"
+  rate = 60
+}
+traffic "save" {
+  workload = "save"
+  rate = 20
+  sessions = 30
+  then = "own"
+  think_ms = 20
+  roams = 0.3
+}
+routers {
+  count = 2
+  memory_mb = 64
+  sockets = 256
+}
+fault "lost" {
+  kind = "crash"
+  on = "primary:1"
+  when = "ran:save:30"
+  for = 1.5
+}
+fault "drained" {
+  kind = "replace"
+  on = "replica:1:0"
+  at = 4
+  for = 2
+}
+fault "paused" {
+  kind = "pause"
+  on = "host:s-1-c"
+  when = "announced:drained"
+  for = 0.3
+}
+restart "one" {
+  router = 0
+  kind = "kill"
+  at = 3
+  back = 0.5
+}
+restart "two" {
+  router = 1
+  kind = "term"
+  at = 5
+  back = 0.3
+}
+"#;
+
+#[test]
+fn a_small_rehearsal_keeps_the_rules_and_its_audit_sees_what_is_planted() {
+    let script = Script::read("little.hcl", SCRIPT).unwrap_or_else(|p| panic!("{p:?}"));
+    let out = std::env::temp_dir().join(format!("sandstile-rehearsal-{}", std::process::id()));
+    let router = Path::new(env!("CARGO_BIN_EXE_sandstile")).to_path_buf();
+    let wanted = Wanted { script, quick: false, router, out: out.clone() };
+    let summary = rehearse(wanted).expect("a rehearsal");
+    assert_eq!(summary.broken, 0, "{}", summary.text);
+    let text = std::fs::read_to_string(out.join("trace.jsonl")).expect("a trace");
+    let trace = Trace::read(&text).expect("lines");
+    assert!(trace.statements.len() > 500, "{}", trace.statements.len());
+    assert!(trace.primaries.len() > 1 && trace.routers.len() >= 8, "{}", summary.text);
+    let answered = trace.statements.values().filter(|s| !s.answered.is_empty()).count();
+    assert!(answered * 10 > trace.statements.len() * 8, "{}", summary.text);
+    // The same trace with one execution more of a write that ran.
+    let ran =
+        text.lines().find(|l| l.contains("\"ran\"") && l.contains("\"save\"")).expect("a write that ran");
+    let planted = format!("{text}{ran}\n");
+    let found = judge(&Trace::read(&planted).expect("lines")).expect("a whole trace");
+    assert!(found.iter().any(|f| f.rule == sandstile_audit::Rule::Effect), "a planted execution is seen");
+    for name in ["summary.json", "summary.md", "router-0.log"] {
+        assert!(out.join(name).is_file(), "{name}");
+    }
+    std::fs::remove_dir_all(out).expect("our own folder");
+}
--- a/rehearsals/derby-night.hcl
+++ b/rehearsals/derby-night.hcl
@@ -81,7 +81,7 @@
 
 traffic "browse" {
   workload = "clip-read"
-  rate     = 120
+  rate     = 240
 
   jump {
     at    = 24
@@ -92,13 +92,13 @@
   jump {
     at    = 72
     for   = 20
-    times = 2.6
+    times = 2.8
     ramp  = 1
   }
 }
 traffic "front-page" {
   workload = "feed"
-  rate     = 60
+  rate     = 120
 
   jump {
     at    = 24
@@ -109,13 +109,13 @@
   jump {
     at    = 72
     for   = 20
-    times = 2.6
+    times = 2.8
     ramp  = 1
   }
 }
 traffic "bookmark" {
   workload = "clip-write"
-  rate     = 25
+  rate     = 40
   sessions = 400
   then     = "own-bookmarks"
   think_ms = 40
