--- /dev/null
+++ b/crates/sandstile-sessions/src/floor.rs
@@ -0,0 +1,77 @@
+//! The one question: what must this read reach, and how sure are we?
+use crate::mark::{Seen, Term};
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Floor {
+    /// Any replica that has come to this position, in seconds, serves it.
+    Known(f64),
+    /// Nobody can tell: the primary serves it.
+    Unknown(Why),
+    /// It has written nothing that a replica could lack, and that is proven.
+    Nothing,
+}
+
+/// Why nothing is known; counted, for operators see by it what is missing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// Nothing proves that there is no mark, or no later one, than what is known here.
+    NoWord,
+    /// Its mark is of another primary's time.
+    OtherTerm,
+    /// The group has no primary whose term could be compared.
+    NoTerm,
+    /// Marks of too many terms.
+    Lost,
+    /// A position that lies further ahead than clocks can differ.
+    Ahead,
+}
+
+/// What the answer rests on beside the mark itself.
+#[derive(Clone, Copy, Debug)]
+pub struct Ground {
+    pub now: f64,
+    /// The term of the group's primary as this instance knows it now.
+    pub term: Option<Term>,
+    /// Replicas lag less than this, in seconds: an older mark binds nobody. The installation's word.
+    pub horizon: f64,
+    /// Nothing is further ahead of this clock than this, in seconds.
+    pub skew: f64,
+    /// This instance has heard of every write of the group since then: by being the only one since, or by a
+    /// journal that it found whole. Infinite where it can't know.
+    pub heard_since: f64,
+}
+
+/// What a session's read must reach. `seen` joins all that is known of the session; `carried` says that the mark
+/// that its client carries is part of that. What one instance remembers is not enough by itself: the session may
+/// have written by another since. Either the client carries what it was told, or the instance has heard of all.
+pub fn floor(seen: &Seen, carried: bool, ground: &Ground) -> Floor {
+    // What every replica has applied by now binds nobody, under whatever term.
+    let since = ground.now - ground.horizon;
+    let none = std::collections::BTreeMap::new();
+    let marks = match seen {
+        Seen::Lost(latest) if *latest >= since => return Floor::Unknown(Why::Lost),
+        Seen::Lost(_) => &none,
+        Seen::Terms(marks) => marks,
+    };
+    if marks.values().any(|position| *position > ground.now + ground.skew) {
+        return Floor::Unknown(Why::Ahead);
+    }
+    let complete = carried || ground.heard_since <= since;
+    let mut binding = marks.iter().filter(|(_, position)| **position >= since).peekable();
+    if binding.peek().is_none() {
+        return if complete { Floor::Nothing } else { Floor::Unknown(Why::NoWord) };
+    }
+    let Some(term) = ground.term else { return Floor::Unknown(Why::NoTerm) };
+    let mut highest: f64 = 0.0;
+    for (of, position) in binding {
+        if *of != term {
+            return Floor::Unknown(Why::OtherTerm);
+        }
+        highest = highest.max(*position);
+    }
+    if complete {
+        Floor::Known(highest)
+    } else {
+        Floor::Unknown(Why::NoWord)
+    }
+}
