--- a/crates/sandstile-audit/src/lib.rs
+++ b/crates/sandstile-audit/src/lib.rs
@@ -4,6 +4,6 @@
 pub mod service;
 pub mod trace;
 
-pub use judge::{judge, Finding, Rule};
+pub use judge::{judge, own_reads, Finding, OwnReads, Rule};
 pub use service::{service, Service};
 pub use trace::Trace;
--- a/crates/sandstile-audit/src/trace.rs
+++ b/crates/sandstile-audit/src/trace.rs
@@ -143,6 +143,7 @@
             statement.taken.sort_by(|a, b| a.t.total_cmp(&b.t));
             statement.ran.sort_by(|a, b| a.t.total_cmp(&b.t));
         }
+        trace.primaries.sort_by(|a, b| a.0.total_cmp(&b.0));
         trace.routers.sort_by(|a, b| a.0.total_cmp(&b.0));
         Ok(trace)
     }
--- a/crates/sandstile-emulator/src/speech.rs
+++ b/crates/sandstile-emulator/src/speech.rs
@@ -78,28 +78,29 @@
     Some((id, host, position.trim_end_matches('.').parse::<f64>().ok()? / 1000.0))
 }
 
-fn close(out: &mut Vec<u8>, primary: bool, position: f64) {
+fn close(out: &mut Vec<u8>, primary: bool, position: f64, term: u64) {
     pg::parameter(out, "mode", pg::mode(primary));
     pg::parameter(out, "wal_time", &format!("{}", (position * 1000.0 + 1e-3).floor()));
+    pg::parameter(out, "timeline", &term.to_string());
     pg::ready(out);
 }
 
 /// The bytes of an answer, and where its first half may end.
 pub fn say(answer: &Answer, host: &str, out: &mut Vec<u8>) {
     match answer {
-        Answer::Row { id, bytes, primary, position } => {
+        Answer::Row { id, bytes, primary, position, term } => {
             pg::row(out, &value(id, host, *position, *bytes));
-            close(out, *primary, *position);
+            close(out, *primary, *position, *term);
         }
-        Answer::Error { code, primary, position } => {
+        Answer::Error { code, primary, position, term } => {
             pg::error(out, false, code, "as the host's state has it", None);
-            close(out, *primary, *position);
+            close(out, *primary, *position, *term);
         }
-        Answer::Report { primary, position, jobs, share } => {
+        Answer::Report { primary, position, term, jobs, share } => {
             let role = u8::from(*primary);
             let text = format!("inflight={jobs},util={share:.2},x0={position:.3},x1={role}");
             pg::row(out, text.as_bytes());
-            close(out, *primary, *position);
+            close(out, *primary, *position, *term);
         }
         Answer::Spoilt { how } => spoil(*how, out),
     }
--- a/crates/sandstile-fleet/src/event.rs
+++ b/crates/sandstile-fleet/src/event.rs
@@ -26,7 +26,7 @@
     Closed,
 }
 
-/// How a host answers.
+/// How a host answers: with its role, its position, and the term that it follows.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Answer {
     /// The value for this id, with the host's role and position.
@@ -35,15 +35,18 @@
         bytes: usize,
         primary: bool,
         position: f64,
+        term: u64,
     },
     Error {
         code: &'static str,
         primary: bool,
         position: f64,
+        term: u64,
     },
     Report {
         primary: bool,
         position: f64,
+        term: u64,
         jobs: usize,
         share: f64,
     },
--- a/crates/sandstile-fleet/src/fleet.rs
+++ b/crates/sandstile-fleet/src/fleet.rs
@@ -147,6 +147,7 @@
             effects: Effects::none(idle),
             replay: Replay::new(0, self.now),
             linked: false,
+            follows: 1,
             heard_to: 0.0,
             conns: BTreeSet::new(),
             deferred: VecDeque::new(),
@@ -267,7 +268,8 @@
                 let (primary, position) = (self.is_primary(host), self.position(now, host));
                 let machine = &self.machines[self.hosts[host].node];
                 let share = machine.cpu.jobs() as f64 / machine.cpu.capacity().max(1e-9);
-                let answer = Answer::Report { primary, position, jobs: machine.cpu.jobs(), share };
+                let (term, jobs) = (self.term_followed(host), machine.cpu.jobs());
+                let answer = Answer::Report { primary, position, term, jobs, share };
                 self.say(now, host, conn, answer, None);
             }
             Input::Closed => self.closed(now, host, conn),
@@ -329,6 +331,16 @@
         self.groups[self.hosts[host].group].roles.primary == Some(host)
     }
 
+    /// The term whose log a host holds: one that has not heard of the present primary still follows the last.
+    fn term_followed(&self, host: usize) -> u64 {
+        let roles = &self.groups[self.hosts[host].group].roles;
+        if roles.primary == Some(host) {
+            roles.term
+        } else {
+            self.hosts[host].follows
+        }
+    }
+
     /// All commits up to this time are applied here.
     fn position(&self, now: f64, host: usize) -> f64 {
         let h = &self.hosts[host];
@@ -448,7 +460,8 @@
     fn error(&mut self, now: f64, host: usize, conn: u64, id: &str, code: &'static str) {
         let (primary, position) = (self.is_primary(host), self.position(now, host));
         self.said(now, host, id, code);
-        self.say(now, host, conn, Answer::Error { code, primary, position }, None);
+        let term = self.term_followed(host);
+        self.say(now, host, conn, Answer::Error { code, primary, position, term }, None);
     }
 
     fn said(&mut self, now: f64, host: usize, id: &str, how: &str) {
@@ -607,7 +620,8 @@
         let spoilt = self.luck.happens(spoils).then(|| self.luck.below(4));
         self.said(now, host, &ask.id, if spoilt.is_some() { "spoilt" } else { "row" });
         let primary = self.is_primary(host);
-        self.say(now, host, conn, Answer::Row { id: ask.id, bytes, primary, position }, spoilt);
+        let term = self.term_followed(host);
+        self.say(now, host, conn, Answer::Row { id: ask.id, bytes, primary, position, term }, spoilt);
     }
 
     fn commit(&mut self, now: f64, group: usize, host: usize, ask: &Ask) -> f64 {
@@ -649,6 +663,7 @@
         h.replay.applied = h.replay.applied.max(base.min(upto));
         h.replay.receive(upto);
         h.linked = true;
+        h.follows = term;
         self.replay_on(now, to);
     }
 
@@ -737,6 +752,7 @@
                 // It serves once it has applied what it had received, which takes part of the election.
                 self.hosts[host].replay.halt();
                 self.hosts[host].replay.applied = keep;
+                self.hosts[host].follows = term;
                 self.event(now, Event::Primary { group: name, host: self.hosts[host].name.clone(), term });
                 self.relist(now, host);
                 for other in self.groups[group].hosts.clone() {
--- a/crates/sandstile-fleet/src/host.rs
+++ b/crates/sandstile-fleet/src/host.rs
@@ -18,6 +18,8 @@
     pub replay: Replay,
     /// Whether the primary's log reaches it; else how far it knows the log to be whole.
     pub linked: bool,
+    /// The term of the primary that it heard last.
+    pub follows: u64,
     pub heard_to: f64,
     pub conns: BTreeSet<u64>,
     /// What came while the process stood still.
--- /dev/null
+++ b/crates/sandstile-journal/src/lib.rs
@@ -0,0 +1,277 @@
+//! A journal of sessions' marks: 40 bytes a mark, appended, each with a checksum of its own. Marks merge in any order,
+//! so records need none, and one that is spoilt takes no other with it. What a journal that is not whole can't say
+//! is unknown, never nothing: `Found::whole` tells.
+//!
+//! Who writes decides when what is written is on the disk (`sync`); group commit is the caller's: many marks, one
+//! `sync`.
+use sandstile_sessions::mark::{Mark, Seen, Term};
+use sandstile_sessions::store::Key;
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Read, Write};
+use std::path::{Path, PathBuf};
+
+const MAGIC: &[u8; 8] = b"sndsmark";
+const VERSION: u32 = 1;
+/// Magic, version, and the hash of both.
+const HEAD: usize = 24;
+/// Key, term and position (8 bytes each), kind (1), seven bytes of nothing, and the hash (8) of all that.
+const RECORD: usize = 40;
+const BODY: usize = RECORD - 8;
+
+/// A mark, or the word that nothing more can be told of a session than that it wrote.
+const KIND_MARK: u8 = 1;
+const KIND_LOST: u8 = 2;
+/// The instance ended in order, and all that it knew is above.
+const KIND_END: u8 = 3;
+
+/// What a file held.
+#[derive(Debug, Default)]
+pub struct Found {
+    pub marks: Vec<(Key, Seen)>,
+    /// Nothing was spoilt and nothing is missing but, at most, a record that was being written.
+    pub whole: bool,
+    /// Its writer ended in order.
+    pub ended: bool,
+    /// Records that can't be read.
+    pub spoilt: usize,
+    pub bytes: u64,
+}
+
+#[derive(Debug)]
+pub enum Wrong {
+    /// A newer program's file; it is left as it is.
+    Newer(u32),
+    /// Not a journal.
+    Stranger,
+    Io(io::Error),
+}
+
+impl From<io::Error> for Wrong {
+    fn from(e: io::Error) -> Self {
+        Wrong::Io(e)
+    }
+}
+
+impl std::fmt::Display for Wrong {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        match self {
+            Wrong::Newer(version) => {
+                write!(f, "the journal is of version {version}, this program knows {VERSION}")
+            }
+            Wrong::Stranger => write!(f, "the file is no journal"),
+            Wrong::Io(e) => write!(f, "{e}"),
+        }
+    }
+}
+
+/// What records can be written to: a file, or a stand-in for a disk that fails.
+pub trait Medium: Write + Send {
+    /// What was written is on the disk when this returns.
+    fn sync(&mut self) -> io::Result<()>;
+}
+
+impl Medium for File {
+    fn sync(&mut self) -> io::Result<()> {
+        self.sync_data()
+    }
+}
+
+fn eight(bytes: &[u8]) -> [u8; 8] {
+    std::array::from_fn(|n| bytes[n])
+}
+
+fn hash(bytes: &[u8]) -> [u8; 8] {
+    eight(blake3::hash(bytes).as_bytes())
+}
+
+fn head(version: u32) -> [u8; HEAD] {
+    let mut head = [0; HEAD];
+    head[..8].copy_from_slice(MAGIC);
+    head[8..12].copy_from_slice(&version.to_le_bytes());
+    let sum = hash(&head[..16]);
+    head[16..].copy_from_slice(&sum);
+    head
+}
+
+fn record(kind: u8, key: Key, mark: Mark) -> [u8; RECORD] {
+    let mut record = [0; RECORD];
+    record[..8].copy_from_slice(&key.0.to_le_bytes());
+    record[8..16].copy_from_slice(&mark.term.0.to_le_bytes());
+    record[16..24].copy_from_slice(&mark.position.to_le_bytes());
+    record[24] = kind;
+    let sum = hash(&record[..BODY]);
+    record[BODY..].copy_from_slice(&sum);
+    record
+}
+
+/// The records of what one session has seen.
+fn records(key: Key, seen: &Seen) -> Vec<[u8; RECORD]> {
+    match seen {
+        Seen::Lost(latest) => vec![record(KIND_LOST, key, Mark { term: Term(0), position: *latest })],
+        terms => terms.marks().map(|mark| record(KIND_MARK, key, mark)).collect(),
+    }
+}
+
+/// Reads all that a journal's bytes hold.
+pub fn read(bytes: &[u8]) -> Result<Found, Wrong> {
+    let mut found = Found { bytes: bytes.len() as u64, ..Found::default() };
+    if bytes.len() < HEAD {
+        // Cut while it was being made: nothing was written to it, unless it is no journal at all.
+        let begun = head(VERSION);
+        if !begun.starts_with(bytes) {
+            return Err(Wrong::Stranger);
+        }
+        found.whole = true;
+        return Ok(found);
+    }
+    if &bytes[..8] != MAGIC {
+        return Err(Wrong::Stranger);
+    }
+    let version = u32::from_le_bytes(std::array::from_fn(|n| bytes[8 + n]));
+    if hash(&bytes[..16]) != bytes[16..HEAD] {
+        return Err(Wrong::Stranger);
+    }
+    if version != VERSION {
+        return Err(Wrong::Newer(version));
+    }
+    let body = &bytes[HEAD..];
+    for record in body.chunks_exact(RECORD) {
+        found.ended = false;
+        if hash(&record[..BODY]) != record[BODY..] {
+            found.spoilt += 1;
+            continue;
+        }
+        let number = |at: usize| u64::from_le_bytes(eight(&record[at..]));
+        let (key, term, position) = (Key(number(0)), Term(number(8)), f64::from_bits(number(16)));
+        match record[24] {
+            KIND_MARK => found.marks.push((key, Seen::of(Mark { term, position }))),
+            KIND_LOST => found.marks.push((key, Seen::Lost(position))),
+            KIND_END => found.ended = true,
+            _ => found.spoilt += 1,
+        }
+    }
+    // What follows the last whole record was being written when the power went: nobody was told of it.
+    found.ended &= body.len().is_multiple_of(RECORD);
+    found.whole = found.spoilt == 0;
+    Ok(found)
+}
+
+pub struct Journal<M: Medium = File> {
+    medium: M,
+    bytes: u64,
+    pending: Vec<u8>,
+}
+
+/// The file beside the journal in which its successor is written.
+fn beside(path: &Path) -> PathBuf {
+    let mut name = path.as_os_str().to_os_string();
+    name.push(".new");
+    PathBuf::from(name)
+}
+
+fn sync_folder(path: &Path) -> io::Result<()> {
+    let folder = path.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
+    File::open(folder)?.sync_all()
+}
+
+impl Journal<File> {
+    /// Takes up the journal at `path`, or begins one: yields what it held, written anew without what is spoilt, too
+    /// old (`since`) or there twice.
+    pub fn open(path: &Path, since: f64) -> Result<(Journal<File>, Found), Wrong> {
+        let mut bytes = Vec::new();
+        let found = match File::open(path) {
+            Ok(mut file) => {
+                file.read_to_end(&mut bytes)?;
+                read(&bytes)?
+            }
+            // Nothing was ever promised.
+            Err(e) if e.kind() == io::ErrorKind::NotFound => Found::default(),
+            Err(e) => return Err(e.into()),
+        };
+        let marks = merged(&found.marks, since);
+        let journal = Journal::replace(path, marks.iter().map(|(key, seen)| (*key, seen)))?;
+        Ok((journal, Found { marks, ..found }))
+    }
+
+    /// A new journal in place of the one at `path`: written beside it, on the disk, and then renamed.
+    pub fn replace<'a>(
+        path: &Path,
+        marks: impl Iterator<Item = (Key, &'a Seen)>,
+    ) -> Result<Journal<File>, Wrong> {
+        let new = beside(path);
+        let mut options = OpenOptions::new();
+        options.write(true).create(true).truncate(true);
+        #[cfg(unix)]
+        std::os::unix::fs::OpenOptionsExt::mode(&mut options, 0o600);
+        let mut journal = Journal::begin(options.open(&new)?)?;
+        for (key, seen) in marks {
+            journal.append(key, seen)?;
+        }
+        journal.sync()?;
+        fs::rename(&new, path)?;
+        sync_folder(path)?;
+        Ok(journal)
+    }
+}
+
+impl<M: Medium> Journal<M> {
+    /// Begins one on an empty medium.
+    pub fn begin(mut medium: M) -> Result<Journal<M>, Wrong> {
+        medium.write_all(&head(VERSION))?;
+        Ok(Journal { medium, bytes: HEAD as u64, pending: Vec::new() })
+    }
+
+    /// Adds what a session has seen; it is on the disk after the next `sync`.
+    pub fn append(&mut self, key: Key, seen: &Seen) -> io::Result<()> {
+        for record in records(key, seen) {
+            self.pending.extend_from_slice(&record);
+        }
+        // Bounded: what comes between two syncs is written on in pieces.
+        if self.pending.len() >= 1 << 16 {
+            self.write()
+        } else {
+            Ok(())
+        }
+    }
+
+    fn write(&mut self) -> io::Result<()> {
+        self.medium.write_all(&self.pending)?;
+        self.bytes += self.pending.len() as u64;
+        self.pending.clear();
+        Ok(())
+    }
+
+    pub fn sync(&mut self) -> io::Result<()> {
+        self.write()?;
+        self.medium.sync()
+    }
+
+    /// Hands what was added to the platform, which keeps it through the end of this process but not of the machine.
+    pub fn flush(&mut self) -> io::Result<()> {
+        self.write()
+    }
+
+    /// The writer ends in order; all that it knew is in here.
+    pub fn end(&mut self) -> io::Result<()> {
+        self.pending.extend_from_slice(&record(KIND_END, Key(0), Mark { term: Term(0), position: 0.0 }));
+        self.sync()
+    }
+
+    pub fn bytes(&self) -> u64 {
+        self.bytes + self.pending.len() as u64
+    }
+}
+
+/// Each session once, without what is older than `since`.
+fn merged(marks: &[(Key, Seen)], since: f64) -> Vec<(Key, Seen)> {
+    let mut all: Vec<(Key, Seen)> = marks.iter().filter(|(_, s)| s.latest() >= since).cloned().collect();
+    all.sort_by_key(|(key, _)| *key);
+    all.dedup_by(|next, kept| {
+        let same = next.0 == kept.0;
+        if same {
+            kept.1.merge(&next.1);
+        }
+        same
+    });
+    all
+}
--- a/crates/sandstile-lab/src/processes.rs
+++ b/crates/sandstile-lab/src/processes.rs
@@ -72,6 +72,41 @@
         "known": known, "settings": settings(script)})
 }
 
+/// Our own file for one router, and the keys that all of them share; `None` where the script wants none of it.
+pub fn own_file(script: &Script, dir: &Path, number: usize) -> io::Result<Option<PathBuf>> {
+    let wanted = script.sessions;
+    if !wanted.tokens && !wanted.journal {
+        return Ok(None);
+    }
+    let keys = dir.join("keys");
+    if !keys.exists() {
+        // A rehearsal's keys guard nothing; they differ from run to run all the same.
+        let digits = |n: u128| {
+            format!(
+                "{:032x}",
+                (u128::from(script.plan.seed) + n).wrapping_mul(0x9e37_79b9_7f4a_7c15_f39c_c060_5ced_c835)
+            )
+        };
+        fs::write(&keys, format!("1 {}{}\n", digits(1), digits(2)))?;
+        fs::set_permissions(&keys, std::os::unix::fs::PermissionsExt::from_mode(0o600))?;
+    }
+    let lag = 30;
+    let mut text = format!("sessions {{\n  replicas_lag_at_most_s = {lag}\n");
+    if wanted.tokens {
+        text += &format!("  keys = {:?}\n", keys.display().to_string());
+    }
+    if wanted.journal {
+        let path = dir.join(format!("router-{number}.marks"));
+        text += &format!("  journal = {:?}\n  durability = \"before-answer\"\n", path.display().to_string());
+        // Only where nobody roams has one router heard of all that a session wrote.
+        let stay = script.streams.iter().all(|s| s.roams == 0.0) && script.routers.count == 1;
+        text += &format!("  sessions_stay = {stay}\n");
+    }
+    let path = dir.join(format!("router-{number}.hcl"));
+    fs::write(&path, text + "}\n")?;
+    Ok(Some(path))
+}
+
 pub struct Router {
     pub number: usize,
     pub address: SocketAddr,
@@ -81,13 +116,22 @@
 
 impl Router {
     /// Starts one; it is not ready yet.
-    pub fn start(program: &Path, dir: &Path, number: usize, config: &Value) -> io::Result<Router> {
+    pub fn start(
+        program: &Path,
+        dir: &Path,
+        number: usize,
+        config: &Value,
+        own: Option<&Path>,
+    ) -> io::Result<Router> {
         let file = dir.join(format!("router-{number}.json"));
         fs::write(&file, config.to_string())?;
         let log = dir.join(format!("router-{number}.log"));
         let log = File::options().create(true).append(true).open(log)?;
         let mut command = Command::new(program);
         command.arg("serve").env("LB_CONFIG", &file);
+        if let Some(own) = own {
+            command.arg("--config").arg(own);
+        }
         for name in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY"] {
             command.env_remove(name);
         }
--- a/crates/sandstile-lab/src/report.rs
+++ b/crates/sandstile-lab/src/report.rs
@@ -2,7 +2,7 @@
 //! the rig itself was.
 use hdrhistogram::Histogram;
 use sandstile_audit::judge::RULES;
-use sandstile_audit::{judge, service, Finding, Service, Trace};
+use sandstile_audit::{judge, own_reads, service, Finding, Service, Trace};
 use sandstile_emulator::Summary as Emulated;
 use sandstile_scenario::Script;
 use serde_json::{json, Value};
@@ -70,10 +70,12 @@
                 "tries": w.tally.tries, "p50_ms": at(0.5), "p99_ms": at(0.99), "by_second": seconds})
         })
         .collect();
+    let own = own_reads(trace);
     json!({"title": played.script.title, "seed": played.script.plan.seed, "quick": played.quick,
         "seconds": played.script.seconds, "service": service.overall(), "workloads": workloads,
         "found": counts(findings), "emulator_late": quantiles(&played.emulator.late_us),
         "clients_late": quantiles(&played.clients_late_us), "most_connections": played.emulator.most_connections,
+        "own_reads": {"checked": own.checked, "missed": own.missed, "by_replicas": own.by_replicas},
         "unsound": trace.unsound, "missed_cues": played.emulator.missed, "lost_commits": trace.lost.len(),
         "version": env!("CARGO_PKG_VERSION"), "trace_lines": trace.lines})
 }
@@ -118,6 +120,12 @@
         let kind = if rule.binds() { "rule" } else { "finding" };
         let _ = writeln!(out, "| {} ({kind}) | {n} |", rule.word());
     }
+    let own = own_reads(trace);
+    let _ = writeln!(
+        out,
+        "\nOwn reads with a write to see: {}, missed {}, served by replicas {}.",
+        own.checked, own.missed, own.by_replicas
+    );
     let begin = trace.terms.as_ref().map_or(0.0, |t| t.begin);
     out.push_str("\n| fault | host | from s | to s |\n| --- | --- | --- | --- |\n");
     for (kind, host, from, to) in &trace.faults {
--- a/crates/sandstile-pgwire/src/answer.rs
+++ b/crates/sandstile-pgwire/src/answer.rs
@@ -34,6 +34,8 @@
     pub value: Range<usize>,
     pub position: Option<f64>,
     pub primary: Option<bool>,
+    /// The number of the primary's term that the host follows, where hosts tell it.
+    pub timeline: Option<u64>,
 }
 
 impl Answer {
@@ -77,6 +79,7 @@
                 self.position = ms.parse::<f64>().ok().filter(|p| p.is_finite()).map(|p| p / 1e3)
             }
             ("mode", mode) => self.primary = role(mode),
+            ("timeline", number) => self.timeline = number.parse().ok(),
             _ => {}
         }
     }
--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -204,6 +204,10 @@
         k.owed -= if later { 1.0 } else { 0.0 };
         let elapsed = if later { (k.timeout - a.time_left).max(0.0) } else { 0.0 };
         let need = match k.consistency {
+            Consistency::Session if a.reach.is_some() => match a.reach {
+                Some(Reach::Position(position)) => position,
+                _ => f64::INFINITY,
+            },
             Consistency::Session if !self.terms.tokens_remembered => a.token_age.map_or(0.0, |age| now - age),
             Consistency::Session if !self.terms.checked => number,
             // Hosts refuse by the session's own writes, so lag memory foretells with no more than those.
@@ -217,6 +221,7 @@
             group: a.group,
             session: a.session,
             need,
+            strict: k.consistency == Consistency::Session && a.reach.is_some(),
             slo_at: now + k.slo - elapsed,
             half: now + 0.5 * a.time_left,
             end: now + a.time_left,
@@ -293,7 +298,8 @@
                 host.strikes = 0;
                 host.meter.roll(now, true);
                 host.ghosts.retain(|until| *until > now);
-                host.reached = host.reached.max(if self.terms.checked { need } else { 0.0 });
+                let told = self.terms.checked && !s.strict;
+                host.reached = host.reached.max(if told { need } else { 0.0 });
             }
             // A withdrawal may stop nothing: a place freed at once would let leaving clients fill the hosts.
             TimedOut | Cancelled => {
@@ -344,6 +350,24 @@
         }
     }
 
+    /// A host told which term of its group's primary it follows. Positions of different terms can't be compared:
+    /// with a new one all that was heard under the last is void; `false` where this host lags behind a term.
+    pub fn follows(&mut self, host: usize, term: u64) -> bool {
+        let Some(group) = self.hosts.get(host).map(|h| h.group) else { return false };
+        if term > self.group(group).term {
+            self.groups[group].term = term;
+            for m in self.groups[group].members.clone() {
+                self.hosts[m].reached = 0.0;
+            }
+        }
+        term == self.groups[group].term
+    }
+
+    /// The term that a group's members have told, 0 where none has.
+    pub fn term(&self, group: usize) -> u64 {
+        self.groups.get(group).map_or(0, |g| g.term)
+    }
+
     pub fn passed(&mut self, now: f64) {
         self.now = now;
         while self.looks.peek().is_some_and(|Reverse((t, _))| f64::from_bits(*t) <= now) {
@@ -563,7 +587,8 @@
         let warm = self.share(h) >= 1.0 || h.credit >= 1.0;
         // Where hosts do not check, only one that list or answer calls primary surely holds the present.
         let current = self.terms.checked || k.consistency != Consistency::Fresh || h.maybe_primary;
-        current && h.group == s.group && self.sendable(h) && warm && s.executions.iter().all(fits)
+        let sure = !s.strict || h.reached >= s.need || h.maybe_primary;
+        current && sure && h.group == s.group && self.sendable(h) && warm && s.executions.iter().all(fits)
     }
 
     /// Rate x time. The time is what the SLO of the tightest workload worth as much leaves for a queue, but
@@ -621,6 +646,7 @@
             return None;
         }
         let least = if k.consistency == Consistency::Bounded { now - k.bound } else { s.need };
+        let checked = self.terms.checked && !s.strict;
         let (n, last) = (g.members.len(), s.executions.len() + 1 >= self.most);
         let (mut behind, mut best, mut full, mut unknown, mut up) = (None, 0.0, false, false, false);
         for at in (0..n).map(|step| (g.cursor + step) % n) {
@@ -630,7 +656,7 @@
             let line =
                 now > self.refused_at + self.terms.idle_close || now < h.answered_at + self.terms.idle_close;
             let ready = self.lawful(s, m) && !tried(m, 0.1) && h.rests_until <= now && line;
-            let known = self.terms.checked || h.reached >= least;
+            let known = checked || h.reached >= least;
             let foretold = h.stood.0 + CATCH_UP * (now - h.stood.1);
             (unknown, up) = (unknown || !known, up || (foretold >= least && Some(m) != primary));
             if Some(m) == primary || last || !ready || !known {
@@ -654,15 +680,14 @@
         let g = &self.groups[s.group];
         if let Some(p) = primary {
             let h = &self.hosts[p];
-            let usable =
-                !h.mute && !tried(p, 0.0) && self.lawful(s, p) && (self.terms.checked || h.maybe_primary);
+            let usable = !h.mute && !tried(p, 0.0) && self.lawful(s, p) && (checked || h.maybe_primary);
             // The primary's room belongs to the writes, as far as they are worth more for their work.
             let share = (k.density() / self.densest(true)).min(1.0) * if full { 0.5 } else { 0.8 };
             if usable && self.room(p, s.workload, share) {
                 return Some(p);
             }
         }
-        if !full && behind.is_none() && s.executions.is_empty() && self.terms.checked && n > 0 {
+        if !full && behind.is_none() && s.executions.is_empty() && checked && n > 0 {
             // All replicas rest: one must still be asked, or a group of sick hosts would never be heard of.
             let ask = |m: &usize| self.hosts[*m].open.len() < 2 && self.lawful(s, *m);
             let found = (0..n).map(|i| g.members[(g.cursor + i) % n]).find(ask);
--- a/crates/sandstile-policy/src/state.rs
+++ b/crates/sandstile-policy/src/state.rs
@@ -28,6 +28,8 @@
     pub session: Option<usize>,
     /// The position that a session read must reach; 0 where any will do.
     pub need: f64,
+    /// Only a host known to have come so far, or the primary, may serve it.
+    pub strict: bool,
     pub slo_at: f64,
     /// Half of its time: who is refused unsent later than this has waited for nothing.
     pub half: f64,
@@ -96,6 +98,8 @@
     pub arrived_at: f64,
     pub interval: f64,
     pub change_number: f64,
+    /// The highest term that a member has told; 0 where none has.
+    pub term: u64,
     pub waiting: Vec<u64>,
     pub touched: bool,
     pub seeks: bool,
--- a/crates/sandstile-policy/src/terms.rs
+++ b/crates/sandstile-policy/src/terms.rs
@@ -98,6 +98,17 @@
     /// Seconds since the session's last write, where the client carries it.
     pub token_age: Option<f64>,
     pub retry: bool,
+    /// What a session's read must reach, where whoever hosts the decisions knows better than the terms have it.
+    pub reach: Option<Reach>,
+}
+
+/// Only a host that is known to have come so far may serve the read, whatever hosts check themselves.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Reach {
+    /// On the instance's clock.
+    Position(f64),
+    /// Nobody can tell how far: the primary alone.
+    Primary,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/sandstile-policy/tests/world/mod.rs
+++ b/crates/sandstile-policy/tests/world/mod.rs
@@ -114,6 +114,7 @@
             time_left,
             token_age: Some(0.3),
             retry: false,
+            reach: None,
         };
         let need = match self.terms.workloads[workload].consistency {
             Consistency::Session if self.terms.tokens_remembered => self.change_number,
--- /dev/null
+++ b/crates/sandstile-router/src/charter.rs
@@ -0,0 +1,88 @@
+//! Our own file, in HCL: what the platform's configuration does not know. Without it all of this is off.
+use crate::sessions::{Durability, Plan};
+use sandstile_hcl::{Section, Source};
+use sandstile_sessions::token::KeyRing;
+use std::path::{Path, PathBuf};
+
+#[derive(Clone, Debug, Default)]
+pub struct Charter {
+    pub sessions: Option<Plan>,
+}
+
+impl Charter {
+    /// Reads the file that the command line names, if it names one. The message is one line a problem, each with its
+    /// place.
+    pub fn of(path: Option<&Path>) -> Result<Charter, String> {
+        let Some(path) = path else { return Ok(Charter::default()) };
+        let name = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))?;
+        let charter = Charter::read(&name, &text)?;
+        if let Some(keys) = charter.sessions.as_ref().and_then(|s| s.keys.as_ref()) {
+            // Before anything starts: a router without its keys would believe nobody.
+            read_keys(keys)?;
+        }
+        Ok(charter)
+    }
+
+    pub fn read(name: &str, text: &str) -> Result<Charter, String> {
+        let source = Source::new(name, text);
+        let charter = source.parse().map(|body| {
+            let file = Section::of(&source, &body);
+            let sessions = file.only("sessions").map(|s| sessions(&s));
+            file.finish();
+            Charter { sessions: sessions.flatten() }
+        });
+        let problems = source.problems();
+        match charter {
+            Some(charter) if problems.is_empty() => Ok(charter),
+            _ => Err(problems.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n")),
+        }
+    }
+}
+
+fn sessions(s: &Section) -> Option<Plan> {
+    let on = s.yes("on", true);
+    let plan = Plan {
+        keys: s.text("keys").map(PathBuf::from),
+        token_lasts: s.number("token_lasts_s", 1.0..31_536_000.0, 86_400.0),
+        skew: s.ms("skew_ms", 0.0..600_000.0, 1.0),
+        horizon: s.number("replicas_lag_at_most_s", 1.0..86_400.0, 300.0),
+        stay: s.yes("sessions_stay", false),
+        exact: s.count("remembered", 16.0..10_000_000.0, 1 << 16),
+        cells: s.count("sketch_cells", 16.0..268_435_456.0, 1 << 18),
+        journal: s.text("journal").map(PathBuf::from),
+        durability: match s.text("durability").as_deref() {
+            None | Some("before-answer") => Durability::BeforeAnswer,
+            Some("none") => Durability::None,
+            Some("every") => Durability::Every(s.ms("every_ms", 1.0..60_000.0, 0.1)),
+            Some(other) => {
+                let all = Some("one of: before-answer, every, none".to_string());
+                s.wrong("durability", format!("durability = \"{other}\""), all);
+                Durability::None
+            }
+        },
+    };
+    if s.has("every_ms") && !matches!(plan.durability, Durability::Every(_)) {
+        s.wrong("every_ms", "every_ms goes with durability = \"every\"", None);
+    }
+    if s.has("durability") && plan.journal.is_none() {
+        s.wrong("durability", "durability goes with journal", Some("journal = \"FILE\"".to_string()));
+    }
+    s.finish();
+    on.then_some(plan)
+}
+
+/// Reads a file of keys that nobody but its owner may read. The message never holds what stands in it.
+pub fn read_keys(path: &Path) -> Result<KeyRing, String> {
+    let name = path.display();
+    let told = |e: std::io::Error| format!("{name}: {e}");
+    #[cfg(unix)]
+    {
+        let mode = std::os::unix::fs::MetadataExt::mode(&std::fs::metadata(path).map_err(told)?);
+        if mode & 0o077 != 0 {
+            return Err(format!("{name}: others may read it (mode {:o}); chmod 600 it", mode & 0o777));
+        }
+    }
+    let text = std::fs::read_to_string(path).map_err(told)?;
+    KeyRing::read(&text).map_err(|e| format!("{name}: {e}"))
+}
--- a/crates/sandstile-router/src/client.rs
+++ b/crates/sandstile-router/src/client.rs
@@ -42,6 +42,8 @@
 const REST: f64 = 2.0;
 /// Between looks at whether a client that waits has left: a crowd of them looks often all the same.
 const LOOK: Duration = Duration::from_millis(100);
+/// The parameter in which a session is handed its mark; it comes back in the comment's field `mark`.
+pub const MARK: &str = "sandstile_mark";
 /// Most commands come whole in one read.
 const READ: usize = 4 * 1024;
 
@@ -271,6 +273,7 @@
             until,
             after: statement.after,
             retry: statement.retry,
+            mark: statement.mark.clone(),
             parcel: Arc::new(statement),
             reply: Reply(reply),
         };
@@ -356,7 +359,12 @@
 
 fn words(answer: Answer, out: &mut Vec<u8>) {
     match answer {
-        Answer::Completed(rows) => *out = rows,
+        Answer::Completed(rows, mark) => {
+            *out = rows;
+            if let Some(mark) = mark {
+                pg::parameter(out, MARK, &mark);
+            }
+        }
         Answer::Rejected(after) => {
             let ms = format!("{:.0}", (after * 1000.0).floor());
             let detail = Some(ms.as_str()).filter(|_| after > 0.0);
--- a/crates/sandstile-router/src/desk.rs
+++ b/crates/sandstile-router/src/desk.rs
@@ -7,6 +7,7 @@
 use crate::ending::{Ending, Outcome};
 use crate::mailbox::{Mailbox, Post};
 use crate::peer::{Errand, Job, Peers};
+use crate::sessions::{Sessions, Wish, Word};
 use crossbeam_channel::RecvTimeoutError;
 use sandstile_intake::list::List;
 use sandstile_intake::names::Names;
@@ -24,7 +25,8 @@
 
 #[derive(Debug, PartialEq)]
 pub enum Answer {
-    Completed(Vec<u8>),
+    /// With the mark that the session is to carry, where marks are handed out.
+    Completed(Vec<u8>, Option<String>),
     /// Trying again is harmless, best after so many seconds where above 0.
     Rejected(f64),
     Aborted,
@@ -37,7 +39,7 @@
 pub struct Reply(pub Post<Answer>);
 
 impl Reply {
-    fn give(self, answer: Answer) {
+    pub fn give(self, answer: Answer) {
         self.0.send(answer);
     }
 }
@@ -55,6 +57,8 @@
     /// When the session last wrote, where the client says so.
     pub after: Option<f64>,
     pub retry: bool,
+    /// The mark that the session carries.
+    pub mark: Option<String>,
     pub parcel: Arc<dyn Parcel>,
     pub reply: Reply,
 }
@@ -62,9 +66,18 @@
 pub enum Mail {
     Asked(Asked),
     ClientGone(u64),
-    Ended { stmt: u64, execution: usize, outcome: Outcome },
-    Probed { host: usize, outcome: Outcome },
+    Ended {
+        stmt: u64,
+        execution: usize,
+        outcome: Outcome,
+    },
+    Probed {
+        host: usize,
+        outcome: Outcome,
+    },
     Listed(Update),
+    /// Word on sessions, from other instances or from operators.
+    Sessions(Word),
 }
 
 /// A statement until the decisions let go of it.
@@ -75,6 +88,7 @@
     reply: Option<Reply>,
     /// The database host of each execution.
     hosts: Vec<usize>,
+    wish: Option<Wish>,
 }
 
 pub struct Desk {
@@ -87,6 +101,8 @@
     sessions: Names,
     list: List,
     peers: Peers,
+    /// What sessions have seen beyond this instance's own life, where our own file turns that on.
+    seen: Option<Sessions>,
     open: BTreeMap<u64, Open>,
     /// The ids of the open ones.
     ids: BTreeSet<String>,
@@ -107,8 +123,16 @@
 const MOST_SESSIONS: usize = 1 << 12;
 
 impl Desk {
-    pub fn new(policy: Instance, clock: Clock, counters: Arc<Counters>, log: Logger, peers: Peers) -> Self {
+    pub fn new(
+        policy: Instance,
+        clock: Clock,
+        counters: Arc<Counters>,
+        log: Logger,
+        peers: Peers,
+        seen: Option<Sessions>,
+    ) -> Self {
         Desk {
+            seen,
             policy,
             clock,
             counters,
@@ -150,11 +174,14 @@
                     return asked.reply.give(Answer::Unusable);
                 }
                 self.counters.taken.add();
+                // Groups that no list has named share one that has no members, or clients could fill the
+                // memory with names.
+                let group = self.groups.find(&asked.group).unwrap_or_else(|| self.groups.of(""));
+                let term = self.policy.term(group);
+                let wish = self.seen.as_mut().and_then(|seen| seen.asked(now, &asked, term));
                 let arrival = Arrival {
                     workload: asked.workload,
-                    // Groups that no list has named share one that has no members, or clients could fill the
-                    // memory with names.
-                    group: self.groups.find(&asked.group).unwrap_or_else(|| self.groups.of("")),
+                    group,
                     // One that has written nothing needs nothing, and is not worth a name.
                     session: asked.session.and_then(|name| match asked.writes {
                         true => Some(self.sessions.of(&name)),
@@ -163,6 +190,7 @@
                     time_left: asked.until - now,
                     token_age: asked.after.map(|at| (now - at).max(0.0)),
                     retry: asked.retry,
+                    reach: wish.as_ref().and_then(Wish::reach),
                 };
                 let open = Open {
                     id: asked.id,
@@ -170,6 +198,7 @@
                     parcel: asked.parcel,
                     reply: Some(asked.reply),
                     hosts: Vec::new(),
+                    wish,
                 };
                 self.open.insert(asked.stmt, open);
                 self.policy.arrived(now, asked.stmt, &arrival);
@@ -182,24 +211,47 @@
                     self.policy.client_gone(now, stmt);
                 }
             }
-            Mail::Ended { stmt, execution, outcome } => {
+            Mail::Ended { stmt, execution, mut outcome } => {
                 let Some(open) = self.open.get_mut(&stmt) else { return };
+                if let (Some(term), Some(&host)) = (outcome.term, open.hosts.get(execution)) {
+                    if !self.policy.follows(host, term) {
+                        // Of an older term than its group's: how far it is there says nothing.
+                        outcome.note.position = None;
+                    }
+                }
+                if let (Some(seen), Some(wish)) = (&mut self.seen, &open.wish) {
+                    seen.verify(wish, &mut outcome);
+                }
                 if outcome.ending == Ending::Completed {
                     if let Some(reply) = open.reply.take() {
                         self.counters.completed.add();
-                        reply.give(Answer::Completed(outcome.rows));
+                        let rows = std::mem::take(&mut outcome.rows);
+                        match (&mut self.seen, &open.wish) {
+                            (Some(seen), Some(wish)) => seen.completed(now, wish, &outcome, rows, reply),
+                            _ => reply.give(Answer::Completed(rows, None)),
+                        }
+                    } else if let (Some(seen), Some(wish)) = (&mut self.seen, &open.wish) {
+                        seen.unheard(now, wish, &outcome);
                     }
                 }
                 let over = open.reply.is_none();
                 self.ending.push(stmt);
                 self.policy.ended(now, stmt, execution, outcome.ending.verdict(), over, outcome.note);
             }
-            Mail::Probed { host, outcome } => {
+            Mail::Probed { host, mut outcome } => {
+                if outcome.term.is_some_and(|term| !self.policy.follows(host, term)) {
+                    outcome.note.position = None;
+                }
                 if let Some(out) = self.probes.get_mut(&host) {
                     *out = out.saturating_sub(1);
                 }
                 self.policy.probed(now, host, outcome.ending == Ending::Completed, outcome.note);
             }
+            Mail::Sessions(word) => {
+                if let Some(seen) = &mut self.seen {
+                    seen.heard(now, word);
+                }
+            }
             Mail::Listed(update) => {
                 for (name, address) in update.addresses {
                     let host = self.hosts.of(&name);
--- a/crates/sandstile-router/src/ending.rs
+++ b/crates/sandstile-router/src/ending.rs
@@ -125,12 +125,14 @@
 pub struct Outcome {
     pub ending: Ending,
     pub note: Note,
+    /// The term of its primary that the host follows, where hosts tell it.
+    pub term: Option<u64>,
     /// The database host's bytes for the client, where it completed.
     pub rows: Vec<u8>,
 }
 
 impl From<Ending> for Outcome {
     fn from(ending: Ending) -> Self {
-        Outcome { ending, note: Note::default(), rows: Vec::new() }
+        Outcome { ending, note: Note::default(), term: None, rows: Vec::new() }
     }
 }
--- a/crates/sandstile-router/src/link.rs
+++ b/crates/sandstile-router/src/link.rs
@@ -258,7 +258,8 @@
         report(answer.text(), &mut note);
     }
     let goes_on = ready && inbox.is_empty() && !withdrawn() && ending != Ending::Garbled;
-    (Outcome { ending, note, rows: answer.rows }, goes_on)
+    let term = answer.timeline.filter(|_| ending.verdict() != Verdict::Spoilt);
+    (Outcome { ending, note, term, rows: answer.rows }, goes_on)
 }
 
 /// A load report's position, in Unix seconds there, and role.
--- a/crates/sandstile-router/src/main.rs
+++ b/crates/sandstile-router/src/main.rs
@@ -1,19 +1,24 @@
 //! The command line of sandstile.
+use sandstile_router::charter::Charter;
 use sandstile_router::counters::Counters;
 use sandstile_router::launch::Launch;
-use sandstile_router::{router, signals};
+use sandstile_router::{charter, router, signals};
 use slog::{o, Drain, Level, Logger};
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 
 const HELP: &str = "sandstile spreads database reads over replicas.
 
-usage: sandstile COMMAND [--verbose]
+usage: sandstile COMMAND [--verbose] [--config FILE]
 
   serve      run one router, as LB_CONFIG and the variables beside it say
   check      read the configuration and say what it holds, or what is wrong
+  sessions inspect FILE          say what a journal of sessions holds
+  token decode TOKEN --keys FILE say what a session's mark says
   version    print the version
 
+  --config   our own file (HCL): what LB_CONFIG does not know; off without it
   --verbose  log each connection and execution that ends badly, not only the first of a kind
   --help     print this
 
@@ -37,14 +42,27 @@
         return Ok(());
     }
     let verbose = arguments.contains(["-v", "--verbose"]);
+    let file = |a: &mut pico_args::Arguments, name: &'static str| {
+        a.opt_value_from_os_str(name, |s| Ok::<_, std::convert::Infallible>(PathBuf::from(s)))
+    };
+    let charter = file(&mut arguments, "--config").map_err(|e| e.to_string())?;
+    let keys = file(&mut arguments, "--keys").map_err(|e| e.to_string())?;
     let command = arguments.subcommand().map_err(|e| e.to_string())?;
+    let mut words = Vec::new();
+    if matches!(command.as_deref(), Some("sessions" | "token")) {
+        while let Some(word) = arguments.opt_free_from_str::<String>().map_err(|e| e.to_string())? {
+            words.push(word);
+        }
+    }
     let rest = arguments.finish();
     if let Some(unknown) = rest.first() {
         return Err(format!("unknown argument {}; see --help", unknown.to_string_lossy()));
     }
     match command.as_deref() {
-        Some("serve") => serve(verbose),
-        Some("check") => check(),
+        Some("serve") => serve(verbose, charter.as_deref()),
+        Some("check") => check(charter.as_deref()),
+        Some("sessions") => inspect(&words),
+        Some("token") => decode(&words, keys.as_deref()),
         Some("version") => {
             println!("sandstile {}", env!("CARGO_PKG_VERSION"));
             Ok(())
@@ -58,8 +76,45 @@
     Launch::from_environment(|name| std::env::var(name).ok())
 }
 
-fn serve(verbose: bool) -> Result<(), String> {
+/// What a journal holds.
+fn inspect(words: &[String]) -> Result<(), String> {
+    let [verb, path] = words else { return Err("usage: sandstile sessions inspect FILE".to_string()) };
+    if verb != "inspect" {
+        return Err(format!("unknown: sessions {verb}"));
+    }
+    let bytes = std::fs::read(path).map_err(|e| format!("{path}: {e}"))?;
+    let found = sandstile_journal::read(&bytes).map_err(|e| format!("{path}: {e}"))?;
+    println!(
+        "{} bytes, {} marks, {} records that can't be read",
+        found.bytes,
+        found.marks.len(),
+        found.spoilt
+    );
+    println!("whole: {}, ended in order: {}", found.whole, found.ended);
+    let latest = found.marks.iter().map(|(_, s)| s.latest()).fold(0.0, f64::max);
+    println!("latest position: {latest:.3}");
+    Ok(())
+}
+
+/// What a mark says, for operators who have the keys.
+fn decode(words: &[String], keys: Option<&Path>) -> Result<(), String> {
+    let [verb, text] = words else {
+        return Err("usage: sandstile token decode TOKEN --keys FILE".to_string());
+    };
+    if verb != "decode" {
+        return Err(format!("unknown: token {verb}"));
+    }
+    let path = keys.ok_or("no --keys FILE")?;
+    let ring = charter::read_keys(path)?;
+    let token = ring.read_token(text).map_err(|told| format!("not believed: {told:?}"))?;
+    println!("session and group {:016x}, term {}", token.key.0, token.mark.term.0);
+    println!("position {:.3}, issued {:.0}", token.mark.position, token.issued);
+    Ok(())
+}
+
+fn serve(verbose: bool, file: Option<&Path>) -> Result<(), String> {
     let launch = launch()?;
+    let charter = Charter::of(file)?;
     // A router without one of its actors would look alive and answer nothing.
     let report = std::panic::take_hook();
     std::panic::set_hook(Box::new(move |panic| {
@@ -75,13 +130,21 @@
     let counters = Arc::new(Counters::default());
     let wishes = signals::listen(counters.clone()).map_err(|e| format!("signals: {e}"))?;
     let again = || Launch::again(|name| std::env::var(name).ok());
-    let ended = router::serve(launch, again, counters.clone(), log, &wishes);
+    let ended = router::serve(launch, charter, again, counters.clone(), log, &wishes);
     drop(guard);
     eprintln!("{counters}");
     ended
 }
 
-fn check() -> Result<(), String> {
+fn check(file: Option<&Path>) -> Result<(), String> {
+    if let Some(path) = file {
+        let charter = Charter::of(file)?;
+        let sessions = charter.sessions.map_or("off".to_string(), |s| s.describe());
+        println!("{}: sessions {sessions}", path.display());
+        if std::env::var_os("LB_CONFIG").is_none() {
+            return Ok(());
+        }
+    }
     let launch = launch()?;
     println!("router {} listens on {}, discovery at {}", launch.name, launch.listen, launch.discovery);
     println!("limits: {} descriptors, {} MB", launch.sockets, launch.memory / 1024 / 1024);
--- a/crates/sandstile-router/src/router.rs
+++ b/crates/sandstile-router/src/router.rs
@@ -1,5 +1,6 @@
 //! Builds the actors of one router, and takes them down in order.
 use crate::budget::Budget;
+use crate::charter::Charter;
 use crate::client::{Crew, Front};
 use crate::clock::Clock;
 use crate::counters::Counters;
@@ -7,9 +8,10 @@
 use crate::discovery::{Agent, Watcher};
 use crate::launch::Launch;
 use crate::listen::Door;
-use crate::mailbox::mailbox;
+use crate::mailbox::{mailbox, slot};
 use crate::peer::{Common, Peers};
 use crate::pg;
+use crate::sessions::{Sessions, Word};
 use crate::signals::Wish;
 use crossbeam_channel::Receiver;
 use sandstile_policy::policy::Instance;
@@ -29,6 +31,7 @@
 /// Serves until told to end, and until all that was taken is answered. `again` reads the configuration anew.
 pub fn serve(
     launch: Launch,
+    charter: Charter,
     again: impl Fn() -> Result<Launch, String>,
     counters: Arc<Counters>,
     log: Logger,
@@ -64,13 +67,18 @@
         told: BTreeSet::new(),
     };
     let policy = Instance::new(&launch.terms, launch.seed, clock.now());
-    let actor = Desk::new(policy, clock, counters.clone(), log.clone(), Peers::new(common));
+    let seen = match &charter.sessions {
+        Some(sessions) => Some(Sessions::begin(sessions.clone(), &launch.workloads, &clock, &log)?),
+        None => None,
+    };
+    let actor = Desk::new(policy, clock, counters.clone(), log.clone(), Peers::new(common), seen);
     desk.send(Mail::Listed(launch.known));
     let spawn = |name: &str, body: Box<dyn FnOnce() + Send>| {
         thread::Builder::new().name(name.to_string()).spawn(body).map_err(|e| format!("thread {name}: {e}"))
     };
     spawn("desk", Box::new(move || actor.run(mailbox)))?;
     spawn("discovery", Box::new(move || watcher.run()))?;
+    let operators = desk.clone();
     let front = Arc::new(Front {
         desk,
         workloads: launch.workloads,
@@ -84,13 +92,27 @@
     let door = Door::open(listener, front).map_err(|e| format!("listen: {e}"))?;
     info!(log, "serving"; "name" => launch.name, "listen" => %launch.listen, "clients" => most_clients,
         "descriptors" => most);
-    let reload = || match again() {
+    let follow_discovery = || match again() {
         Ok(new) => {
             info!(log, "configuration read again"; "discovery" => %new.discovery);
             agent.moved(new.discovery);
         }
         Err(what) => warn!(log, "{what}; the former configuration stays"),
     };
+    let read_keys = || {
+        let Some(sessions) = charter.sessions.as_ref().filter(|s| s.keys.is_some()) else { return };
+        match sessions.read_keys() {
+            Ok(ring) => {
+                info!(log, "keys read again"; "numbers" => ?ring.numbers());
+                operators.send(Mail::Sessions(Word::Keys(ring)));
+            }
+            Err(what) => warn!(log, "{what}; the former keys stay"),
+        }
+    };
+    let reload = || {
+        follow_discovery();
+        read_keys();
+    };
     while wishes.recv() == Ok(Wish::Reload) {
         reload();
     }
@@ -105,6 +127,11 @@
     door.close();
     budget.dismiss_clients();
     budget.wait_for_no_clients();
+    // All is answered: what is remembered of sessions is whole, and is put down as that.
+    let (done, last) = slot();
+    if operators.send(Mail::Sessions(Word::End(done))) && charter.sessions.is_some() {
+        let _ = last.recv(Some(WINDOW));
+    }
     info!(log, "all answered");
     Ok(())
 }
--- /dev/null
+++ b/crates/sandstile-router/src/sessions.rs
@@ -0,0 +1,373 @@
+//! What sessions have seen, beside the desk: marks are taken from answers and tokens, put down in a journal, and
+//! say what an own read must reach. What is to be decided stands in `sandstile-sessions`; here it meets statements,
+//! keys and the disk.
+use crate::charter;
+use crate::clock::Clock;
+use crate::desk::{Answer, Asked, Reply};
+use crate::ending::{Ending, Outcome};
+use crate::mailbox::{mailbox, Mailbox, Post};
+use crate::statement::Workload;
+use crossbeam_channel::RecvTimeoutError;
+use sandstile_journal::Journal;
+use sandstile_policy::terms::Reach;
+use sandstile_sessions::floor::{Floor, Ground};
+use sandstile_sessions::mark::{Mark, Seen, Term};
+use sandstile_sessions::store::{Bounds, Key, Store};
+use sandstile_sessions::token::{KeyRing, Token};
+use slog::{info, warn, Logger};
+use std::path::PathBuf;
+use std::thread;
+use std::time::Duration;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Durability {
+    /// Given to the platform with the answer; a power cut may take the last seconds.
+    None,
+    /// On the disk before the client hears of its write.
+    BeforeAnswer,
+    /// On the disk every so many seconds, which is what a power cut may take.
+    Every(f64),
+}
+
+/// What our own file says of sessions. Times in seconds.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub keys: Option<PathBuf>,
+    pub token_lasts: f64,
+    /// Clocks differ by no more.
+    pub skew: f64,
+    /// Replicas lag by no more.
+    pub horizon: f64,
+    /// A session's writes come by this instance alone, for as long as it lives.
+    pub stay: bool,
+    pub exact: usize,
+    pub cells: usize,
+    pub journal: Option<PathBuf>,
+    pub durability: Durability,
+}
+
+impl Plan {
+    pub fn read_keys(&self) -> Result<KeyRing, String> {
+        self.keys.as_ref().map_or_else(|| Ok(KeyRing::default()), |path| charter::read_keys(path))
+    }
+
+    pub fn describe(&self) -> String {
+        let tokens = if self.keys.is_some() { "with tokens" } else { "without tokens" };
+        let journal = match &self.journal {
+            Some(path) => format!("journal {} ({:?})", path.display(), self.durability),
+            None => "no journal".to_string(),
+        };
+        format!("on, {tokens}, {} remembered, {journal}", self.exact)
+    }
+}
+
+/// What one statement wants of all this.
+pub struct Wish {
+    key: Key,
+    writes: bool,
+    /// For an own read: what it must reach.
+    floor: Option<Floor>,
+}
+
+impl Wish {
+    pub fn reach(&self) -> Option<Reach> {
+        self.floor.map(|floor| match floor {
+            Floor::Known(position) => Reach::Position(position),
+            Floor::Unknown(_) => Reach::Primary,
+            Floor::Nothing => Reach::Position(0.0),
+        })
+    }
+}
+
+/// Word from outside the desk.
+pub enum Word {
+    Keys(KeyRing),
+    /// The instance ends: all that is known is to be on the disk when this is answered.
+    End(Post<()>),
+}
+
+#[derive(Default, Debug)]
+pub struct Counts {
+    pub known: u64,
+    pub unknown: u64,
+    pub nothing: u64,
+    /// Tokens that were not believed.
+    pub refused: u64,
+    /// Answers that told of less than was asked for, and were not passed on.
+    pub unserved: u64,
+}
+
+pub struct Sessions {
+    plan: Plan,
+    store: Store,
+    ring: KeyRing,
+    /// Which workloads are own reads.
+    own_reads: Vec<bool>,
+    journal: Option<Post<Entry>>,
+    heard_since: f64,
+    aged_at: f64,
+    counts: Counts,
+    told_at: f64,
+    log: Logger,
+}
+
+/// Between looks for what is too old to be remembered.
+const AGE: f64 = 5.0;
+/// Between lines of log that count.
+const TELL: f64 = 60.0;
+
+impl Sessions {
+    /// Takes up what a journal holds. The message is one line.
+    pub fn begin(
+        plan: Plan,
+        workloads: &[Workload],
+        clock: &Clock,
+        log: &Logger,
+    ) -> Result<Sessions, String> {
+        let now = clock.now();
+        let ring = plan.read_keys()?;
+        let bounds = Bounds { exact: plan.exact, cells: plan.cells, terms: 4 };
+        let mut store = Store::new(bounds);
+        // One that begins knows of nothing that was written before.
+        let mut heard_since = now;
+        let mut journal = None;
+        if let Some(path) = &plan.journal {
+            let told = |e| format!("{}: {e}", path.display());
+            let (opened, found) = Journal::open(path, now - plan.horizon).map_err(told)?;
+            found.marks.iter().for_each(|(key, seen)| store.merge(*key, seen));
+            // Nothing can be missing: each write was on the disk before anybody was told of it, or the last writer
+            // ended in order. A first journal knows of nothing before it.
+            let promised = plan.durability == Durability::BeforeAnswer || found.ended;
+            if found.whole && promised && found.bytes > 0 {
+                heard_since = f64::NEG_INFINITY;
+            }
+            info!(log, "sessions are taken up"; "marks" => found.marks.len(), "whole" => found.whole,
+                "ended" => found.ended, "spoilt" => found.spoilt);
+            let (post, entries) = mailbox();
+            let (file, durability, log) = (path.clone(), plan.durability, log.clone());
+            let scribe = Scribe { journal: Some(opened), path: file, durability, log };
+            thread::Builder::new()
+                .name("journal".to_string())
+                .spawn(move || scribe.run(&entries))
+                .map_err(|e| format!("thread journal: {e}"))?;
+            journal = Some(post);
+        }
+        if !plan.stay {
+            heard_since = f64::INFINITY;
+        }
+        let own_reads = workloads.iter().map(|w| w.sessions && !w.writes).collect();
+        let (counts, log) = (Counts::default(), log.clone());
+        Ok(Sessions {
+            plan,
+            store,
+            ring,
+            own_reads,
+            journal,
+            heard_since,
+            aged_at: now,
+            counts,
+            told_at: now,
+            log,
+        })
+    }
+
+    /// A statement came in; `term` is what its group's hosts have told, 0 where nothing.
+    pub fn asked(&mut self, now: f64, asked: &Asked, term: u64) -> Option<Wish> {
+        let session = asked.session.as_deref()?;
+        if now > self.aged_at + AGE {
+            self.aged_at = now;
+            self.store.age_out(now, self.plan.horizon);
+        }
+        if now > self.told_at + TELL {
+            self.told_at = now;
+            info!(self.log, "sessions: {:?}", self.counts; "remembered" => self.store.len(),
+                "sketch_fill" => self.store.fill(), "pushed_out" => self.store.counts().pushed_out);
+        }
+        let key = Key::of(&asked.group, session);
+        let own = self.own_reads.get(asked.workload).copied().unwrap_or(false);
+        let floor = own.then(|| {
+            let carried = asked.mark.as_deref().and_then(|text| {
+                let checked = self.ring.check(text, key, now, self.plan.token_lasts, self.plan.skew);
+                self.counts.refused += u64::from(checked.is_err());
+                checked.ok().map(|token| token.mark)
+            });
+            let ground = Ground {
+                now,
+                term: (term > 0).then_some(Term(term)),
+                horizon: self.plan.horizon,
+                skew: self.plan.skew,
+                heard_since: self.heard_since,
+            };
+            let floor = self.store.floor(key, carried, &ground);
+            match floor {
+                Floor::Known(_) => self.counts.known += 1,
+                Floor::Unknown(_) => self.counts.unknown += 1,
+                Floor::Nothing => self.counts.nothing += 1,
+            }
+            floor
+        });
+        Some(Wish { key, writes: asked.writes, floor })
+    }
+
+    /// An answer by a host that turns out to hold less than the read must see is none: another host serves it. That
+    /// is no fault of the host's, which may have been demoted on the way.
+    pub fn verify(&mut self, wish: &Wish, outcome: &mut Outcome) {
+        if outcome.ending != Ending::Completed || outcome.note.primary == Some(true) {
+            return;
+        }
+        let holds = match wish.floor {
+            None | Some(Floor::Nothing) => true,
+            Some(Floor::Unknown(_)) => false,
+            // Where hosts tell no term, there is none to differ.
+            Some(Floor::Known(position)) => outcome.note.position.is_some_and(|at| at >= position),
+        };
+        if !holds {
+            self.counts.unserved += 1;
+            outcome.ending = Ending::Missed;
+        }
+    }
+
+    /// What an answer tells of its session's place: after a write its commit, after a read by the primary all that it
+    /// can have written before.
+    fn mark(wish: &Wish, outcome: &Outcome) -> Option<Mark> {
+        let at_primary = wish.writes || outcome.note.primary == Some(true);
+        let (term, position) = (outcome.term?, outcome.note.position?);
+        at_primary.then_some(Mark { term: Term(term), position })
+    }
+
+    fn remember(&mut self, now: f64, wish: &Wish, outcome: &Outcome) -> Option<Seen> {
+        if !wish.writes {
+            return None;
+        }
+        let seen = match Self::mark(wish, outcome) {
+            Some(mark) => Seen::of(mark),
+            None => Seen::Lost(now),
+        };
+        self.store.merge(wish.key, &seen);
+        Some(seen)
+    }
+
+    /// Gives the answer, with the session's mark, once what durability asks for is done.
+    pub fn completed(&mut self, now: f64, wish: &Wish, outcome: &Outcome, rows: Vec<u8>, reply: Reply) {
+        let seen = self.remember(now, wish, outcome);
+        let token = Self::mark(wish, outcome).and_then(|mark| {
+            // All that is known of it, not the last alone: it may have come from elsewhere with more.
+            let known = self.store.seen(wish.key);
+            let same = known.marks().filter(|m| m.term == mark.term).map(|m| m.position);
+            let position = same.fold(mark.position, f64::max);
+            self.ring.issue(&Token { key: wish.key, mark: Mark { position, ..mark }, issued: now })
+        });
+        let answer = Answer::Completed(rows, token);
+        match (&self.journal, seen) {
+            (Some(journal), Some(seen)) => {
+                journal.send(Entry::Seen { key: wish.key, seen, then: Some((reply, answer)) });
+            }
+            _ => reply.give(answer),
+        }
+    }
+
+    /// A write completed whose client has left: nobody was told, and yet it may come again and ask.
+    pub fn unheard(&mut self, now: f64, wish: &Wish, outcome: &Outcome) {
+        if let (Some(seen), Some(journal)) = (self.remember(now, wish, outcome), &self.journal) {
+            journal.send(Entry::Seen { key: wish.key, seen, then: None });
+        }
+    }
+
+    pub fn heard(&mut self, now: f64, word: Word) {
+        match word {
+            Word::Keys(ring) => self.ring = ring,
+            Word::End(done) => {
+                self.told_at = now;
+                info!(self.log, "sessions: {:?}", self.counts; "remembered" => self.store.len());
+                match &self.journal {
+                    Some(journal) => drop(journal.send(Entry::End(done))),
+                    None => drop(done.send(())),
+                }
+            }
+        }
+    }
+}
+
+enum Entry {
+    Seen { key: Key, seen: Seen, then: Option<(Reply, Answer)> },
+    End(Post<()>),
+}
+
+/// The journal's actor: all that waits in its mailbox shares one sync.
+struct Scribe {
+    /// `None` once the disk has failed.
+    journal: Option<Journal>,
+    path: PathBuf,
+    durability: Durability,
+    log: Logger,
+}
+
+/// A journal that has grown beyond this is written anew, each session once.
+const LONGEST: u64 = 64 << 20;
+
+impl Scribe {
+    fn run(mut self, entries: &Mailbox<Entry>) {
+        let pause = match self.durability {
+            Durability::Every(s) => Some(Duration::from_secs_f64(s)),
+            _ => None,
+        };
+        let mut owing = false;
+        loop {
+            let first = match entries.recv(pause.filter(|_| owing)) {
+                Ok(entry) => Some(entry),
+                Err(RecvTimeoutError::Timeout) => None,
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            let mut answers = Vec::new();
+            let mut next = first;
+            let synced = next.is_none();
+            while let Some(entry) = next {
+                match entry {
+                    Entry::Seen { key, seen, then } => {
+                        self.tried(|journal| journal.append(key, &seen));
+                        answers.extend(then);
+                    }
+                    Entry::End(done) => {
+                        self.tried(|journal| journal.end());
+                        done.send(());
+                        answers.drain(..).for_each(|(reply, answer): (Reply, Answer)| reply.give(answer));
+                        return;
+                    }
+                }
+                next = entries.try_recv();
+            }
+            match self.durability {
+                Durability::BeforeAnswer => self.tried(Journal::sync),
+                Durability::Every(_) if synced => self.tried(Journal::sync),
+                _ => self.tried(Journal::flush),
+            }
+            owing = !synced;
+            answers.into_iter().for_each(|(reply, answer)| reply.give(answer));
+            if self.journal.as_ref().is_some_and(|j| j.bytes() > LONGEST) {
+                self.renew();
+            }
+        }
+    }
+
+    /// A disk that fails takes the journal with it: one that lacks writes must not be found whole later.
+    fn tried(&mut self, act: impl FnOnce(&mut Journal) -> std::io::Result<()>) {
+        let Some(journal) = &mut self.journal else { return };
+        if let Err(e) = act(journal) {
+            let removed = std::fs::remove_file(&self.path).is_ok();
+            warn!(self.log, "the journal of sessions is given up: {e}"; "removed" => removed);
+            self.journal = None;
+        }
+    }
+
+    fn renew(&mut self) {
+        self.tried(Journal::sync);
+        let read = std::fs::read(&self.path).ok().and_then(|bytes| sandstile_journal::read(&bytes).ok());
+        let Some(found) = read else { return };
+        let mut merged = std::collections::BTreeMap::<Key, Seen>::new();
+        found.marks.iter().for_each(|(key, seen)| merged.entry(*key).or_default().merge(seen));
+        match Journal::replace(&self.path, merged.iter().map(|(key, seen)| (*key, seen))) {
+            Ok(journal) => self.journal = Some(journal),
+            Err(e) => warn!(self.log, "the journal of sessions goes on as it is: {e}"),
+        }
+    }
+}
--- a/crates/sandstile-router/src/statement.rs
+++ b/crates/sandstile-router/src/statement.rs
@@ -20,6 +20,8 @@
     /// Unix seconds of the session's last write, where the client carries it.
     pub after: Option<f64>,
     pub retry: bool,
+    /// The mark that the session carries, as this or another router handed it out.
+    pub mark: Option<String>,
 }
 
 #[derive(Debug, PartialEq, Eq)]
@@ -58,6 +60,8 @@
 const LONGEST_MS: u64 = 86_400_000;
 /// Clients name statements in 16 digits; ids are kept while their statements are open.
 const LONGEST_ID: usize = 64;
+/// Longer than any mark that a router hands out.
+const LONGEST_MARK: usize = 128;
 
 /// `query` is the text of a Query message without its closing zero.
 pub fn read(query: Vec<u8>, workloads: &[Workload]) -> Result<Statement, Wrong> {
@@ -81,6 +85,8 @@
     let session = workloads[workload].sessions.then(|| quoted(&query[rest..])).flatten();
     let session = session.map(|name| String::from_utf8_lossy(name).into_owned());
     let retry = find("r").is_some_and(|at| text(at) == "1");
+    // Whatever it holds: a mark that is none says that nothing is known, and refuses no statement.
+    let mark = find("mark").map(text).filter(|m| m.len() <= LONGEST_MARK).map(str::to_string);
     let (id, group) = (id.to_string(), group.to_string());
     Ok(Statement {
         id,
@@ -91,6 +97,7 @@
         wait: wait.ok_or(Wrong::Wait)? as f64 / 1000.0,
         after: after.filter(|ms| *ms > 0).map(|ms| ms as f64 / 1000.0),
         retry,
+        mark,
         query,
         wait_at,
     })
--- a/crates/sandstile-scenario/src/script.rs
+++ b/crates/sandstile-scenario/src/script.rs
@@ -1,8 +1,8 @@
 //! A rehearsal as a whole: fleet, workloads, traffic, routers and cues, each checked against the others before
 //! anything starts.
-use crate::read::{Problem, Section, Source};
 use sandstile_fleet::plan::*;
 use sandstile_fleet::{Kind, Plan, Target};
+use sandstile_hcl::{Problem, Section, Source};
 
 /// What clients and routers are told of a workload, beside what hosts do for it.
 #[derive(Clone, Debug)]
@@ -69,6 +69,15 @@
     pub dial_s: f64,
 }
 
+/// How routers keep what sessions have written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Remembering {
+    /// Clients carry marks that routers hand out.
+    pub tokens: bool,
+    /// Routers put marks down in a journal, and sessions stay with their router.
+    pub journal: bool,
+}
+
 /// What the audit holds the run against.
 #[derive(Clone, Debug)]
 pub struct Rules {
@@ -153,6 +162,7 @@
     pub routers: Routers,
     pub allowed: Allowed,
     pub rules: Rules,
+    pub sessions: Remembering,
     pub discovery_delay: f64,
     pub cues: Vec<Cue>,
 }
@@ -283,6 +293,14 @@
         s.finish();
         rules
     });
+    let (off, tokens, journal) = (
+        Remembering { tokens: false, journal: false },
+        Remembering { tokens: true, journal: false },
+        Remembering { tokens: false, journal: true },
+    );
+    let both = Remembering { tokens: true, journal: true };
+    let words = [("off", off), ("tokens", tokens), ("journal", journal), ("both", both)];
+    let sessions = file.word("sessions", &words, Some(off));
     let cues = cues(file, &plan, &group_names, &workload_names, &node_names, routers.count, seconds);
     file.finish();
     Script {
@@ -297,6 +315,7 @@
         routers,
         allowed,
         rules,
+        sessions,
         discovery_delay,
         cues,
     }
