--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -350,8 +350,8 @@
         }
     }
 
-    /// A host told which term of its group's primary it follows. Positions of different terms can't be compared:
-    /// with a new one all that was heard under the last is void; `false` where this host lags behind a term.
+    /// A host told which term of its group's primary it follows. Positions of different terms can't be
+    /// compared: a new one voids all that was heard under the last; `false` where this host lags behind.
     pub fn follows(&mut self, host: usize, term: u64) -> bool {
         let Some(group) = self.hosts.get(host).map(|h| h.group) else { return false };
         if term > self.group(group).term {
--- a/crates/sandstile-policy/tests/rules.rs
+++ b/crates/sandstile-policy/tests/rules.rs
@@ -2,6 +2,7 @@
 mod world;
 
 use quickcheck::{Gen, QuickCheck};
+use sandstile_policy::policy::Instance;
 use sandstile_policy::terms::*;
 use world::{terms, World, HOSTS};
 
@@ -446,3 +447,91 @@
     w.step(0.5);
     assert_eq!(over(&w), told, "past half of its time a statement is held for what it may still earn");
 }
+
+/// A read that is told what it must reach goes to no replica that is not known to have come so far, even where
+/// hosts check reads themselves; nobody's word, the primary alone.
+#[test]
+fn a_stated_reach_keeps_reads_from_replicas_that_are_not_known_to_have_come_so_far() {
+    let own = |reach| Arrival {
+        workload: 1,
+        group: 0,
+        session: None,
+        time_left: 0.5,
+        token_age: None,
+        retry: false,
+        reach: Some(reach),
+    };
+    for checked in [true, false] {
+        let consistency = [Consistency::Write, Consistency::Session];
+        let workload = |c: &Consistency| Workload {
+            slo: 0.2,
+            timeout: 1.0,
+            importance: 1.0,
+            late_share: 0.0,
+            effect: if *c == Consistency::Write { Effect::NonIdempotent } else { Effect::Idempotent },
+            scope: DedupScope::Group,
+            window: 0.0,
+            consistency: *c,
+            bound: 0.0,
+        };
+        let terms = Terms {
+            workloads: consistency.iter().map(workload).collect(),
+            tick: 0.005,
+            routers: 1,
+            most_executions: 4,
+            may_probe: true,
+            checked,
+            stamped: true,
+            tokens_remembered: true,
+            cold_multiple: 4.0,
+            cold_from: 1.0,
+            idle_close: 30.0,
+            ask_within: 10.0,
+            ..Terms::default()
+        };
+        let now = 1000.0;
+        let mut policy = Instance::new(&terms, 5, now);
+        let member = |host: usize| Member {
+            host,
+            group: 0,
+            zone: 0,
+            primary: host == 0,
+            since: 0.0,
+            readiness: Readiness::Active,
+        };
+        policy.members(now, &[member(0), member(1), member(2)]);
+        for host in 0..3 {
+            assert!(policy.follows(host, 1));
+            let note = Note { position: Some(990.0 + host as f64), primary: Some(host == 0) };
+            policy.probed(now, host, true, note);
+        }
+        assert_eq!(policy.term(0), 1);
+        let sends = |policy: &mut Instance, stmt: u64, reach| {
+            let mut hosts = Vec::new();
+            for n in 0..6 {
+                let stmt = stmt + n;
+                policy.arrived(now, stmt, &own(reach));
+                policy.passed(now);
+                while let Some(decision) = policy.decide() {
+                    if let Decision::Send { stmt, host, .. } = decision {
+                        hosts.push(host);
+                        let note = Note { position: None, primary: Some(host == 0) };
+                        policy.ended(now, stmt, 0, Verdict::Completed, true, note);
+                    }
+                }
+                policy.passed(now);
+                while policy.decide().is_some() {}
+            }
+            hosts
+        };
+        // Host 1 stands at 991, host 2 at 992.
+        assert!(sends(&mut policy, 100, Reach::Position(991.5)).iter().all(|h| *h == 2), "{checked}");
+        assert_eq!(sends(&mut policy, 200, Reach::Primary), [0; 6], "{checked}");
+        assert_eq!(sends(&mut policy, 300, Reach::Position(995.0)), [0; 6], "{checked}");
+        let any = sends(&mut policy, 400, Reach::Position(0.0));
+        assert!(any.contains(&1) && any.contains(&2), "{checked} {any:?}");
+        // A new term: what was heard under the last is void, and a host of the old one is known to lag.
+        assert!(policy.follows(0, 2) && !policy.follows(2, 1));
+        assert_eq!(sends(&mut policy, 500, Reach::Position(991.5)), [0; 6], "{checked}");
+    }
+}
--- /dev/null
+++ b/deploy/sessions.hcl
@@ -0,0 +1,22 @@
+# Our own file, given by `sandstile serve --config FILE` and checked by `sandstile check --config FILE`. Not used on
+# the platform of deploy/balancer.toml, which has no disk that lasts and no talk between instances.
+sessions {
+  # Tokens that clients carry; keys in a file that only its owner may read.
+  keys          = "/etc/sandstile/keys"
+  token_lasts_s = 86400
+  skew_ms       = 1000
+
+  # Replicas lag by no more than this; older marks bind nobody.
+  replicas_lag_at_most_s = 300
+
+  # Memory: exact marks, and cells in each of four rows of a sketch behind them.
+  remembered   = 65536
+  sketch_cells = 262144
+
+  # Marks on a disk: before-answer, every (with every_ms), none.
+  journal    = "/var/lib/sandstile/marks"
+  durability = "before-answer"
+
+  # true only where the front keeps each session with one router for as long as that lives.
+  sessions_stay = false
+}
