Instances hand their sessions over: a proven one-way exchange, restarts known from peers

Each life of an instance has a name of its own: a keeper vouches for all that an instance knew only to the next life within 15 s of its farewell.

--- a/crates/sandstile-router/src/charter.rs
+++ b/crates/sandstile-router/src/charter.rs
@@ -1,7 +1,9 @@
 //! Our own file, in HCL: what the platform's configuration does not know. Without it all of this is off.
+use crate::exchange::Exchange;
 use crate::sessions::{Durability, Plan};
 use sandstile_hcl::{Section, Source};
 use sandstile_sessions::token::KeyRing;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 #[derive(Clone, Debug, Default)]
@@ -42,7 +44,25 @@
 
 fn sessions(s: &Section) -> Option<Plan> {
     let on = s.yes("on", true);
+    let exchange = s.only("exchange").map(|e| {
+        let address = |key: &str, text: &str| -> Option<SocketAddr> {
+            let address = text.parse().ok();
+            if address.is_none() {
+                e.wrong(key, format!("\"{text}\" is no address"), Some("ADDRESS:PORT".to_string()));
+            }
+            address
+        };
+        let listen = address("listen", &e.needed_text("listen"));
+        let peers = e.texts("peers").unwrap_or_default();
+        let peers = peers.iter().filter_map(|p| address("peers", p)).collect();
+        e.finish();
+        if !s.has("keys") {
+            s.source().wrong(e.at, "exchange goes with keys", Some("keys = \"FILE\"".to_string()));
+        }
+        listen.map(|listen| Exchange { listen, peers })
+    });
     let plan = Plan {
+        exchange: exchange.flatten(),
         keys: s.text("keys").map(PathBuf::from),
         token_lasts: s.number("token_lasts_s", 1.0..31_536_000.0, 86_400.0),
         skew: s.ms("skew_ms", 0.0..600_000.0, 1.0),
--- /dev/null
+++ b/crates/sandstile-router/src/exchange.rs
@@ -0,0 +1,215 @@
+//! Instances tell each other what sessions have seen: each dials those that our own file names and tells them, and
+//! listens to whoever dials it. Plain threads round the frames of `sandstile-exchange`; off without our own file.
+use crate::desk::Mail;
+use crate::mailbox::{narrow, Post};
+use crate::peer::STACK;
+use crate::sessions::{Telling, Word};
+use crossbeam_channel::RecvTimeoutError;
+use sandstile_exchange::{greeting, read_greeting, Heard, Listener, Teller, MOST_MARKS};
+use slog::{info, warn, Logger};
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// What this use of the keys is called, so that no secret serves two.
+pub const CONTEXT: &str = "sandstile exchange between instances, version 1";
+
+#[derive(Clone, Debug)]
+pub struct Exchange {
+    pub listen: SocketAddr,
+    pub peers: Vec<SocketAddr>,
+}
+
+/// Between tries to reach an instance that is not there.
+const AGAIN: Duration = Duration::from_millis(300);
+/// Instances are near; one that takes longer is not there.
+const PATIENCE: Duration = Duration::from_millis(500);
+/// Between looks at whether a listener is still there.
+const LOOK: Duration = Duration::from_millis(100);
+/// Marks that wait for one instance; beyond that it is told all anew.
+const MOST_WAITING: usize = 8192;
+/// Instances that may tell at one time.
+const MOST_TELLERS: usize = 64;
+
+pub fn begin(
+    plan: &Exchange,
+    name: &str,
+    secrets: Vec<[u8; 32]>,
+    desk: Post<Mail>,
+    log: &Logger,
+) -> Result<(), String> {
+    // Each life of an instance has a name of its own.
+    let life = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros());
+    let name = &format!("{}#{life}", name.chars().take(40).collect::<String>());
+    let listener = TcpListener::bind(plan.listen).map_err(|e| format!("exchange: {}: {e}", plan.listen))?;
+    let (own, keys, to_desk, own_log) = (name.to_string(), secrets.clone(), desk.clone(), log.clone());
+    spawn("exchange", move || accept(&listener, &own, &keys, &to_desk, &own_log))?;
+    for peer in plan.peers.clone() {
+        let (name, secret, desk, log) = (name.to_string(), secrets[0], desk.clone(), log.clone());
+        spawn("tell", move || loop {
+            // Whatever ends it, the next time begins with a snapshot.
+            if let Ok(true) = tell(peer, &name, &secret, &desk, &log) {
+                return;
+            }
+            thread::sleep(AGAIN);
+        })?;
+    }
+    Ok(())
+}
+
+fn spawn(name: &str, body: impl FnOnce() + Send + 'static) -> Result<(), String> {
+    let made = thread::Builder::new().name(name.to_string()).stack_size(STACK).spawn(body);
+    made.map(drop).map_err(|e| format!("thread {name}: {e}"))
+}
+
+/// A listener says nothing after its greeting.
+fn there(stream: &TcpStream) -> bool {
+    let look = stream.set_nonblocking(true).and_then(|()| stream.peek(&mut [0]));
+    let back = stream.set_nonblocking(false);
+    matches!(look, Err(e) if e.kind() == io::ErrorKind::WouldBlock) && back.is_ok()
+}
+
+/// Never the same twice, here or in an earlier life.
+fn nonce(secret: &[u8; 32], number: usize) -> [u8; 16] {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_nanos());
+    let mut hash = blake3::Hasher::new_keyed(secret);
+    hash.update(&now.to_le_bytes());
+    hash.update(&number.to_le_bytes());
+    hash.update(&std::process::id().to_le_bytes());
+    let hash = hash.finalize();
+    std::array::from_fn(|n| hash.as_bytes()[n])
+}
+
+fn accept(listener: &TcpListener, name: &str, secrets: &[[u8; 32]], desk: &Post<Mail>, log: &Logger) {
+    let tellers = Arc::new(AtomicUsize::new(0));
+    for (number, stream) in listener.incoming().enumerate() {
+        let Ok(mut stream) = stream else {
+            thread::sleep(AGAIN);
+            continue;
+        };
+        if tellers.fetch_add(1, SeqCst) >= MOST_TELLERS {
+            tellers.fetch_sub(1, SeqCst);
+            continue;
+        }
+        let nonce = nonce(&secrets[0], number);
+        let (secrets, desk, log) = (secrets.to_vec(), desk.clone(), log.clone());
+        let (greeting, here) = (greeting(nonce, name), tellers.clone());
+        let listen = move || {
+            let heard = stream.write_all(&greeting).and_then(|()| hear(&mut stream, &secrets, &nonce, &desk));
+            if let Err(e) = heard {
+                info!(log, "exchange: a connection ended: {e}");
+            }
+            here.fetch_sub(1, SeqCst);
+        };
+        if spawn("hear", listen).is_err() {
+            tellers.fetch_sub(1, SeqCst);
+        }
+    }
+}
+
+/// Takes in what another instance tells, until it ends or can't be believed.
+fn hear(stream: &mut TcpStream, secrets: &[[u8; 32]], nonce: &[u8; 16], desk: &Post<Mail>) -> io::Result<()> {
+    let mut listener = Listener::new(secrets, nonce);
+    let mut from = None;
+    let mut bytes = [0; 8192];
+    // A stranger has to prove itself soon; one that has may be silent for as long as nobody writes.
+    stream.set_read_timeout(Some(PATIENCE))?;
+    loop {
+        let n = stream.read(&mut bytes)?;
+        if n == 0 {
+            return Ok(());
+        }
+        listener.hear(&bytes[..n]);
+        let wrong = |w| io::Error::other(format!("{w:?}"));
+        while let Some(heard) = listener.next_heard().map_err(wrong)? {
+            if let Heard::Who(name) = &heard {
+                from = Some(name.clone());
+                stream.set_read_timeout(None)?;
+            }
+            if let Some(from) = &from {
+                desk.send(Mail::Sessions(Word::Heard(from.clone(), heard)));
+            }
+        }
+    }
+}
+
+/// Tells one instance all that is known and then what comes; `true` once this one has ended in order.
+fn tell(
+    peer: SocketAddr,
+    name: &str,
+    secret: &[u8; 32],
+    desk: &Post<Mail>,
+    log: &Logger,
+) -> io::Result<bool> {
+    let mut stream = TcpStream::connect_timeout(&peer, PATIENCE)?;
+    stream.set_read_timeout(Some(PATIENCE))?;
+    stream.set_write_timeout(Some(PATIENCE))?;
+    stream.set_nodelay(true)?;
+    let (mut buf, mut bytes) = (Vec::new(), [0; 128]);
+    let (nonce, to) = loop {
+        let wrong = |w| io::Error::other(format!("{w:?}"));
+        if let Some((nonce, to, _)) = read_greeting(&buf).map_err(wrong)? {
+            break (nonce, to);
+        }
+        let n = stream.read(&mut bytes)?;
+        if n == 0 {
+            return Ok(false);
+        }
+        buf.extend_from_slice(&bytes[..n]);
+    };
+    let mut teller = Teller::new(secret, &nonce);
+    stream.write_all(&teller.who(name))?;
+    let (outlet, tellings) = narrow(MOST_WAITING);
+    desk.send(Mail::Sessions(Word::Tell(to.clone(), outlet)));
+    loop {
+        let telling = match tellings.recv(Some(LOOK)) {
+            Ok(telling) => telling,
+            // While nobody writes, its end is seen by a look alone; the next life is to be told soon.
+            Err(RecvTimeoutError::Timeout) if there(&stream) => continue,
+            Err(RecvTimeoutError::Timeout) => return Ok(false),
+            // One whose outlet was dropped has fallen behind: it is told all anew.
+            Err(RecvTimeoutError::Disconnected) => break,
+        };
+        match telling {
+            Telling::Snapshot { exact, of_yours } => {
+                let all: Vec<_> = exact.iter().collect();
+                for piece in all.chunks(MOST_MARKS / 4) {
+                    stream.write_all(&teller.marks(piece.iter().map(|(key, seen)| (**key, *seen))))?;
+                }
+                stream.write_all(&teller.whole(of_yours))?;
+                info!(log, "exchange: told"; "instance" => &to, "marks" => all.len());
+            }
+            Telling::Seen(key, seen) => {
+                // All that waits goes in one frame.
+                let mut marks = vec![(key, seen)];
+                let mut end = None;
+                while marks.len() < MOST_MARKS / 4 {
+                    match tellings.try_recv() {
+                        Some(Telling::Seen(key, seen)) => marks.push((key, seen)),
+                        Some(other) => {
+                            end = Some(other);
+                            break;
+                        }
+                        None => break,
+                    }
+                }
+                stream.write_all(&teller.marks(marks.iter().map(|(key, seen)| (*key, seen))))?;
+                if let Some(Telling::End(done)) = end {
+                    stream.write_all(&teller.farewell())?;
+                    drop(done);
+                    return Ok(true);
+                }
+            }
+            Telling::End(done) => {
+                stream.write_all(&teller.farewell())?;
+                drop(done);
+                return Ok(true);
+            }
+        }
+    }
+    warn!(log, "exchange: an instance fell behind and is told anew"; "instance" => &to);
+    Ok(false)
+}
--- a/crates/sandstile-router/src/lib.rs
+++ b/crates/sandstile-router/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod desk;
 pub mod discovery;
 pub mod ending;
+pub mod exchange;
 pub mod launch;
 pub mod link;
 pub mod listen;
--- a/crates/sandstile-router/src/mailbox.rs
+++ b/crates/sandstile-router/src/mailbox.rs
@@ -27,6 +27,11 @@
     with(bounded(1))
 }
 
+/// For so many pieces of mail at the most.
+pub fn narrow<T>(most: usize) -> (Post<T>, Mailbox<T>) {
+    with(bounded(most))
+}
+
 fn with<T>((sender, receiver): (Sender<T>, Receiver<T>)) -> (Post<T>, Mailbox<T>) {
     let reader = Arc::<OnceLock<Thread>>::default();
     (Post { sender: Some(sender), reader: reader.clone() }, Mailbox { receiver, reader })
--- a/crates/sandstile-router/src/router.rs
+++ b/crates/sandstile-router/src/router.rs
@@ -6,6 +6,7 @@
 use crate::counters::Counters;
 use crate::desk::{Desk, Mail};
 use crate::discovery::{Agent, Watcher};
+use crate::exchange;
 use crate::launch::Launch;
 use crate::listen::Door;
 use crate::mailbox::{mailbox, slot};
@@ -79,6 +80,10 @@
     spawn("desk", Box::new(move || actor.run(mailbox)))?;
     spawn("discovery", Box::new(move || watcher.run()))?;
     let operators = desk.clone();
+    if let Some((plan, exchange)) = charter.sessions.as_ref().and_then(|s| Some((s, s.exchange.as_ref()?))) {
+        let secrets = plan.read_keys()?.derived(exchange::CONTEXT);
+        exchange::begin(exchange, &launch.name, secrets, desk.clone(), &log)?;
+    }
     let front = Arc::new(Front {
         desk,
         workloads: launch.workloads,
@@ -128,8 +133,8 @@
     budget.dismiss_clients();
     budget.wait_for_no_clients();
     // All is answered: what is remembered of sessions is whole, and is put down as that.
-    let (done, last) = slot();
-    if operators.send(Mail::Sessions(Word::End(done))) && charter.sessions.is_some() {
+    let (done, last) = slot::<()>();
+    if charter.sessions.is_some() && operators.send(Mail::Sessions(Word::End(done))) {
         let _ = last.recv(Some(WINDOW));
     }
     info!(log, "all answered");
--- a/crates/sandstile-router/src/sessions.rs
+++ b/crates/sandstile-router/src/sessions.rs
@@ -5,16 +5,19 @@
 use crate::clock::Clock;
 use crate::desk::{Answer, Asked, Reply};
 use crate::ending::{Ending, Outcome};
+use crate::exchange::Exchange;
 use crate::mailbox::{mailbox, Mailbox, Post};
 use crate::statement::Workload;
 use crossbeam_channel::RecvTimeoutError;
+use sandstile_exchange::Heard;
 use sandstile_journal::Journal;
 use sandstile_policy::terms::Reach;
 use sandstile_sessions::floor::{Floor, Ground};
 use sandstile_sessions::mark::{Mark, Seen, Term};
-use sandstile_sessions::store::{Bounds, Key, Store};
+use sandstile_sessions::store::{Bounds, Exact, Key, Store};
 use sandstile_sessions::token::{KeyRing, Token};
 use slog::{info, warn, Logger};
+use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::thread;
 use std::time::Duration;
@@ -43,6 +46,7 @@
     pub exact: usize,
     pub cells: usize,
     pub journal: Option<PathBuf>,
+    pub exchange: Option<Exchange>,
     pub durability: Durability,
 }
 
@@ -82,7 +86,22 @@
 /// Word from outside the desk.
 pub enum Word {
     Keys(KeyRing),
-    /// The instance ends: all that is known is to be on the disk when this is answered.
+    /// Another instance, of this name, wants to be told what is known here.
+    Tell(String, Post<Telling>),
+    /// What another instance, of this name, has told.
+    Heard(String, Heard),
+    /// The instance ends: all that is known is to be on the disk, and told, when nobody holds this any more.
+    End(Post<()>),
+}
+
+/// What goes to another instance.
+pub enum Telling {
+    /// All that is known, and whether that is all that the other knew when it ended last.
+    Snapshot {
+        exact: Exact,
+        of_yours: bool,
+    },
+    Seen(Key, Seen),
     End(Post<()>),
 }
 
@@ -104,6 +123,9 @@
     /// Which workloads are own reads.
     own_reads: Vec<bool>,
     journal: Option<Post<Entry>>,
+    outlets: Vec<Post<Telling>>,
+    /// Instances that ended in order and told all they knew before: when, and the life that is to have it back.
+    handed: BTreeMap<String, (f64, Option<String>)>,
     heard_since: f64,
     aged_at: f64,
     counts: Counts,
@@ -113,6 +135,8 @@
 
 /// Between looks for what is too old to be remembered.
 const AGE: f64 = 5.0;
+/// A restart takes no longer; after that nobody vouches for what an instance may have written in between.
+const HANDED: f64 = 15.0;
 /// Between lines of log that count.
 const TELL: f64 = 60.0;
 
@@ -163,6 +187,8 @@
             ring,
             own_reads,
             journal,
+            outlets: Vec::new(),
+            handed: BTreeMap::new(),
             heard_since,
             aged_at: now,
             counts,
@@ -244,6 +270,8 @@
             None => Seen::Lost(now),
         };
         self.store.merge(wish.key, &seen);
+        // One that does not take it in as fast as writes come is told all of it anew, later.
+        self.outlets.retain(|outlet| outlet.send(Telling::Seen(wish.key, seen.clone())));
         Some(seen)
     }
 
@@ -276,16 +304,57 @@
     pub fn heard(&mut self, now: f64, word: Word) {
         match word {
             Word::Keys(ring) => self.ring = ring,
+            Word::Tell(to, outlet) => {
+                let of_yours = self.has_of(now, &to);
+                if outlet.send(Telling::Snapshot { exact: self.store.snapshot(), of_yours }) {
+                    self.outlets.push(outlet);
+                }
+            }
+            Word::Heard(from, heard) => self.learn(now, &from, heard),
             Word::End(done) => {
                 self.told_at = now;
                 info!(self.log, "sessions: {:?}", self.counts; "remembered" => self.store.len());
-                match &self.journal {
-                    Some(journal) => drop(journal.send(Entry::End(done))),
-                    None => drop(done.send(())),
+                for outlet in self.outlets.drain(..) {
+                    outlet.send(Telling::End(done.clone()));
+                }
+                if let Some(journal) = &self.journal {
+                    journal.send(Entry::End(done));
                 }
             }
         }
     }
+
+    /// Whether all that an instance knew before its present life is known here. Lives are told apart, for one in
+    /// between, even one that nobody here has met, may have written more.
+    fn has_of(&mut self, now: f64, whose: &str) -> bool {
+        let (name, life) = whose.split_once('#').unwrap_or((whose, ""));
+        let Some((at, heir)) = self.handed.get_mut(name) else { return false };
+        let fits = now < *at + HANDED && heir.get_or_insert_with(|| life.to_string()) == life;
+        if !fits {
+            self.handed.remove(name);
+        }
+        fits
+    }
+
+    fn learn(&mut self, now: f64, from: &str, heard: Heard) {
+        match heard {
+            // A further life of it: what an earlier one handed over may not be all any more.
+            Heard::Who(_) => drop(self.has_of(now, from)),
+            Heard::Marks(marks) => marks.iter().for_each(|(key, seen)| self.store.merge(*key, seen)),
+            Heard::Whole { of_yours } => {
+                info!(self.log, "sessions were told"; "by" => from, "all_of_ours" => of_yours,
+                    "remembered" => self.store.len());
+                if of_yours && self.plan.stay {
+                    self.heard_since = f64::NEG_INFINITY;
+                }
+            }
+            Heard::Farewell => {
+                info!(self.log, "an instance has handed its sessions over"; "instance" => from);
+                let name = from.split_once('#').map_or(from, |(name, _)| name);
+                self.handed.insert(name.to_string(), (now, None));
+            }
+        }
+    }
 }
 
 enum Entry {
@@ -329,7 +398,7 @@
                     }
                     Entry::End(done) => {
                         self.tried(|journal| journal.end());
-                        done.send(());
+                        drop(done);
                         answers.drain(..).for_each(|(reply, answer): (Reply, Answer)| reply.give(answer));
                         return;
                     }
--- a/crates/sandstile-sessions/src/token.rs
+++ b/crates/sandstile-sessions/src/token.rs
@@ -97,6 +97,12 @@
         self.keys.iter().map(|k| k.number).collect()
     }
 
+    /// Secrets for another use, one of each key, the one that signs first. Whoever learns one of these learns
+    /// nothing of the key.
+    pub fn derived(&self, context: &str) -> Vec<[u8; 32]> {
+        self.keys.iter().map(|k| blake3::derive_key(context, &k.secret)).collect()
+    }
+
     /// A token in its characters; `None` without a key.
     pub fn issue(&self, token: &Token) -> Option<String> {
         let key = self.keys.first()?;
