--- a/deploy/sessions.hcl
+++ b/deploy/sessions.hcl
@@ -19,4 +19,10 @@
 
   # true only where the front keeps each session with one router for as long as that lives.
   sessions_stay = false
+
+  # Other instances, each of which tells the others what it knows. Needs keys.
+  # exchange {
+  #   listen = "10.0.0.4:7432"
+  #   peers  = ["10.0.0.5:7432", "10.0.0.6:7432"]
+  # }
 }
