Unmarked own reads may be served as before, while clients learn to carry marks

Need: with tokens on and clients that carry none yet, every own read went to the primary: nobody could begin.

--- a/crates/sandstile-router/src/charter.rs
+++ b/crates/sandstile-router/src/charter.rs
@@ -68,6 +68,7 @@
         skew: s.ms("skew_ms", 0.0..600_000.0, 1.0),
         horizon: s.number("replicas_lag_at_most_s", 1.0..86_400.0, 300.0),
         stay: s.yes("sessions_stay", false),
+        unmarked_as_before: s.word("without_mark", &[("primary", false), ("as-before", true)], Some(false)),
         exact: s.count("remembered", 16.0..10_000_000.0, 1 << 16),
         cells: s.count("sketch_cells", 16.0..268_435_456.0, 1 << 18),
         journal: s.text("journal").map(PathBuf::from),
--- a/crates/sandstile-router/src/sessions.rs
+++ b/crates/sandstile-router/src/sessions.rs
@@ -45,6 +45,9 @@
     pub stay: bool,
     pub exact: usize,
     pub cells: usize,
+    /// Statements that carry no mark at all are served as without our own file: for the time in which clients
+    /// learn to carry them.
+    pub unmarked_as_before: bool,
     pub journal: Option<PathBuf>,
     pub exchange: Option<Exchange>,
     pub durability: Durability,
@@ -232,6 +235,8 @@
             }
             floor
         });
+        let before = self.plan.unmarked_as_before && asked.mark.is_none();
+        let floor = floor.filter(|floor| !(before && matches!(floor, Floor::Unknown(_))));
         Some(Wish { key, writes: asked.writes, floor })
     }
 
--- a/crates/sandstile-router/tests/sessions.rs
+++ b/crates/sandstile-router/tests/sessions.rs
@@ -206,6 +206,12 @@
         thread::sleep(Duration::from_millis(15));
     }
     assert!(served_by_replicas(&routers[1], "ann", Some(&mark)));
+    // While clients learn to carry them, those without one go where they went before; those with one do not.
+    let lax = format!("{}\nwithout_mark = \"as-before\"", stage.keys());
+    let learning = stage.router(2, Some(&lax));
+    assert!(!all_by_primary(&hosts(&learning, "one without", None)));
+    let later = ask(&learning, "save", "dan", None).mark.expect("a mark to carry");
+    assert!(all_by_primary(&hosts(&learning, "dan", Some(&later))));
     // Another's, a changed one, none: the primary, and never an error.
     let mut changed = mark.clone();
     let other = if changed.pop() == Some('A') { 'B' } else { 'A' };
--- a/deploy/sessions.hcl
+++ b/deploy/sessions.hcl
@@ -9,6 +9,9 @@
   # Replicas lag by no more than this; older marks bind nobody.
   replicas_lag_at_most_s = 300
 
+  # Own reads that carry no mark: the primary, or as-before while clients learn to carry them.
+  without_mark = "primary"
+
   # Memory: exact marks, and cells in each of four rows of a sketch behind them.
   remembered   = 65536
   sketch_cells = 262144
