--- a/crates/sandstile-audit/src/judge.rs
+++ b/crates/sandstile-audit/src/judge.rs
@@ -248,6 +248,9 @@
     pub missed: usize,
     /// Of those checked, by hosts that were not primary then.
     pub by_replicas: usize,
+    /// The same of those that a router took within 10 s of its start, the first start left out.
+    pub soon: usize,
+    pub soon_by_replicas: usize,
 }
 
 pub fn own_reads(trace: &Trace) -> OwnReads {
@@ -267,7 +270,14 @@
         counts.checked += 1;
         counts.missed += usize::from(ran.reached + POSITION < need);
         let led = trace.primaries.iter().rev().find(|(at, g, _)| *g == asked.group && *at <= ran.t);
-        counts.by_replicas += usize::from(led.is_some_and(|(_, _, host)| *host != ran.host));
+        let by_replica = led.is_some_and(|(_, _, host)| *host != ran.host);
+        let started = trace.routers.iter().any(|(at, number, state)| {
+            let anew = *state == RouterState::Started && *at > terms.begin;
+            anew && *number == asked.router && *at <= asked.t && asked.t < at + 10.0
+        });
+        counts.by_replicas += usize::from(by_replica);
+        counts.soon += usize::from(started);
+        counts.soon_by_replicas += usize::from(started && by_replica);
     }
     counts
 }
