--- a/crates/sandstile-lab/src/lib.rs
+++ b/crates/sandstile-lab/src/lib.rs
@@ -1,6 +1,7 @@
 //! Rehearsals: the emulator, real router processes and clients on one machine, a trace of all of it, and what
 //! the audit says of that.
 pub mod book;
+pub mod capacity;
 pub mod clients;
 pub mod processes;
 pub mod rehearse;
--- a/crates/sandstile-lab/src/main.rs
+++ b/crates/sandstile-lab/src/main.rs
@@ -1,7 +1,7 @@
 //! The command line of the lab.
 use clap::{Parser, Subcommand, ValueEnum};
 use sandstile_emulator::Clock;
-use sandstile_lab::{processes, rehearse, report};
+use sandstile_lab::{capacity, processes, rehearse, report};
 use sandstile_scenario::Script;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -59,6 +59,30 @@
         #[arg(long)]
         quick: bool,
     },
+    /// How much one router carries on one core: offered against completed, latency, CPU, memory
+    Capacity {
+        /// The router's program; the one beside this program if absent
+        #[arg(long)]
+        router: Option<PathBuf>,
+        /// Rates to offer, statements a second
+        #[arg(long, value_delimiter = ',', default_values_t = [500.0, 1000.0, 2000.0, 4000.0, 6000.0, 8000.0])]
+        rates: Vec<f64>,
+        /// Seconds a rate
+        #[arg(long, default_value_t = 15.0)]
+        seconds: f64,
+        /// Connections to the router
+        #[arg(long, default_value_t = 200)]
+        connections: usize,
+        /// The core that the router runs on
+        #[arg(long, default_value_t = 0)]
+        core: usize,
+        /// Five seconds a rate
+        #[arg(long)]
+        quick: bool,
+        /// Our own file for the router (HCL)
+        #[arg(long)]
+        config: Option<PathBuf>,
+    },
     /// Judge the rules from a rehearsal's trace; exits with 1 where one is broken
     Audit {
         dir: PathBuf,
@@ -85,6 +109,16 @@
         Command::List { dir } => list(&dir),
         Command::Emulate { file, cues } => emulate(&file, cues),
         Command::Rehearse { file, seed, router, out, quick } => play(&file, seed, router, out, quick),
+        Command::Capacity { router, rates, seconds, connections, core, quick, config } => {
+            let seconds = if quick { 5.0 } else { seconds };
+            beside(router).and_then(|router| {
+                let wanted = capacity::Wanted { router, rates, seconds, connections, core, config };
+                capacity::measure(&wanted).map(|table| {
+                    println!("{table}");
+                    ExitCode::SUCCESS
+                })
+            })
+        }
         Command::Audit { dir, stories, strict } => audit(&dir, stories, strict),
     };
     match done {
@@ -169,6 +203,16 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// The router's program: as named, or the one beside this program.
+fn beside(router: Option<PathBuf>) -> Result<PathBuf, String> {
+    let this = std::env::current_exe().map_err(|e| e.to_string())?;
+    let router = router.unwrap_or_else(|| rehearse::beside(&this));
+    match router.is_file() {
+        true => Ok(router),
+        false => Err(format!("{}: no router there; build it, or name one by --router", router.display())),
+    }
+}
+
 fn play(
     file: &Path,
     seed: Option<u64>,
@@ -178,11 +222,7 @@
 ) -> Result<ExitCode, String> {
     let mut script = read(file)?;
     script.plan.seed = seed.unwrap_or(script.plan.seed);
-    let this = std::env::current_exe().map_err(|e| e.to_string())?;
-    let router = router.unwrap_or_else(|| rehearse::beside(&this));
-    if !router.is_file() {
-        return Err(format!("{}: no router there; build it, or name one by --router", router.display()));
-    }
+    let router = beside(router)?;
     let summary = rehearse::rehearse(rehearse::Wanted { script, quick, router, out })?;
     println!("{}", summary.text);
     info!(service = summary.service, broken = summary.broken, unsound = summary.unsound, "ended");
--- a/crates/sandstile-lab/src/processes.rs
+++ b/crates/sandstile-lab/src/processes.rs
@@ -156,6 +156,10 @@
         Err(io::Error::other(format!("router {} was not ready in {limit:?}", self.number)))
     }
 
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     fn signal(&self, signal: Signal) {
         let _ = kill(Pid::from_raw(self.child.id() as i32), signal);
     }
