--- /dev/null
+++ b/crates/sandstile-experiment/src/plan.rs
@@ -0,0 +1,129 @@
+//! What is compared with what, how often, and in which order.
+use sandstile_fleet::chance::Chance;
+use sandstile_hcl::{Problem, Section, Source};
+use sandstile_scenario::script::Remembering;
+use sandstile_scenario::Script;
+use sandstile_stats::Plan;
+
+/// One way of running the script.
+#[derive(Clone, Debug, Default)]
+pub struct Arm {
+    pub name: String,
+    /// Another program than the usual one.
+    pub router: Option<String>,
+    pub executions: Option<usize>,
+    pub return_s: Option<f64>,
+    pub retries: Option<usize>,
+    pub routers: Option<usize>,
+    pub sessions: Option<Remembering>,
+    /// All arrivals times this.
+    pub load: f64,
+}
+
+impl Arm {
+    /// The script as this arm plays it.
+    pub fn of(&self, script: &Script, seed: u64) -> Script {
+        let mut script = script.clone();
+        script.plan.seed = seed;
+        script.allowed.executions = self.executions.unwrap_or(script.allowed.executions);
+        script.allowed.return_s = self.return_s.unwrap_or(script.allowed.return_s);
+        script.clients.retries = self.retries.unwrap_or(script.clients.retries);
+        script.routers.count = self.routers.unwrap_or(script.routers.count);
+        script.sessions = self.sessions.unwrap_or(script.sessions);
+        script.streams.iter_mut().for_each(|s| s.rate *= self.load);
+        script
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Experiment {
+    pub title: String,
+    /// The script's path, from where the experiment is run.
+    pub script: String,
+    pub seed: u64,
+    /// The first is what the others are held against.
+    pub arms: Vec<Arm>,
+    pub pairs: usize,
+    pub quick_pairs: usize,
+    pub level: f64,
+    /// Differences of service smaller than this are of no interest.
+    pub matters: f64,
+    /// Of the file as it was read: rows of another are not this experiment's.
+    pub hash: String,
+}
+
+impl Experiment {
+    pub fn read(file: &str, text: &str) -> Result<Experiment, Vec<Problem>> {
+        let source = Source::new(file, text);
+        let read = source.parse().map(|body| experiment(&Section::of(&source, &body), text));
+        let problems = source.problems();
+        match read {
+            Some(experiment) if problems.is_empty() => Ok(experiment),
+            _ => Err(problems),
+        }
+    }
+
+    /// When it is looked at, and what each look may spend.
+    pub fn looks(&self, pairs: usize) -> Plan {
+        Plan { level: self.level, first: 6.min(pairs), step: 2, most: pairs }
+    }
+
+    /// The seed of a pair: both arms play the same evening.
+    pub fn seed_of(&self, pair: usize) -> u64 {
+        self.seed + pair as u64
+    }
+
+    /// The order in which a pair's arms are played, drawn anew for each, or a machine that grows warm would favour one.
+    pub fn order(&self, pair: usize) -> Vec<usize> {
+        let mut chance = Chance::new(self.seed, &format!("order {pair}"));
+        let mut left: Vec<usize> = (0..self.arms.len()).collect();
+        let mut order = Vec::new();
+        while !left.is_empty() {
+            order.push(left.swap_remove(chance.below(left.len())));
+        }
+        order
+    }
+}
+
+fn experiment(file: &Section, text: &str) -> Experiment {
+    let mut arms = Vec::new();
+    for s in file.blocks("arm", true) {
+        let count = |key: &str, most: f64| s.has(key).then(|| s.count(key, 0.0..most, 0));
+        let off = Remembering { tokens: false, journal: false };
+        let words = [
+            ("off", off),
+            ("tokens", Remembering { tokens: true, ..off }),
+            ("journal", Remembering { journal: true, ..off }),
+            ("both", Remembering { tokens: true, journal: true }),
+        ];
+        arms.push(Arm {
+            name: s.name.clone(),
+            router: s.text("router"),
+            executions: count("executions", 16.0).map(|n| n.max(1)),
+            return_s: s.optional_number("return_ms", 0.0..60_000.0).map(|ms| ms / 1000.0),
+            retries: count("retries", 10.0),
+            routers: count("routers", 32.0).map(|n| n.max(1)),
+            sessions: s.has("sessions").then(|| s.word("sessions", &words, Some(off))),
+            load: s.number("load", 0.01..100.0, 1.0),
+        });
+        s.finish();
+    }
+    if arms.len() < 2 {
+        let hint = Some("arm \"NAME\" { … }, the first is what others are held against".to_string());
+        file.source().wrong(0, "an experiment has two arms or more", hint);
+    }
+    let pairs = file.count("pairs", 1.0..1000.0, 12);
+    let experiment = Experiment {
+        title: file.needed_text("title"),
+        script: file.needed_text("script"),
+        seed: file.number("seed", 0.0..9e15, 1.0) as u64,
+        arms,
+        pairs,
+        quick_pairs: file.count("quick_pairs", 1.0..1000.0, pairs.min(2)),
+        level: file.number("level", 0.0001..0.5, 0.05),
+        matters: file.number("matters", 0.0..1.0, 0.005),
+        hash: blake3::hash(text.as_bytes()).to_hex()[..16].to_string(),
+    };
+    file.finish();
+    experiment
+}
--- /dev/null
+++ b/crates/sandstile-experiment/src/weigh.rs
@@ -0,0 +1,46 @@
+//! What the rows say of each arm against the first.
+use crate::plan::Experiment;
+use crate::rows::Rows;
+use sandstile_stats::verdict::Judged;
+use sandstile_stats::{judge, mean, Measure};
+
+pub struct Weighed {
+    pub arm: String,
+    pub pairs: usize,
+    pub service: f64,
+    /// Runs in which a rule was broken: an arm with any has failed, whatever its service.
+    pub broken: usize,
+    /// The whole first, then each workload. Empty for the first arm.
+    pub judged: Vec<Judged>,
+}
+
+/// Weighs all arms over the pairs that are whole. `level` is what this look may spend.
+pub fn weigh(experiment: &Experiment, rows: &Rows, level: f64) -> Vec<Weighed> {
+    let names: Vec<String> = experiment.arms.iter().map(|a| a.name.clone()).collect();
+    let pairs = rows.pairs(&names);
+    let first = &names[0];
+    let against = names.len().saturating_sub(1).max(1) as f64;
+    names
+        .iter()
+        .map(|arm| {
+            let runs: Vec<_> = (0..pairs).filter_map(|p| rows.of(p, arm)).collect();
+            let bases: Vec<_> = (0..pairs).filter_map(|p| rows.of(p, first)).collect();
+            let services: Vec<f64> = runs.iter().map(|r| r.service).collect();
+            let mut measures = vec![Measure {
+                name: "by importance".to_string(),
+                differences: runs.iter().zip(&bases).map(|(r, b)| r.service - b.service).collect(),
+                matters: experiment.matters,
+            }];
+            for name in bases.first().map_or(Vec::new(), |b| b.workloads.keys().cloned().collect()) {
+                let of = |r: &crate::rows::Row| r.workloads.get(&name).copied().unwrap_or(0.0);
+                let differences = runs.iter().zip(&bases).map(|(r, b)| of(r) - of(b)).collect();
+                measures.push(Measure { name, differences, matters: experiment.matters });
+            }
+            // Several arms are several chances to claim something.
+            let judged =
+                if arm == first { Vec::new() } else { judge(&measures, level / against, experiment.seed) };
+            let broken = runs.iter().filter(|r| r.broken > 0).count();
+            Weighed { arm: arm.clone(), pairs, service: mean(&services), broken, judged }
+        })
+        .collect()
+}
