--- a/crates/sandstile-lab/src/capacity.rs
+++ b/crates/sandstile-lab/src/capacity.rs
@@ -115,8 +115,8 @@
     let mut router = pinned(wanted, &dir, &config)?;
     router.wait_ready(Duration::from_secs(10)).map_err(|e| e.to_string())?;
     let mut table = String::from(
-        "| offered /s | completed /s | p50 ms | p99 ms | p99.9 ms | not in time | CPU of one core | us a statement | MB | |\n\
-         | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n",
+        "| offered /s | completed /s | p50 ms | p99 ms | p99.9 ms | rejected | failed | no answer | CPU of one core | us a statement | MB | |\n\
+         | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n",
     );
     for rate in &wanted.rates {
         let load = Load {
@@ -144,7 +144,6 @@
         let (cpu, memory) = used(router.id());
         let (spent, took) = (cpu - before.0, before.1.elapsed().as_secs_f64());
         let at = |q: f64| report.meant.value_at_quantile(q) as f64 / 1000.0;
-        let lacks = report.asked - report.completed;
         let all = rate * wanted.seconds;
         let note = report.unsound().unwrap_or_default();
         if !note.is_empty() {
@@ -152,11 +151,14 @@
         }
         let _ = writeln!(
             table,
-            "| {rate:.0} | {:.0} | {:.2} | {:.2} | {:.2} | {lacks} | {:.2} | {:.0} | {memory:.0} | {note} |",
+            "| {rate:.0} | {:.0} | {:.2} | {:.2} | {:.2} | {} | {} | {} | {:.2} | {:.0} | {memory:.0} | {note} |",
             report.rate(),
             at(0.5),
             at(0.99),
             at(0.999),
+            report.rejected,
+            report.failed,
+            report.unanswered,
             spent / took,
             1e6 * spent / all.max(1.0)
         );
--- /dev/null
+++ b/crates/sandstile-lab/src/charts.rs
@@ -0,0 +1,159 @@
+//! Charts as SVG, and one page that holds all of a report. Colours are those of Okabe and Ito, which people who see
+//! few colours tell apart; lines differ in their width too.
+use plotters::prelude::*;
+
+const COLOURS: [RGBColor; 6] = [
+    RGBColor(0, 114, 178),
+    RGBColor(213, 94, 0),
+    RGBColor(0, 158, 115),
+    RGBColor(204, 121, 167),
+    RGBColor(230, 159, 0),
+    RGBColor(86, 180, 233),
+];
+
+fn told<E: std::fmt::Debug>(e: E) -> String {
+    format!("a chart: {e:?}")
+}
+
+/// The share in time by second, a line an arm.
+pub fn by_second(title: &str, curves: &[(String, Vec<f64>)]) -> Result<String, String> {
+    let mut svg = String::new();
+    let last = curves.iter().map(|(_, c)| c.len()).max().unwrap_or(1).max(2) as f64 - 1.0;
+    let least = curves.iter().flat_map(|(_, c)| c).copied().fold(1.0, f64::min);
+    let floor = (least * 10.0 - 0.5).floor().max(0.0) / 10.0;
+    {
+        let area = SVGBackend::with_string(&mut svg, (960, 420)).into_drawing_area();
+        area.fill(&WHITE).map_err(told)?;
+        let mut chart = ChartBuilder::on(&area)
+            .caption(title, ("sans-serif", 20))
+            .margin(14)
+            .x_label_area_size(44)
+            .y_label_area_size(64)
+            .build_cartesian_2d(0.0..last, floor..1.0)
+            .map_err(told)?;
+        chart
+            .configure_mesh()
+            .x_desc("seconds since the start")
+            .y_desc("share of wishes in time")
+            .label_style(("sans-serif", 14))
+            .light_line_style(RGBColor(235, 235, 235))
+            .x_label_formatter(&|x| format!("{x:.0}"))
+            .y_label_formatter(&|y| format!("{y:.2}"))
+            .draw()
+            .map_err(told)?;
+        for (n, (name, curve)) in curves.iter().enumerate() {
+            let style = COLOURS[n % COLOURS.len()].stroke_width(if n == 0 { 4 } else { 2 });
+            let points = curve.iter().enumerate().map(|(x, y)| (x as f64, *y));
+            chart
+                .draw_series(LineSeries::new(points, style))
+                .map_err(told)?
+                .label(name.as_str())
+                .legend(move |(x, y)| PathElement::new([(x, y), (x + 24, y)], style));
+        }
+        chart
+            .configure_series_labels()
+            .position(SeriesLabelPosition::LowerLeft)
+            .background_style(WHITE.mix(0.9))
+            .border_style(RGBColor(120, 120, 120))
+            .label_font(("sans-serif", 14))
+            .draw()
+            .map_err(told)?;
+        area.present().map_err(told)?;
+    }
+    Ok(svg)
+}
+
+/// One difference with its interval; ends may be infinite.
+pub struct Bar {
+    pub name: String,
+    pub low: f64,
+    pub mean: f64,
+    pub high: f64,
+}
+
+/// Differences of service with their intervals, one below the other; zero is drawn.
+pub fn intervals(title: &str, bars: &[Bar]) -> Result<String, String> {
+    let mut svg = String::new();
+    let finite = |b: &Bar| [b.low, b.mean, b.high].into_iter().filter(|v| v.is_finite()).collect::<Vec<_>>();
+    let reach = bars.iter().flat_map(finite).map(f64::abs).fold(0.002, f64::max) * 1.2;
+    let rows = bars.len().max(1) as f64;
+    {
+        let area = SVGBackend::with_string(&mut svg, (960, 120 + 34 * bars.len() as u32)).into_drawing_area();
+        area.fill(&WHITE).map_err(told)?;
+        let mut chart = ChartBuilder::on(&area)
+            .caption(title, ("sans-serif", 20))
+            .margin(14)
+            .x_label_area_size(44)
+            .y_label_area_size(240)
+            .build_cartesian_2d(-reach..reach, 0.0..rows)
+            .map_err(told)?;
+        chart
+            .configure_mesh()
+            .disable_y_mesh()
+            .y_labels(0)
+            .x_desc("difference of the share in time (right of 0: better)")
+            .label_style(("sans-serif", 14))
+            .light_line_style(RGBColor(240, 240, 240))
+            .x_label_formatter(&|x| format!("{x:+.3}"))
+            .draw()
+            .map_err(told)?;
+        let zero = [(0.0, 0.0), (0.0, rows)];
+        chart.draw_series(LineSeries::new(zero, BLACK.stroke_width(1))).map_err(told)?;
+        for (n, bar) in bars.iter().enumerate() {
+            let y = rows - n as f64 - 0.5;
+            let colour = COLOURS[usize::from(bar.low > 0.0 || bar.high < 0.0)];
+            let (low, high) = (bar.low.max(-reach), bar.high.min(reach));
+            // An end that no number of pairs has closed yet is drawn faint, up to the edge.
+            let width = if bar.low.is_finite() && bar.high.is_finite() { 4 } else { 1 };
+            chart
+                .draw_series(LineSeries::new([(low, y), (high, y)], colour.stroke_width(width)))
+                .map_err(told)?;
+            chart.draw_series([Circle::new((bar.mean, y), 6, colour.filled())]).map_err(told)?;
+            let label = Text::new(bar.name.clone(), (14, 50 + 34 * n as i32), ("sans-serif", 14));
+            area.draw(&label).map_err(told)?;
+        }
+        area.present().map_err(told)?;
+    }
+    Ok(svg)
+}
+
+fn escape(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
+}
+
+/// One page that needs nothing else: tables from Markdown, charts in it.
+pub fn page(title: &str, markdown: &str, charts: &[String]) -> String {
+    let mut body = String::new();
+    let mut in_table = false;
+    for line in markdown.lines() {
+        let row = line.trim().strip_prefix('|').and_then(|l| l.strip_suffix('|'));
+        if row.is_none() && std::mem::take(&mut in_table) {
+            body += "</table>\n";
+        }
+        match row {
+            Some(cells) if cells.split('|').all(|c| c.trim() == "---") => {}
+            Some(cells) => {
+                let tag = if std::mem::replace(&mut in_table, true) { "td" } else { "th" };
+                if tag == "th" {
+                    body += "<table>";
+                }
+                let cells = cells.split('|').map(|c| format!("<{tag}>{}</{tag}>", escape(c.trim())));
+                body += &format!("<tr>{}</tr>\n", cells.collect::<String>());
+            }
+            None if line.starts_with("# ") => body += &format!("<h1>{}</h1>\n", escape(&line[2..])),
+            None if !line.trim().is_empty() => body += &format!("<p>{}</p>\n", escape(line)),
+            None => {}
+        }
+    }
+    if in_table {
+        body += "</table>\n";
+    }
+    let charts: String = charts.iter().map(|svg| format!("<figure>{svg}</figure>\n")).collect();
+    format!(
+        "<!doctype html>\n<html lang=\"en\"><head><meta charset=\"utf-8\"><title>{}</title><style>\
+         body{{font-family:sans-serif;max-width:1000px;margin:2em auto;color:#222}}\
+         table{{border-collapse:collapse;margin:1em 0}}td,th{{border:1px solid #bbb;padding:.3em .6em;text-align:left}}\
+         figure{{margin:1.5em 0}}svg{{max-width:100%;height:auto}}</style></head><body>\n{body}{charts}</body></html>\n",
+        escape(title)
+    )
+}
--- a/crates/sandstile-lab/src/lib.rs
+++ b/crates/sandstile-lab/src/lib.rs
@@ -2,7 +2,9 @@
 //! the audit says of that.
 pub mod book;
 pub mod capacity;
+pub mod charts;
 pub mod clients;
+pub mod experiment;
 pub mod processes;
 pub mod rehearse;
 pub mod report;
--- a/crates/sandstile-lab/src/main.rs
+++ b/crates/sandstile-lab/src/main.rs
@@ -1,7 +1,7 @@
 //! The command line of the lab.
 use clap::{Parser, Subcommand, ValueEnum};
 use sandstile_emulator::Clock;
-use sandstile_lab::{capacity, processes, rehearse, report};
+use sandstile_lab::{capacity, experiment, processes, rehearse, report};
 use sandstile_scenario::Script;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -83,6 +83,24 @@
         #[arg(long)]
         config: Option<PathBuf>,
     },
+    /// Play a script by two or more arms, in pairs; goes on where it was stopped
+    Experiment {
+        file: PathBuf,
+        /// Where rows, tables and charts go
+        #[arg(long, default_value = "target/experiment")]
+        out: PathBuf,
+        /// The usual router's program; the one beside this program if absent
+        #[arg(long)]
+        router: Option<PathBuf>,
+        /// Scripts in their quick time, and few pairs
+        #[arg(long)]
+        quick: bool,
+        /// Pairs, in place of the file's
+        #[arg(long)]
+        pairs: Option<usize>,
+    },
+    /// Write tables, charts and a page from an experiment's rows
+    Report { dir: PathBuf },
     /// Judge the rules from a rehearsal's trace; exits with 1 where one is broken
     Audit {
         dir: PathBuf,
@@ -109,6 +127,16 @@
         Command::List { dir } => list(&dir),
         Command::Emulate { file, cues } => emulate(&file, cues),
         Command::Rehearse { file, seed, router, out, quick } => play(&file, seed, router, out, quick),
+        Command::Experiment { file, out, router, quick, pairs } => beside(router).and_then(|router| {
+            let text = std::fs::read_to_string(&file).map_err(|e| format!("{}: {e}", file.display()))?;
+            let wanted = experiment::Wanted { file, text, out, router, quick, pairs };
+            println!("{}", experiment::run(&wanted)?);
+            Ok(ExitCode::SUCCESS)
+        }),
+        Command::Report { dir } => experiment::report(&dir).map(|text| {
+            println!("{text}");
+            ExitCode::SUCCESS
+        }),
         Command::Capacity { router, rates, seconds, connections, core, quick, config } => {
             let seconds = if quick { 5.0 } else { seconds };
             beside(router).and_then(|router| {
