--- a/crates/sandstile-lab/src/lib.rs
+++ b/crates/sandstile-lab/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod clients;
 pub mod experiment;
 pub mod processes;
+pub mod recordings;
 pub mod rehearse;
 pub mod report;
--- a/crates/sandstile-lab/src/main.rs
+++ b/crates/sandstile-lab/src/main.rs
@@ -1,7 +1,7 @@
 //! The command line of the lab.
 use clap::{Parser, Subcommand, ValueEnum};
 use sandstile_emulator::Clock;
-use sandstile_lab::{capacity, experiment, processes, rehearse, report};
+use sandstile_lab::{capacity, experiment, processes, recordings, rehearse, report};
 use sandstile_scenario::Script;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -101,6 +101,33 @@
     },
     /// Write tables, charts and a page from an experiment's rows
     Report { dir: PathBuf },
+    /// Load an address that speaks the platform's protocol
+    Load {
+        target: std::net::SocketAddr,
+        #[arg(long, default_value_t = 100)]
+        connections: usize,
+        /// Seconds that a client waits
+        #[arg(long, default_value_t = 2.0)]
+        patience: f64,
+        /// Play this recording
+        #[arg(long)]
+        recording: Option<PathBuf>,
+        /// Else so many statements a second, for so many seconds, of this workload and group
+        #[arg(long, default_value_t = 100.0)]
+        rate: f64,
+        #[arg(long, default_value_t = 10.0)]
+        seconds: f64,
+        #[arg(long, default_value = "look")]
+        workload: String,
+        #[arg(long, default_value = "1")]
+        group: String,
+        /// Ask again as soon as answered, on each connection
+        #[arg(long)]
+        closed: bool,
+    },
+    /// Make, look at, cut, scale and merge recordings
+    #[command(subcommand)]
+    Recording(Recording),
     /// Judge the rules from a rehearsal's trace; exits with 1 where one is broken
     Audit {
         dir: PathBuf,
@@ -113,6 +140,60 @@
     },
 }
 
+#[derive(Subcommand)]
+enum Recording {
+    /// First tries of a rehearsal, from its folder
+    FromTrace {
+        dir: PathBuf,
+        out: PathBuf,
+    },
+    Inspect {
+        file: PathBuf,
+    },
+    /// What lies between two times, in seconds
+    Cut {
+        file: PathBuf,
+        out: PathBuf,
+        from: f64,
+        to: f64,
+    },
+    /// Faster or slower, and several times over
+    Scale {
+        file: PathBuf,
+        out: PathBuf,
+        #[arg(long, default_value_t = 1.0)]
+        speed: f64,
+        #[arg(long, default_value_t = 1)]
+        copies: u32,
+        /// Seconds between copies
+        #[arg(long, default_value_t = 1.0)]
+        spread: f64,
+    },
+    /// Two over each other
+    Merge {
+        one: PathBuf,
+        other: PathBuf,
+        out: PathBuf,
+    },
+}
+
+fn recording(verb: Recording) -> Result<ExitCode, String> {
+    let written = match verb {
+        Recording::Inspect { file } => {
+            print!("{}", recordings::inspect(&file)?);
+            return Ok(ExitCode::SUCCESS);
+        }
+        Recording::FromTrace { dir, out } => recordings::from_trace(&dir, &out)?,
+        Recording::Cut { file, out, from, to } => recordings::cut(&file, &out, from, to)?,
+        Recording::Scale { file, out, speed, copies, spread } => {
+            recordings::scale(&file, &out, speed, copies, spread)?
+        }
+        Recording::Merge { one, other, out } => recordings::merge(&one, &other, &out)?,
+    };
+    println!("{written} arrivals");
+    Ok(ExitCode::SUCCESS)
+}
+
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let filter = tracing_subscriber::EnvFilter::try_from_default_env().unwrap_or_else(|_| "info".into());
@@ -137,6 +218,35 @@
             println!("{text}");
             ExitCode::SUCCESS
         }),
+        Command::Recording(verb) => recording(verb),
+        Command::Load {
+            target,
+            connections,
+            patience,
+            recording,
+            rate,
+            seconds,
+            workload,
+            group,
+            closed,
+        } => {
+            let play = recordings::Play {
+                target,
+                connections,
+                patience,
+                recording,
+                rate,
+                seconds,
+                workload,
+                group,
+                closed,
+            };
+            recordings::play(&play).map(|report| {
+                println!("{}", recordings::table(&report));
+                // Figures that are the tool's own are not to be taken for its target's.
+                ExitCode::from(u8::from(report.unsound().is_some()))
+            })
+        }
         Command::Capacity { router, rates, seconds, connections, core, quick, config } => {
             let seconds = if quick { 5.0 } else { seconds };
             beside(router).and_then(|router| {
--- /dev/null
+++ b/crates/sandstile-lab/src/recordings.rs
@@ -0,0 +1,175 @@
+//! Recordings on disk: taken from a rehearsal's trace, looked at, cut, scaled, merged, and played at an address.
+use crate::report;
+use sandstile_load::{run, Arrivals, Load, Report, Shape};
+use sandstile_recording::{edit, Arrival, Head, Player, Recorder, Wrong};
+use std::fmt::Write as _;
+use std::fs::File;
+use std::io::{BufReader, BufWriter};
+use std::net::SocketAddr;
+use std::path::Path;
+
+type Reader = Player<BufReader<File>>;
+
+fn told(path: &Path) -> impl Fn(Wrong) -> String + '_ {
+    move |e| format!("{}: {e}", path.display())
+}
+
+pub fn open(path: &Path) -> Result<Reader, String> {
+    let file = File::open(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    Player::open(BufReader::new(file)).map_err(told(path))
+}
+
+fn create(path: &Path) -> Result<BufWriter<File>, String> {
+    File::create(path).map(BufWriter::new).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+/// First tries of a rehearsal's trace, at the times at which they were meant to be asked.
+pub fn from_trace(dir: &Path, out: &Path) -> Result<u64, String> {
+    let trace = report::read(dir)?;
+    let terms = trace.terms.as_ref().ok_or("the trace has no beginning")?;
+    let mut asked: Vec<_> =
+        trace.statements.iter().filter_map(|(id, s)| s.asked.as_ref().filter(|a| a.first == *id)).collect();
+    asked.sort_by(|a, b| a.intended.total_cmp(&b.intended));
+    let mut groups: Vec<String> = asked.iter().map(|a| a.group.clone()).collect();
+    groups.sort();
+    groups.dedup();
+    let workloads: Vec<String> = terms.workloads.keys().cloned().collect();
+    // A salt of its own: from what differs between any two runs.
+    let begin = terms.begin.to_bits().to_le_bytes();
+    let hash = blake3::hash(&[&begin[..], &terms.seed.to_le_bytes(), terms.title.as_bytes()].concat());
+    let salt = std::array::from_fn(|n| hash.as_bytes()[n]);
+    let head = Head { salt, workloads, groups };
+    let mut recorder = Recorder::begin(create(out)?, &head).map_err(|e| e.to_string())?;
+    let place = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(0) as u32;
+    for a in asked {
+        let arrival = Arrival {
+            at_us: ((a.intended - terms.begin).max(0.0) * 1e6) as u64,
+            workload: place(&head.workloads, &a.workload),
+            group: place(&head.groups, &a.group),
+            session: head.session(&a.session),
+            wait_ms: (a.wait * 1e3) as u32,
+            again: false,
+        };
+        recorder.add(&arrival).map_err(|e| e.to_string())?;
+    }
+    let written = recorder.written;
+    recorder.end().map_err(|e| e.to_string())?;
+    Ok(written)
+}
+
+pub fn inspect(path: &Path) -> Result<String, String> {
+    let mut player = open(path)?;
+    let s = edit::inspect(&mut player).map_err(told(path))?;
+    let mut out = String::new();
+    let rate = s.arrivals as f64 / s.seconds.max(1e-9);
+    let _ = writeln!(
+        out,
+        "{} arrivals in {:.1} s, {rate:.1} a second; most in one second {} (at {} s)",
+        s.arrivals, s.seconds, s.peak.0, s.peak.1
+    );
+    let rows = player.head.workloads.iter().zip(&s.by_workload).map(|(n, c)| ("workload", n, c));
+    for (kind, name, count) in
+        rows.chain(player.head.groups.iter().zip(&s.by_group).map(|(n, c)| ("group", n, c)))
+    {
+        let _ = writeln!(out, "{kind} {name}: {count}");
+    }
+    Ok(out)
+}
+
+pub fn cut(path: &Path, out: &Path, from: f64, to: f64) -> Result<u64, String> {
+    edit::cut(&mut open(path)?, create(out)?, from, to).map_err(told(path))
+}
+
+pub fn scale(path: &Path, out: &Path, speed: f64, copies: u32, spread: f64) -> Result<u64, String> {
+    if !(speed > 0.0 && copies > 0) {
+        return Err("speed and copies are above 0".to_string());
+    }
+    edit::scale(&mut open(path)?, create(out)?, speed, copies, spread).map_err(told(path))
+}
+
+pub fn merge(one: &Path, other: &Path, out: &Path) -> Result<u64, String> {
+    edit::merge(&mut open(one)?, &mut open(other)?, create(out)?).map_err(told(one))
+}
+
+pub struct Play {
+    pub target: SocketAddr,
+    pub connections: usize,
+    pub patience: f64,
+    /// What to play; else a rate of one workload and group.
+    pub recording: Option<std::path::PathBuf>,
+    pub rate: f64,
+    pub seconds: f64,
+    pub workload: String,
+    pub group: String,
+    pub closed: bool,
+}
+
+/// Plays a load at whatever speaks the platform's protocol there.
+pub fn play(wanted: &Play) -> Result<Report, String> {
+    let mut played: Vec<(Arrival, String, String)> = Vec::new();
+    let (mut shape, mut seconds) = (Shape::Poisson(wanted.rate), wanted.seconds);
+    if let Some(path) = &wanted.recording {
+        let mut player = open(path)?;
+        let mut times = Vec::new();
+        while let Some(a) = player.next_arrival().map_err(told(path))? {
+            let names = (
+                player.head.workloads[a.workload as usize].clone(),
+                player.head.groups[a.group as usize].clone(),
+            );
+            times.push(a.at_us as f64 / 1e6);
+            played.push((a, names.0, names.1));
+        }
+        seconds = times.last().copied().unwrap_or(0.0);
+        shape = Shape::Recorded(times);
+    }
+    let load = Load {
+        targets: vec![wanted.target],
+        connections: wanted.connections,
+        patience: wanted.patience,
+        warm_up: 0.0,
+        closed: wanted.closed,
+        seconds,
+    };
+    run(&load, Arrivals::new(shape, seconds, 1), &mut |n, ms| {
+        let id = (n + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let (workload, group, session) = match played.get(n as usize) {
+            Some((a, workload, group)) => (workload.as_str(), group.as_str(), format!("u{:016x}", a.session)),
+            None => (wanted.workload.as_str(), wanted.group.as_str(), format!("u{}", n % 1000)),
+        };
+        format!("/* id={id:016x},c={workload},d={ms},cluster={group} */ SELECT clip FROM clips WHERE viewer = '{session}'")
+    })
+    .map_err(|e| format!("the load: {e}"))
+}
+
+/// A load's figures as a table.
+pub fn table(r: &Report) -> String {
+    let at = |h: &hdrhistogram::Histogram<u64>, q: f64| h.value_at_quantile(q) as f64 / 1e3;
+    let mut out =
+        String::from("| ms | p50 | p90 | p99 | p99.9 | most |\n| --- | --- | --- | --- | --- | --- |\n");
+    for (name, h) in [("from when it was meant", &r.meant), ("from when it was written", &r.written)] {
+        let most = h.max() as f64 / 1e3;
+        let _ = writeln!(
+            out,
+            "| {name} | {:.2} | {:.2} | {:.2} | {:.2} | {most:.2} |",
+            at(h, 0.5),
+            at(h, 0.9),
+            at(h, 0.99),
+            at(h, 0.999)
+        );
+    }
+    let _ = writeln!(
+        out,
+        "\nasked {}, completed {} ({:.1} a second), rejected {}, failed {}, unanswered {}, connections broken {}",
+        r.asked,
+        r.completed,
+        r.rate(),
+        r.rejected,
+        r.failed,
+        r.unanswered,
+        r.broken
+    );
+    if let Some(why) = r.unsound() {
+        let _ = writeln!(out, "**Unsound: {why}.**");
+    }
+    out
+}
--- a/crates/sandstile-lab/tests/cli.rs
+++ b/crates/sandstile-lab/tests/cli.rs
@@ -121,3 +121,25 @@
     child.wait().expect("an end");
     assert!(rest.contains("timers late"), "{rest}");
 }
+
+/// A trace becomes a recording; it is cut, scaled and merged, and a cut-off file is told.
+#[test]
+fn recordings_are_made_from_a_trace_and_worked_on() {
+    let dir = folder("recording");
+    fs::write(dir.join("trace.jsonl"), format!("{TRACE}{END}")).expect("a place for files");
+    let path = |name: &str| dir.join(name).to_str().expect("a path").to_string();
+    let good = |arguments: &[&str], says: &str| {
+        let out = lab(arguments);
+        assert!(out.status.success() && both(&out).contains(says), "{arguments:?}: {}", both(&out));
+    };
+    good(&["recording", "from-trace", dir.to_str().expect("a path"), &path("a.rec")], "1 arrivals");
+    good(&["recording", "scale", &path("a.rec"), &path("b.rec"), "--copies", "5"], "5 arrivals");
+    good(&["recording", "merge", &path("a.rec"), &path("b.rec"), &path("c.rec")], "6 arrivals");
+    good(&["recording", "inspect", &path("c.rec")], "workload save: 6");
+    good(&["recording", "cut", &path("c.rec"), &path("d.rec"), "1.0", "3.0"], "2 arrivals");
+    let bytes = fs::read(path("c.rec")).expect("a recording");
+    fs::write(path("e.rec"), &bytes[..bytes.len() - 3]).expect("a place for files");
+    let out = lab(&["recording", "inspect", &path("e.rec")]);
+    assert!(out.status.code() == Some(2) && both(&out).contains("cut off"), "{}", both(&out));
+    fs::remove_dir_all(dir).expect("our own folder");
+}
