--- a/crates/sandstile-load/src/engine.rs
+++ b/crates/sandstile-load/src/engine.rs
@@ -254,8 +254,17 @@
 
     fn lost(&mut self, at: usize) {
         self.report.broken += 1;
-        if let Some(open) = self.conns[at].as_mut().and_then(|c| c.open.take()) {
-            self.report.unanswered += u64::from(open.counted);
+        if let Some(c) = self.conns[at].as_mut() {
+            // Closed while it rested, and the statement crossed that: asked once more, as clients do. Its time runs on.
+            let crossed = c.greeted && c.buf.is_empty() && c.answer.stage == pg::Stage::Nothing;
+            match c.open.take() {
+                Some(open) if crossed => {
+                    self.report.asked -= u64::from(open.counted);
+                    self.waiting.push_front(open.meant);
+                }
+                Some(open) => self.report.unanswered += u64::from(open.counted),
+                None => {}
+            }
         }
         if self.now() < self.load.seconds {
             self.again(at);
