--- a/crates/sandstile-journal/src/lib.rs
+++ b/crates/sandstile-journal/src/lib.rs
@@ -4,6 +4,8 @@
 //!
 //! Who writes decides when what is written is on the disk (`sync`); group commit is the caller's: many marks, one
 //! `sync`.
+pub mod pace;
+
 use sandstile_sessions::mark::{Mark, Seen, Term};
 use sandstile_sessions::store::Key;
 use std::fs::{self, File, OpenOptions};
--- a/crates/sandstile-journal/tests/damage.rs
+++ b/crates/sandstile-journal/tests/damage.rs
@@ -162,3 +162,22 @@
     assert_eq!(found.marks.len(), 6);
     std::fs::remove_dir_all(dir).expect("our own folder");
 }
+
+/// Marks that come faster than syncs are due put none of them off: no mark waits longer than was promised.
+#[test]
+fn steady_writes_do_not_put_a_sync_off() {
+    let mut pace = sandstile_journal::pace::Pace::new(0.100);
+    assert!(pace.wait(0.0).is_none() && !pace.due(5.0));
+    let (mut syncs, mut oldest) = (0, None::<f64>);
+    for n in 0..1000 {
+        let now = f64::from(n) * 0.010;
+        oldest.get_or_insert(now);
+        pace.wrote(now);
+        if pace.due(now) {
+            syncs += 1;
+            oldest = None;
+        }
+        assert!(oldest.is_none_or(|since| now - since < 0.100 + 1e-9), "{now}");
+    }
+    assert!((85..=101).contains(&syncs), "{syncs} in ten seconds");
+}
--- a/crates/sandstile-router/src/sessions.rs
+++ b/crates/sandstile-router/src/sessions.rs
@@ -10,6 +10,7 @@
 use crate::statement::Workload;
 use crossbeam_channel::RecvTimeoutError;
 use sandstile_exchange::Heard;
+use sandstile_journal::pace::Pace;
 use sandstile_journal::Journal;
 use sandstile_policy::terms::Reach;
 use sandstile_sessions::floor::{Floor, Ground};
@@ -172,7 +173,7 @@
                 "ended" => found.ended, "spoilt" => found.spoilt);
             let (post, entries) = mailbox();
             let (file, durability, log) = (path.clone(), plan.durability, log.clone());
-            let scribe = Scribe { journal: Some(opened), path: file, durability, log };
+            let scribe = Scribe { journal: Some(opened), path: file, durability, clock: *clock, log };
             thread::Builder::new()
                 .name("journal".to_string())
                 .spawn(move || scribe.run(&entries))
@@ -373,6 +374,7 @@
     journal: Option<Journal>,
     path: PathBuf,
     durability: Durability,
+    clock: Clock,
     log: Logger,
 }
 
@@ -381,24 +383,26 @@
 
 impl Scribe {
     fn run(mut self, entries: &Mailbox<Entry>) {
-        let pause = match self.durability {
-            Durability::Every(s) => Some(Duration::from_secs_f64(s)),
+        let mut pace = match self.durability {
+            Durability::Every(s) => Some(Pace::new(s)),
             _ => None,
         };
-        let mut owing = false;
         loop {
-            let first = match entries.recv(pause.filter(|_| owing)) {
+            let wait = pace.as_ref().and_then(|p| p.wait(self.clock.now()));
+            let first = match entries.recv(wait.map(Duration::from_secs_f64)) {
                 Ok(entry) => Some(entry),
                 Err(RecvTimeoutError::Timeout) => None,
                 Err(RecvTimeoutError::Disconnected) => return,
             };
             let mut answers = Vec::new();
             let mut next = first;
-            let synced = next.is_none();
             while let Some(entry) = next {
                 match entry {
                     Entry::Seen { key, seen, then } => {
                         self.tried(|journal| journal.append(key, &seen));
+                        if let Some(pace) = &mut pace {
+                            pace.wrote(self.clock.now());
+                        }
                         answers.extend(then);
                     }
                     Entry::End(done) => {
@@ -412,10 +416,11 @@
             }
             match self.durability {
                 Durability::BeforeAnswer => self.tried(Journal::sync),
-                Durability::Every(_) if synced => self.tried(Journal::sync),
+                Durability::Every(_) if pace.as_mut().is_some_and(|p| p.due(self.clock.now())) => {
+                    self.tried(Journal::sync);
+                }
                 _ => self.tried(Journal::flush),
             }
-            owing = !synced;
             answers.into_iter().for_each(|(reply, answer)| reply.give(answer));
             if self.journal.as_ref().is_some_and(|j| j.bytes() > LONGEST) {
                 self.renew();
