An answer that has become late is given up to 0.4 s after its time, not withheld

At fault: client.rs, self.write(&out, until), which gave up at the statement's time what had been decided in time or just after.

Change: the write's limit is the statement's time and 0.4 s, a tenth under the half second for the way to the client.

--- a/crates/sandstile-router/src/client.rs
+++ b/crates/sandstile-router/src/client.rs
@@ -40,6 +40,9 @@
 /// A connection with no open request may be closed after 2 s; one that brings no whole request, a command
 /// without an end, or takes in no answer has no longer either.
 const REST: f64 = 2.0;
+/// An answer decided in time can come to be written just after it. Up to half a second late it earns nothing but
+/// counts as given, later or never it is lost; a tenth is left for the way to the client.
+const LATE: f64 = 0.4;
 /// Between looks at whether a client that waits has left: a crowd of them looks often all the same.
 const LOOK: Duration = Duration::from_millis(100);
 /// The parameter in which a session is handed its mark; it comes back in the comment's field `mark`.
@@ -160,8 +163,9 @@
                 }
                 Input::Query(text) => match statement::read(text, &self.front.workloads) {
                     Ok(statement) => {
-                        until = f64::max(self.at, free_at) + statement.wait;
-                        match self.ask(statement, until) {
+                        let time = f64::max(self.at, free_at) + statement.wait;
+                        until = time + LATE;
+                        match self.ask(statement, time) {
                             Some(Answer::Unusable) => {
                                 return self.bad("42710", "the id of an open statement")
                             }
--- a/crates/sandstile-router/tests/program.rs
+++ b/crates/sandstile-router/tests/program.rs
@@ -387,6 +387,25 @@
     assert_eq!((count(&log, "taken"), count(&log, "completed"), count(&log, "aborted")), (2, 1, 1), "{log}");
 }
 
+/// The process stands still over the end of a statement's time, as one does that is kept to its share of a core: the
+/// answer that it then has is late, and not withheld.
+#[test]
+fn an_answer_that_has_become_late_is_given_all_the_same() {
+    let primary = Host::scripted(true, &[Act::Silent]);
+    let router = Router::before(&primary, &[]);
+    let mut client = router.client();
+    let started = Instant::now();
+    client.send(&query(&write(500)));
+    wait_for("the write", || primary.count() == 1);
+    router.signal("STOP");
+    thread::sleep(Duration::from_millis(560).saturating_sub(started.elapsed()));
+    router.signal("CONT");
+    assert_eq!(client.answer().code.as_deref(), Some("57014"));
+    assert!(started.elapsed() < Duration::from_millis(1000), "{:?}", started.elapsed());
+    let (ok, log) = router.end();
+    assert!(ok && count(&log, "forsaken") == 0, "{log}");
+}
+
 /// A new configuration names another agent: the old watch is left, the list stands, what is out is answered.
 #[test]
 fn a_reload_follows_the_new_discovery_and_a_bad_file_changes_nothing() {
