--- a/crates/sandstile-fleet/src/fleet.rs
+++ b/crates/sandstile-fleet/src/fleet.rs
@@ -8,7 +8,7 @@
 use crate::plan::{Consistency, Effect, Node, Plan, Tokens};
 use crate::replay::Replay;
 use crate::roles::{Seen, Step};
-use crate::timers::Wheel;
+use sandstile_timers::Wheel;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 #[derive(Debug)]
--- a/crates/sandstile-fleet/src/lib.rs
+++ b/crates/sandstile-fleet/src/lib.rs
@@ -15,7 +15,7 @@
 pub mod plan;
 pub mod replay;
 pub mod roles;
-pub mod timers;
+pub use sandstile_timers as timers;
 
 pub use event::{Answer, Ask, Event, Input, Output, Readiness};
 pub use fault::{Fault, Kind, Target};
--- /dev/null
+++ b/crates/sandstile-lines/src/client.rs
@@ -0,0 +1,386 @@
+//! One client's connection: it takes commands out of the bytes that come, wishes for each statement to be put before
+//! the desk, and says what comes back. One statement is out at a time; what is pipelined waits, the most of it in the
+//! socket.
+use crate::budget::{Budget, Holder};
+use crate::job::Answer;
+use crate::statement::{self, Statement, Workload};
+use sandstile_pgwire::{self as pg, Startup};
+
+/// A connection with no open request may be closed after 2 s; one that brings no whole request, a command
+/// without an end, or takes in no answer has no longer either.
+pub const REST: f64 = 2.0;
+/// An answer decided in time can come to be written just after it. Up to half a second late it earns nothing but
+/// counts as given, later or never it is lost; a tenth is left for the way to the client.
+pub const LATE: f64 = 0.4;
+/// The parameter in which a session is handed its mark; it comes back in the comment's field `mark`.
+pub const MARK: &str = "sandstile_mark";
+/// Most commands come whole in one read.
+const READ: usize = 4 * 1024;
+/// What is known to come is read in few pieces.
+const MOST_READ: usize = 64 * 1024;
+
+/// What the line shares with the others.
+pub struct Around<'a> {
+    pub budget: &'a mut Budget,
+    pub workloads: &'a [Workload],
+    /// What is to be counted, in the order in which it was seen.
+    pub remarks: &'a mut Vec<Remark>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Remark {
+    /// Closed as it had nothing to ask.
+    Rested,
+    EmptyQuery,
+    BadInput(&'static str),
+    /// An answer could not be given whole in the client's time.
+    Forsaken,
+}
+
+#[derive(Debug, PartialEq)]
+pub enum Wish {
+    /// Put this before the desk and say by `asked` what it is called there. The client's time is up at `time`.
+    Ask { statement: Box<Statement>, time: f64 },
+    /// The client has left while this was out: nobody reads its answer.
+    Gone(u64),
+}
+
+#[derive(Debug, PartialEq)]
+enum State {
+    /// Takes commands.
+    Open,
+    /// A statement has been wished for and has no name yet.
+    Wishing {
+        time: f64,
+    },
+    Asking {
+        stmt: u64,
+        time: f64,
+    },
+    /// Says what is in `out`, until then at the latest.
+    Saying {
+        until: f64,
+        then_ends: bool,
+    },
+    /// The client's time is over: the end of the connection is the client's to make, for it may count on an answer
+    /// for a while yet; clocks differ a little.
+    Forsaken {
+        until: f64,
+    },
+    Ended,
+}
+
+#[derive(Debug)]
+pub struct Client {
+    state: State,
+    buf: Vec<u8>,
+    /// Bytes held of the budget's room, while `buf` is a long one.
+    room: usize,
+    out: Vec<u8>,
+    written: usize,
+    greeted: bool,
+    holder: Holder,
+    /// When the last bytes came.
+    at: f64,
+    /// When it came up, or its last answer was given, or the command began that is not yet whole.
+    since: f64,
+    /// A pipelined statement's time runs from when those before it were answered.
+    free_at: f64,
+    /// Counts how often it has come to wait for a command.
+    spell: u64,
+}
+
+enum Input {
+    Begin,
+    Encrypt,
+    Query(Vec<u8>),
+    Bad { code: &'static str, what: &'static str },
+    End,
+}
+
+type Next = Result<Option<(Input, usize)>, pg::BadFrame>;
+
+fn greeting(buf: &[u8]) -> Next {
+    Ok(pg::startup(buf)?.map(|(kind, length)| match kind {
+        Startup::Begin => (Input::Begin, length),
+        Startup::Encrypt => (Input::Encrypt, length),
+        Startup::Cancel => (Input::End, length),
+    }))
+}
+
+fn command(buf: &[u8]) -> Next {
+    // A tag that nobody sends is told at once, before a length is believed.
+    if buf.first().is_some_and(|tag| !b"QXPBEDCHSFfdcp".contains(tag)) {
+        return Err(pg::BadFrame("unknown message"));
+    }
+    let Some((tag, body)) = pg::frame(buf)? else { return Ok(None) };
+    let length = body.end;
+    let input = match (tag, buf[body].split_last()) {
+        (b'Q', Some((0, text))) if !text.contains(&0) => Input::Query(text.to_vec()),
+        (b'Q', _) => return Err(pg::BadFrame("query without an end")),
+        (b'X', _) => Input::End,
+        _ => Input::Bad { code: "0A000", what: "simple queries only" },
+    };
+    Ok(Some((input, length)))
+}
+
+impl Client {
+    pub fn new(now: f64) -> Self {
+        Client {
+            state: State::Open,
+            buf: Vec::new(),
+            room: 0,
+            out: Vec::new(),
+            written: 0,
+            greeted: false,
+            holder: Holder::Stranger,
+            at: now,
+            since: now,
+            free_at: 0.0,
+            spell: 0,
+        }
+    }
+
+    /// How many bytes may come now; none while an answer is being said, and few while a statement is out.
+    pub fn wants(&self) -> usize {
+        match self.state {
+            State::Open => {
+                let end = if self.greeted { pg::end(&self.buf, pg::MOST_FRAME) } else { Ok(None) };
+                let missing = end.ok().flatten().unwrap_or(0).saturating_sub(self.buf.len());
+                missing.clamp(READ, MOST_READ)
+            }
+            State::Wishing { .. } | State::Asking { .. } => READ.saturating_sub(self.buf.len()),
+            State::Forsaken { .. } => READ,
+            State::Saying { .. } | State::Ended => 0,
+        }
+    }
+
+    pub fn bytes(&mut self, now: f64, bytes: &[u8]) {
+        match self.state {
+            State::Forsaken { .. } | State::Ended => return,
+            // A command begins: it has its time from here.
+            State::Open if self.buf.is_empty() && self.holder == Holder::Client => self.since = now,
+            _ => {}
+        }
+        self.at = now;
+        self.buf.extend_from_slice(bytes);
+    }
+
+    /// The client has closed the connection, or it broke.
+    pub fn closed(&mut self) -> Option<Wish> {
+        match std::mem::replace(&mut self.state, State::Ended) {
+            State::Asking { stmt, .. } => Some(Wish::Gone(stmt)),
+            _ => None,
+        }
+    }
+
+    /// What waits to be written.
+    pub fn out(&self) -> &[u8] {
+        match self.state {
+            State::Saying { .. } => &self.out[self.written..],
+            _ => &[],
+        }
+    }
+
+    pub fn wrote(&mut self, bytes: usize) {
+        self.written += bytes;
+    }
+
+    /// The name of the statement that was wished for.
+    pub fn asked(&mut self, stmt: u64) {
+        if let State::Wishing { time } = self.state {
+            self.state = State::Asking { stmt, time };
+        }
+    }
+
+    /// The one answer to the statement that is out; one to any other is nobody's any more.
+    pub fn answer(&mut self, now: f64, stmt: u64, answer: Answer, remarks: &mut Vec<Remark>) {
+        let time = match self.state {
+            State::Asking { stmt: out, time } if out == stmt => time,
+            _ => return,
+        };
+        if answer == Answer::Unusable {
+            return self.bad(now, "42710", "the id of an open statement", remarks);
+        }
+        self.out = words(answer);
+        self.holder = Holder::Client;
+        self.say(time + LATE, false);
+    }
+
+    /// Goes on as far as it can: call it after bytes, after what was written, after an answer, and at `due`. What
+    /// has come is to be handed in first, or it would be too late by this machine's own doing.
+    pub fn turn(&mut self, now: f64, around: &mut Around) -> Option<Wish> {
+        loop {
+            match self.state {
+                State::Open => match self.next(now, around) {
+                    Some(wish) => return wish,
+                    None => continue,
+                },
+                State::Saying { then_ends, .. } if self.written == self.out.len() => {
+                    (self.out, self.written) = (Vec::new(), 0);
+                    if then_ends {
+                        self.state = State::Ended;
+                        continue;
+                    }
+                    self.free_at = now;
+                    if self.holder == Holder::Client {
+                        self.since = now;
+                    }
+                    self.open();
+                }
+                State::Saying { until, .. } if now >= until => {
+                    around.remarks.push(Remark::Forsaken);
+                    (self.out, self.written) = (Vec::new(), 0);
+                    self.state = State::Forsaken { until: now + REST };
+                }
+                State::Forsaken { until } if now >= until => self.state = State::Ended,
+                State::Saying { .. }
+                | State::Wishing { .. }
+                | State::Asking { .. }
+                | State::Forsaken { .. }
+                | State::Ended => return None,
+            }
+        }
+    }
+
+    /// When `turn` has something to do even if nothing comes; infinite where never.
+    pub fn due(&self) -> f64 {
+        match self.state {
+            State::Open => self.since + REST,
+            State::Saying { until, .. } | State::Forsaken { until } => until,
+            State::Wishing { .. } | State::Asking { .. } | State::Ended => f64::INFINITY,
+        }
+    }
+
+    pub fn ended(&self) -> bool {
+        self.state == State::Ended
+    }
+
+    /// Whether it waits for a command, as what it may be told to go, and since which spell of waiting.
+    pub fn rests(&self) -> Option<(Holder, u64)> {
+        (self.state == State::Open).then_some((self.holder, self.spell))
+    }
+
+    /// Gives back what it holds; the last thing to be done with it.
+    pub fn release(&mut self, budget: &mut Budget) {
+        budget.give_back(std::mem::take(&mut self.room));
+    }
+
+    fn open(&mut self) {
+        self.state = State::Open;
+        self.spell += 1;
+    }
+
+    fn say(&mut self, until: f64, then_ends: bool) {
+        self.written = 0;
+        self.state = State::Saying { until, then_ends };
+    }
+
+    /// Says what is wrong and ends the connection, for what follows can't be trusted.
+    fn bad(&mut self, now: f64, code: &str, what: &'static str, remarks: &mut Vec<Remark>) {
+        remarks.push(Remark::BadInput(what));
+        self.out.clear();
+        pg::error(&mut self.out, true, code, what, None);
+        self.say(now + REST, true);
+    }
+
+    /// The next command: `Some` where the caller is to stop, with what is wished for.
+    fn next(&mut self, now: f64, around: &mut Around) -> Option<Option<Wish>> {
+        if self.buf.len() <= READ && self.room > 0 {
+            around.budget.give_back(std::mem::take(&mut self.room));
+            self.buf.shrink_to(READ);
+        }
+        let over = now >= self.since + REST;
+        if over && self.holder == Holder::Stranger && !self.buf.is_empty() {
+            // Or one that sends empty queries without end would be served for ever.
+            self.bad(now, "08P01", "no statement in time", around.remarks);
+            return None;
+        }
+        let next = if self.greeted { command(&self.buf) } else { greeting(&self.buf) };
+        match next {
+            Ok(Some((input, length))) => {
+                self.buf.drain(..length);
+                if self.buf.is_empty() {
+                    // Most connections rest most of their time, and then hold nothing.
+                    self.buf = Vec::new();
+                }
+                return self.act(now, input, around).map(Some);
+            }
+            Err(pg::BadFrame(what)) => {
+                self.bad(now, "08P01", what, around.remarks);
+                return None;
+            }
+            Ok(None) => {}
+        }
+        if self.buf.len() > READ && self.room == 0 {
+            let room = 2 * pg::MOST_FRAME;
+            if !around.budget.room(room) {
+                self.bad(now, "53200", "too many long commands at once", around.remarks);
+                return None;
+            }
+            self.room = room;
+        }
+        if over && self.buf.is_empty() {
+            around.remarks.push(Remark::Rested);
+            self.state = State::Ended;
+        } else if over {
+            self.bad(now, "08P01", "a command without an end", around.remarks);
+        } else {
+            return Some(None);
+        }
+        None
+    }
+
+    fn act(&mut self, now: f64, input: Input, around: &mut Around) -> Option<Wish> {
+        match input {
+            Input::Begin => {
+                self.greeted = true;
+                pg::welcome(&mut self.out);
+                self.say(now + REST, false);
+            }
+            Input::Encrypt => {
+                self.out.push(b'N');
+                self.say(now + REST, false);
+            }
+            Input::Query(text) if text.iter().all(|b| b.is_ascii_whitespace() || *b == b';') => {
+                around.remarks.push(Remark::EmptyQuery);
+                pg::empty_query(&mut self.out);
+                self.say(now + REST, false);
+            }
+            Input::Query(text) => match statement::read(text, around.workloads) {
+                Ok(statement) => {
+                    let time = f64::max(self.at, self.free_at) + statement.wait;
+                    self.state = State::Wishing { time };
+                    return Some(Wish::Ask { statement: Box::new(statement), time });
+                }
+                Err(wrong) => self.bad(now, "42601", wrong.text(), around.remarks),
+            },
+            Input::Bad { code, what } => self.bad(now, code, what, around.remarks),
+            Input::End => self.state = State::Ended,
+        }
+        None
+    }
+}
+
+/// An answer as its client reads it.
+fn words(answer: Answer) -> Vec<u8> {
+    let mut out = Vec::new();
+    match answer {
+        Answer::Completed(rows, mark) => {
+            out = rows;
+            if let Some(mark) = mark {
+                pg::parameter(&mut out, MARK, &mark);
+            }
+        }
+        Answer::Rejected(after) => {
+            let ms = format!("{:.0}", (after * 1000.0).floor());
+            let detail = Some(ms.as_str()).filter(|_| after > 0.0);
+            pg::error(&mut out, false, "53300", "rejected: trying again is harmless", detail);
+        }
+        Answer::Aborted | Answer::Unusable => {
+            pg::error(&mut out, false, "57014", "aborted: it may have run", None);
+        }
+    }
+    pg::ready(&mut out);
+    out
+}
--- /dev/null
+++ b/crates/sandstile-lines/src/job.rs
@@ -0,0 +1,54 @@
+//! What goes to a database host and what comes back to a client, as the desk hands it over.
+use std::fmt;
+use std::sync::Arc;
+
+/// What goes to a database host; `wait` is how many seconds this router will wait for the answer.
+pub trait Parcel: Send + Sync {
+    fn message(&self, wait: f64) -> Vec<u8>;
+}
+
+/// The one final answer of a statement.
+#[derive(Debug, PartialEq)]
+pub enum Answer {
+    /// With the mark that the session is to carry, where marks are handed out.
+    Completed(Vec<u8>, Option<String>),
+    /// Trying again is harmless, best after so many seconds where above 0.
+    Rejected(f64),
+    Aborted,
+    /// Its id is that of a statement that is open: one of the two is no honest one, and hosts would take them
+    /// for one.
+    Unusable,
+}
+
+#[derive(Clone)]
+pub enum Errand {
+    Statement { stmt: u64, execution: usize, parcel: Arc<dyn Parcel> },
+    Probe,
+}
+
+/// One execution or probe; it is over at `until`, in Unix seconds.
+#[derive(Clone)]
+pub struct Job {
+    pub errand: Errand,
+    pub until: f64,
+}
+
+impl Job {
+    pub fn is(&self, which: (u64, usize)) -> bool {
+        self.which() == Some(which)
+    }
+
+    /// Statement and execution; `None` for a probe.
+    pub fn which(&self) -> Option<(u64, usize)> {
+        match self.errand {
+            Errand::Statement { stmt, execution, .. } => Some((stmt, execution)),
+            Errand::Probe => None,
+        }
+    }
+}
+
+impl fmt::Debug for Job {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "Job({:?} until {})", self.which(), self.until)
+    }
+}
--- a/crates/sandstile-router/src/statement.rs
+++ b/crates/sandstile-lines/src/statement.rs
@@ -1,6 +1,6 @@
 //! One statement as a client worded it: the few fields that decisions need, and the bytes that go on.
-use crate::desk::Parcel;
-use crate::pg;
+use crate::job::Parcel;
+use sandstile_pgwire as pg;
 use std::ops::Range;
 
 /// What is read out of a query. Everything else passes on as it came.
--- /dev/null
+++ b/crates/sandstile-router/src/carrier.rs
@@ -0,0 +1,347 @@
+//! The one thread that carries all actors of a router: it sleeps until a socket is ready, a time has come or mail
+//! rings, lets each line that is concerned do a bounded piece of work, and lets the desk decide on what came of it.
+//! `docs/design/readiness.md` says why one, and not one for each connection.
+use crate::budget::{Budget, Claim, Holder};
+use crate::clients::Clients;
+use crate::clock::Clock;
+use crate::counters::Counters;
+use crate::desk::{Desk, Given, Mail};
+use crate::ending::Ending;
+use crate::hosts::{self, Hosts, Order};
+use crate::mailbox::{carried, slot, Bell, Mailbox, Post};
+use crate::sessions::Word;
+use crate::statement::Workload;
+use mio::net::TcpListener;
+use mio::{Events, Interest, Poll, Registry, Token};
+use sandstile_timers::Wheel;
+use slog::{info, warn, Logger};
+use std::collections::VecDeque;
+use std::io::{self, ErrorKind};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Reads or commands for which one line may go on before the others have their turn.
+pub const TURN: usize = 8;
+/// The most that one read takes.
+const MOST_READ: usize = 64 * 1024;
+/// Connections taken in one after another before those that are in have their turn.
+const MOST_ACCEPTS: usize = 32;
+/// Rounds between desk and hosts before the sockets have their turn.
+const ROUNDS: usize = 8;
+/// Seconds after an accept that failed for want of something: without a pause this would spin.
+const PAUSE: f64 = 0.05;
+/// Seconds after SIGTERM in which it serves on: new connections come for 0.4 s at most, and clients learn of the end
+/// only by their connections.
+const WINDOW: f64 = 0.5;
+/// Seconds for the last word on sessions to be put down.
+const LAST_WORD: Duration = Duration::from_millis(500);
+const BELL: Token = Token(0);
+const DOOR: Token = Token(1);
+
+/// What all lines work with.
+pub struct Tools {
+    pub registry: Registry,
+    pub clock: Clock,
+    pub budget: Budget,
+    pub counters: Arc<Counters>,
+    pub log: Logger,
+    pub timers: Wheel<Token>,
+    /// Lines with something to do, in the order of their turns.
+    pub queue: VecDeque<Token>,
+    pub scratch: Vec<u8>,
+}
+
+/// The listening socket. What is beyond the budget waits there.
+struct Door {
+    listener: Option<TcpListener>,
+    ready: bool,
+    paused_until: f64,
+    /// Takes in what has connected by now, then closes.
+    closing: bool,
+}
+
+/// What the main thread has the carrier do.
+pub enum Charge {
+    End,
+}
+
+pub struct Carrier {
+    poll: Poll,
+    bell: Arc<Bell>,
+    tools: Tools,
+    door: Door,
+    clients: Clients,
+    hosts: Hosts,
+    desk: Desk,
+    mail: Mailbox<Mail>,
+    orders: Mailbox<Order>,
+    answers: Mailbox<Given>,
+    charges: Mailbox<Charge>,
+    to_desk: Post<Mail>,
+    /// When the window after SIGTERM closes.
+    ends_at: f64,
+    /// Sessions are kept, and their last word has to be put down.
+    last_word: bool,
+}
+
+/// The mailboxes of what is carried, made before the actors that write to them.
+pub struct Posts {
+    poll: Poll,
+    bell: Arc<Bell>,
+    pub desk: Post<Mail>,
+    mail: Mailbox<Mail>,
+    pub orders: Post<Order>,
+    order_box: Mailbox<Order>,
+    pub charges: Post<Charge>,
+    charge_box: Mailbox<Charge>,
+}
+
+impl Posts {
+    pub fn open() -> io::Result<Posts> {
+        let poll = Poll::new()?;
+        let bell = Bell::new(mio::Waker::new(poll.registry(), BELL)?);
+        let (desk, mail) = carried(&bell);
+        let (orders, order_box) = carried(&bell);
+        let (charges, charge_box) = carried(&bell);
+        Ok(Posts { poll, bell, desk, mail, orders, order_box, charges, charge_box })
+    }
+}
+
+/// What one router is made of.
+pub struct Parts {
+    pub clock: Clock,
+    pub budget: Budget,
+    pub counters: Arc<Counters>,
+    pub log: Logger,
+    pub desk: Desk,
+    pub workloads: Vec<Workload>,
+    /// Seconds, as `Hosts` has them.
+    pub dial_limit: f64,
+    pub idle_close: f64,
+    pub last_word: bool,
+}
+
+impl Carrier {
+    pub fn new(posts: Posts, parts: Parts, listener: std::net::TcpListener) -> io::Result<Carrier> {
+        let Posts { poll, bell, desk: to_desk, mail, orders: _, order_box, charge_box, charges: _ } = posts;
+        let Parts { clock, budget, counters, log, desk, workloads, dial_limit, idle_close, last_word } =
+            parts;
+        listener.set_nonblocking(true)?;
+        let mut listener = TcpListener::from_std(listener);
+        let registry = poll.registry().try_clone()?;
+        registry.register(&mut listener, DOOR, Interest::READABLE)?;
+        let (answer, answers) = carried(&bell);
+        let (timers, queue) = (Wheel::from(clock.now()), VecDeque::new());
+        let hosts = Hosts::new(to_desk.clone(), counters.clone(), log.clone(), dial_limit, idle_close);
+        let scratch = vec![0; MOST_READ];
+        Ok(Carrier {
+            poll,
+            bell,
+            tools: Tools { registry, clock, budget, counters, log, timers, queue, scratch },
+            door: Door {
+                listener: Some(listener),
+                ready: true,
+                paused_until: f64::NEG_INFINITY,
+                closing: false,
+            },
+            clients: Clients::new(workloads, to_desk.clone(), answer),
+            hosts,
+            desk,
+            mail,
+            orders: order_box,
+            answers,
+            charges: charge_box,
+            to_desk,
+            ends_at: f64::INFINITY,
+            last_word,
+        })
+    }
+
+    /// Carries until told to end, and until all that was taken is answered.
+    pub fn run(mut self) -> io::Result<()> {
+        let mut events = Events::with_capacity(256);
+        self.settle();
+        while !self.over() {
+            self.sleep(&mut events)?;
+            for event in &events {
+                match event.token() {
+                    BELL => {}
+                    DOOR => self.door.ready = true,
+                    Token(n) if n % 2 == 0 => self.clients.told((n - 2) / 2, event, &mut self.tools),
+                    Token(n) => self.hosts.told((n - 3) / 2, event, &mut self.tools),
+                }
+            }
+            self.charged();
+            // Those that have more to do have their next turn behind the others.
+            for _ in 0..self.tools.queue.len() {
+                match self.tools.queue.pop_front() {
+                    Some(Token(n)) if n % 2 == 0 => self.clients.called((n - 2) / 2, &mut self.tools),
+                    Some(Token(n)) => self.hosts.called((n - 3) / 2, &mut self.tools),
+                    None => break,
+                }
+            }
+            self.settle();
+            self.timers();
+            self.settle();
+            self.accept();
+        }
+        self.end();
+        Ok(())
+    }
+
+    fn busy(&self) -> bool {
+        let mail = !self.mail.is_empty() || !self.orders.is_empty() || !self.answers.is_empty();
+        mail || !self.tools.queue.is_empty() || !self.charges.is_empty() || self.accepts()
+    }
+
+    fn sleep(&mut self, events: &mut Events) -> io::Result<()> {
+        self.bell.sleeps();
+        let limit = if self.busy() {
+            Some(Duration::ZERO)
+        } else {
+            let mut due = self.desk.due().min(self.ends_at);
+            due = due.min(self.tools.timers.earliest().unwrap_or(f64::INFINITY));
+            if self.door.ready && self.door.paused_until > self.tools.clock.now() {
+                due = due.min(self.door.paused_until);
+            }
+            due.is_finite().then(|| self.tools.clock.until(due))
+        };
+        let polled = self.poll.poll(events, limit);
+        self.bell.wakes();
+        match polled {
+            Err(e) if e.kind() == ErrorKind::Interrupted => {
+                events.clear();
+                Ok(())
+            }
+            polled => polled,
+        }
+    }
+
+    /// Desk, hosts and clients in turn, until nothing follows any more. Orders go before answers, or a dial that
+    /// comes up just then could still write a statement that has been answered.
+    fn settle(&mut self) {
+        for _ in 0..ROUNDS {
+            let mut worked = self.desk.turn(&self.mail);
+            while let Some(order) = self.orders.try_recv() {
+                self.hosts.order(order, &mut self.tools);
+                worked = true;
+            }
+            while self.hosts.wanting() && self.claim(Holder::Link) {
+                self.hosts.dial(&mut self.tools);
+                worked = true;
+            }
+            while let Some(given) = self.answers.try_recv() {
+                self.clients.answer(given, &mut self.tools);
+                worked = true;
+            }
+            if !worked {
+                return;
+            }
+        }
+    }
+
+    fn timers(&mut self) {
+        let now = self.tools.clock.now();
+        while let Some((at, Token(n))) = self.tools.timers.pop(now) {
+            match n {
+                n if n >= hosts::HOSTS => self.hosts.host_timer(n - hosts::HOSTS, at, &mut self.tools),
+                n if n % 2 == 0 => self.clients.timer((n - 2) / 2, at, &mut self.tools),
+                n => self.hosts.timer((n - 3) / 2, at, &mut self.tools),
+            }
+        }
+        if self.ends_at <= now && !self.door.closing {
+            // All that has connected by now is taken in, as far as there is room.
+            (self.door.closing, self.door.ready) = (true, true);
+            self.accept();
+            self.clients.dismiss(&mut self.tools);
+        }
+    }
+
+    fn charged(&mut self) {
+        while let Some(Charge::End) = self.charges.try_recv() {
+            if self.ends_at.is_infinite() {
+                self.ends_at = self.tools.clock.now() + WINDOW;
+            }
+        }
+    }
+
+    /// A descriptor, in place of idle ones if need be. Each goes at once, unless something has just come for it.
+    fn claim(&mut self, holder: Holder) -> bool {
+        loop {
+            match self.tools.budget.claim(holder) {
+                Claim::Granted => return true,
+                Claim::Evict(Holder::Link, key) => {
+                    self.hosts.leave(key, Ending::IdleEvicted, &mut self.tools);
+                }
+                Claim::Evict(_, key) => self.clients.leave(key, &mut self.tools),
+                Claim::Full => return false,
+            }
+        }
+    }
+
+    /// Whether a connection could be taken in now, should one wait.
+    fn accepts(&self) -> bool {
+        self.door.listener.is_some()
+            && self.door.ready
+            && self.tools.budget.could(Holder::Client)
+            && self.door.paused_until <= self.tools.clock.now()
+    }
+
+    fn accept(&mut self) {
+        for _ in 0..MOST_ACCEPTS {
+            if !self.accepts() {
+                break;
+            }
+            let Some(listener) = &self.door.listener else { return };
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    self.tools.counters.connections.add();
+                    if !self.claim(Holder::Client) {
+                        // Those that were to go had just asked something: it is one more for a moment.
+                        self.tools.budget.take(Holder::Client);
+                    }
+                    if let Some(key) = self.tools.budget.surplus() {
+                        self.clients.leave(key, &mut self.tools);
+                    }
+                    if let Err(e) = self.clients.accept(stream, &mut self.tools) {
+                        self.tools.budget.release(Holder::Client);
+                        warn!(self.tools.log, "client not served: {e}");
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    self.door.ready = false;
+                    if self.door.closing {
+                        self.door.listener = None;
+                    }
+                }
+                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
+                Err(e) => {
+                    // Out of descriptors or memory all the same.
+                    warn!(self.tools.log, "accept: {e}");
+                    match self.tools.budget.oldest() {
+                        Some((Holder::Link, key)) => {
+                            self.hosts.leave(key, Ending::IdleEvicted, &mut self.tools);
+                        }
+                        Some((_, key)) => self.clients.leave(key, &mut self.tools),
+                        None => {}
+                    }
+                    self.door.paused_until = self.tools.clock.now() + PAUSE;
+                }
+            }
+        }
+    }
+
+    fn over(&self) -> bool {
+        self.door.closing && self.door.listener.is_none() && self.clients.is_empty()
+    }
+
+    /// All is answered: what is remembered of sessions is whole, and is put down as that.
+    fn end(&mut self) {
+        let (done, last) = slot::<()>();
+        if self.last_word && self.to_desk.send(Mail::Sessions(Word::End(done))) {
+            self.desk.turn(&self.mail);
+            let _ = last.recv(Some(LAST_WORD));
+        }
+        info!(self.tools.log, "all answered");
+    }
+}
--- /dev/null
+++ b/crates/sandstile-router/src/clients.rs
@@ -0,0 +1,252 @@
+//! The clients' connections: their sockets beside their state machines of `sandstile-lines`.
+use crate::budget::{Holder, Rest};
+use crate::carrier::{Tools, TURN};
+use crate::client::{Around, Client, Remark, Wish};
+use crate::desk::{Asked, Given, Mail, Reply};
+use crate::mailbox::Post;
+use crate::statement::Workload;
+use crate::wire::{Moved, Wire};
+use mio::event::Event;
+use mio::net::TcpStream;
+use mio::Token;
+use slab::Slab;
+use slog::debug;
+use std::io;
+use std::sync::Arc;
+
+struct Seat {
+    line: Client,
+    wire: Wire,
+    queued: bool,
+    /// The time of the timer that stands for it.
+    armed: f64,
+    /// Its record in the budget, and the spell of waiting that this stands for.
+    idle: Option<(Rest, u64)>,
+    /// Told to go: it does so as soon as it waits, and a last look found nothing more.
+    leaves: bool,
+    looked: bool,
+}
+
+pub struct Clients {
+    seats: Slab<Seat>,
+    workloads: Vec<Workload>,
+    desk: Post<Mail>,
+    answers: Post<Given>,
+    remarks: Vec<Remark>,
+    /// Statements taken so far, which names the next.
+    asked: u64,
+    /// From now on each that rests is to go.
+    dismissed: bool,
+}
+
+/// Tokens of clients are even, those of links odd; the first few are the loop's own.
+pub fn token(key: usize) -> Token {
+    Token(2 * key + 2)
+}
+
+impl Clients {
+    pub fn new(workloads: Vec<Workload>, desk: Post<Mail>, answers: Post<Given>) -> Self {
+        Clients {
+            seats: Slab::new(),
+            workloads,
+            desk,
+            answers,
+            remarks: Vec::new(),
+            asked: 0,
+            dismissed: false,
+        }
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.seats.is_empty()
+    }
+
+    /// Takes a connection that is counted in the budget.
+    pub fn accept(&mut self, stream: TcpStream, tools: &mut Tools) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let entry = self.seats.vacant_entry();
+        let key = entry.key();
+        let mut wire = Wire::new(&tools.registry, stream, token(key), true)?;
+        // Most bring their first statement along.
+        wire.look();
+        let line = Client::new(tools.clock.now());
+        let (armed, idle) = (f64::INFINITY, None);
+        entry.insert(Seat { line, wire, queued: false, armed, idle, leaves: false, looked: false });
+        self.queue(key, tools);
+        Ok(())
+    }
+
+    pub fn told(&mut self, key: usize, event: &Event, tools: &mut Tools) {
+        if let Some(seat) = self.seats.get_mut(key) {
+            seat.wire.told(event);
+            self.queue(key, tools);
+        }
+    }
+
+    fn queue(&mut self, key: usize, tools: &mut Tools) {
+        let seat = &mut self.seats[key];
+        if !std::mem::replace(&mut seat.queued, true) {
+            tools.queue.push_back(token(key));
+        }
+    }
+
+    /// Its turn in the loop's queue.
+    pub fn called(&mut self, key: usize, tools: &mut Tools) {
+        if let Some(seat) = self.seats.get_mut(key) {
+            seat.queued = false;
+            self.run(key, tools);
+        }
+    }
+
+    /// A timer that may be this line's. What has come meanwhile is taken first.
+    pub fn timer(&mut self, key: usize, at: f64, tools: &mut Tools) {
+        let Some(seat) = self.seats.get_mut(key).filter(|seat| seat.armed == at) else { return };
+        seat.armed = f64::INFINITY;
+        if seat.line.due() <= tools.clock.now() {
+            seat.wire.look();
+        }
+        self.run(key, tools);
+    }
+
+    pub fn answer(&mut self, given: Given, tools: &mut Tools) {
+        if let Some(seat) = self.seats.get_mut(given.line) {
+            seat.line.answer(tools.clock.now(), given.stmt, given.answer, &mut self.remarks);
+            self.run(given.line, tools);
+        }
+    }
+
+    /// Tells one that waits to go. What has come from it by now is still read and answered.
+    pub fn leave(&mut self, key: usize, tools: &mut Tools) {
+        let Some(seat) = self.seats.get_mut(key) else { return };
+        (seat.leaves, seat.looked) = (true, true);
+        seat.wire.look();
+        self.run(key, tools);
+    }
+
+    /// All that wait go, and from now on each as soon as it waits.
+    pub fn dismiss(&mut self, tools: &mut Tools) {
+        self.dismissed = true;
+        let all: Vec<usize> = self.seats.iter().map(|(key, _)| key).collect();
+        for key in all {
+            self.leave(key, tools);
+        }
+    }
+
+    /// As much as one line may do before the others have their turn.
+    fn run(&mut self, key: usize, tools: &mut Tools) {
+        let Some(seat) = self.seats.get_mut(key) else { return };
+        let mut more = true;
+        for _ in 0..TURN {
+            let now = tools.clock.now();
+            let mut moved = false;
+            match seat.wire.write(seat.line.out()) {
+                Moved::Bytes(put) => {
+                    seat.line.wrote(put);
+                    moved = true;
+                }
+                Moved::Broken => {
+                    gone(seat.line.closed(), &self.desk);
+                    break;
+                }
+                Moved::Nothing => {}
+            }
+            let wants = seat.line.wants().min(tools.scratch.len());
+            match seat.wire.read(&mut tools.scratch[..wants]) {
+                Moved::Bytes(got) => {
+                    seat.line.bytes(now, &tools.scratch[..got]);
+                    moved = true;
+                }
+                Moved::Broken => {
+                    gone(seat.line.closed(), &self.desk);
+                    break;
+                }
+                Moved::Nothing => {}
+            }
+            let remarks = &mut self.remarks;
+            let mut around = Around { budget: &mut tools.budget, workloads: &self.workloads, remarks };
+            match seat.line.turn(now, &mut around) {
+                Some(Wish::Ask { statement, time }) => {
+                    self.asked += 1;
+                    seat.line.asked(self.asked);
+                    let reply = Reply { post: self.answers.clone(), line: key, stmt: self.asked };
+                    self.desk.send(Mail::Asked(Asked {
+                        stmt: self.asked,
+                        id: statement.id.clone(),
+                        workload: statement.workload,
+                        group: statement.group.clone(),
+                        session: statement.session.clone(),
+                        writes: statement.writes,
+                        until: time,
+                        after: statement.after,
+                        retry: statement.retry,
+                        mark: statement.mark.clone(),
+                        parcel: Arc::new(*statement),
+                        reply,
+                    }));
+                    moved = true;
+                }
+                wish => gone(wish, &self.desk),
+            }
+            more = moved || (seat.wire.writable() && !seat.line.out().is_empty());
+            if seat.line.ended() || !more {
+                break;
+            }
+        }
+        for remark in self.remarks.drain(..) {
+            match remark {
+                Remark::Rested => tools.counters.rested.add(),
+                Remark::EmptyQuery => tools.counters.empty_queries.add(),
+                Remark::Forsaken => tools.counters.forsaken.add(),
+                Remark::BadInput(what) => {
+                    tools.counters.bad_input.add();
+                    debug!(tools.log, "bad input: {what}");
+                }
+            }
+        }
+        self.settle(key, more, tools);
+    }
+
+    /// Puts on record what the line is now: gone, idle, armed, or with more to do.
+    fn settle(&mut self, key: usize, more: bool, tools: &mut Tools) {
+        let seat = &mut self.seats[key];
+        let rests = seat.line.rests();
+        let leaves = (seat.leaves || self.dismissed) && rests.is_some() && !more;
+        if seat.line.ended() || (leaves && seat.looked) {
+            return self.close(key, tools);
+        }
+        if leaves {
+            seat.wire.look();
+        }
+        seat.looked = leaves;
+        if seat.idle.map(|((holder, _), spell)| (holder, spell)) != rests {
+            if let Some((rest, _)) = seat.idle.take() {
+                tools.budget.strike(rest);
+            }
+            seat.idle = rests.map(|(holder, spell)| (tools.budget.rests(holder, key), spell));
+        }
+        let due = seat.line.due();
+        if due < seat.armed {
+            seat.armed = due;
+            tools.timers.push(due, token(key));
+        }
+        if more || leaves {
+            self.queue(key, tools);
+        }
+    }
+
+    fn close(&mut self, key: usize, tools: &mut Tools) {
+        let mut seat = self.seats.remove(key);
+        if let Some((rest, _)) = seat.idle {
+            tools.budget.strike(rest);
+        }
+        seat.line.release(&mut tools.budget);
+        seat.wire.close(&tools.registry);
+        tools.budget.release(Holder::Client);
+    }
+}
+
+fn gone(wish: Option<Wish>, desk: &Post<Mail>) {
+    if let Some(Wish::Gone(stmt)) = wish {
+        desk.send(Mail::ClientGone(stmt));
+    }
+}
--- a/crates/sandstile-router/src/counters.rs
+++ b/crates/sandstile-router/src/counters.rs
@@ -10,6 +10,10 @@
     pub fn add(&self) {
         self.0.fetch_add(1, Relaxed);
     }
+
+    pub fn less(&self) {
+        self.0.fetch_sub(1, Relaxed);
+    }
 }
 
 #[derive(Default)]
@@ -30,6 +34,8 @@
     pub lists: Count,
     pub bad_lists: Count,
     pub watches: Count,
+    /// Database hosts that are known now.
+    pub hosts: Count,
     endings: [Count; ALL.len()],
 }
 
@@ -59,6 +65,7 @@
             ("lists", &self.lists),
             ("bad_lists", &self.bad_lists),
             ("watches", &self.watches),
+            ("hosts", &self.hosts),
         ];
         write!(f, "counters")?;
         for (name, count) in plain {
--- a/crates/sandstile-router/src/desk.rs
+++ b/crates/sandstile-router/src/desk.rs
@@ -1,14 +1,14 @@
 //! The module's actor, the only caller of the decisions. It takes all that waits in its mailbox, lets the
-//! decisions say what follows, and sleeps until they want to look again. It never touches a socket and knows
+//! decisions say what follows, and says when they want to look again. It never touches a socket and knows
 //! no protocol: facts of a statement come in with an opaque parcel and a one-use reply.
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::discovery::Update;
 use crate::ending::{Ending, Outcome};
+use crate::hosts::Order;
+use crate::job::{Answer, Errand, Job, Parcel};
 use crate::mailbox::{Mailbox, Post};
-use crate::peer::{Errand, Job, Peers};
 use crate::sessions::{Sessions, Wish, Word};
-use crossbeam_channel::RecvTimeoutError;
 use sandstile_intake::list::List;
 use sandstile_intake::names::Names;
 use sandstile_policy::policy::Instance;
@@ -16,31 +16,25 @@
 use slog::{info, Logger};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use std::time::Duration;
 
-/// What goes to a database host; `wait` is how long this router will wait for the answer.
-pub trait Parcel: Send + Sync {
-    fn message(&self, wait: f64) -> Vec<u8>;
+/// Where a final answer goes. A client that has left no longer reads it.
+pub struct Reply {
+    pub post: Post<Given>,
+    /// The client's line.
+    pub line: usize,
+    pub stmt: u64,
 }
 
-#[derive(Debug, PartialEq)]
-pub enum Answer {
-    /// With the mark that the session is to carry, where marks are handed out.
-    Completed(Vec<u8>, Option<String>),
-    /// Trying again is harmless, best after so many seconds where above 0.
-    Rejected(f64),
-    Aborted,
-    /// Its id is that of a statement that is open: one of the two is no honest one, and hosts would take them
-    /// for one.
-    Unusable,
+/// The one final answer of a statement, on its way to the line that asked.
+pub struct Given {
+    pub line: usize,
+    pub stmt: u64,
+    pub answer: Answer,
 }
 
-/// Takes the one final answer. A client that has left no longer reads it.
-pub struct Reply(pub Post<Answer>);
-
 impl Reply {
     pub fn give(self, answer: Answer) {
-        self.0.send(answer);
+        self.post.send(Given { line: self.line, stmt: self.stmt, answer });
     }
 }
 
@@ -100,7 +94,7 @@
     groups: Names,
     sessions: Names,
     list: List,
-    peers: Peers,
+    orders: Post<Order>,
     /// What sessions have seen beyond this instance's own life, where our own file turns that on.
     seen: Option<Sessions>,
     open: BTreeMap<u64, Open>,
@@ -113,10 +107,13 @@
     probes: BTreeMap<usize, usize>,
     /// Statements that may be over once the decisions of this round are out.
     ending: Vec<u64>,
+    /// When it decided last.
+    decided: f64,
 }
 
-/// Timers of the platform are no finer; a sleep of nothing would spin.
-const SHORTEST_SLEEP: Duration = Duration::from_millis(1);
+/// Seconds between looks that nothing but the time calls for. Timers of the platform are no finer; a sleep of nothing
+/// would spin.
+const SHORTEST_SLEEP: f64 = 0.001;
 /// Sessions that have written, the latest; about 0.5 MB of names. Their writes are what replicas may lag behind,
 /// for seconds. An index that is used again brings an older write's position along, so a read of the new session
 /// is at worst kept from a replica that lags behind that.
@@ -128,7 +125,7 @@
         clock: Clock,
         counters: Arc<Counters>,
         log: Logger,
-        peers: Peers,
+        orders: Post<Order>,
         seen: Option<Sessions>,
     ) -> Self {
         Desk {
@@ -137,7 +134,8 @@
             clock,
             counters,
             log,
-            peers,
+            orders,
+            decided: f64::NEG_INFINITY,
             hosts: Names::default(),
             groups: Names::default(),
             sessions: Names::bounded(MOST_SESSIONS),
@@ -150,20 +148,24 @@
         }
     }
 
-    /// Runs until nobody can write to it any more.
-    pub fn run(mut self, mailbox: Mailbox<Mail>) {
-        loop {
-            let sleep = self.policy.wake_at().map(|at| self.clock.until(at).max(SHORTEST_SLEEP));
-            match mailbox.recv(sleep) {
-                Ok(mail) => self.take(mail),
-                Err(RecvTimeoutError::Timeout) => {}
-                Err(RecvTimeoutError::Disconnected) => return,
-            }
-            while let Some(mail) = mailbox.try_recv() {
-                self.take(mail);
-            }
+    /// Takes all that waits and lets the decisions say what follows, or where nothing waits looks whether they want
+    /// to look again. `false` where there was nothing to do.
+    pub fn turn(&mut self, mailbox: &Mailbox<Mail>) -> bool {
+        let mut took = false;
+        while let Some(mail) = mailbox.try_recv() {
+            self.take(mail);
+            took = true;
+        }
+        if took || self.due() <= self.clock.now() {
             self.decide();
+            return true;
         }
+        false
+    }
+
+    /// When the decisions want to look again; infinite where never.
+    pub fn due(&self) -> f64 {
+        self.policy.wake_at().map_or(f64::INFINITY, |at| at.max(self.decided + SHORTEST_SLEEP))
     }
 
     fn take(&mut self, mail: Mail) {
@@ -255,7 +257,7 @@
             Mail::Listed(update) => {
                 for (name, address) in update.addresses {
                     let host = self.hosts.of(&name);
-                    self.peers.at(host, &name, address);
+                    self.orders.send(Order::Known { host, name, address });
                 }
                 for entry in &update.entries {
                     if self.groups.find(&entry.group).is_none() {
@@ -276,7 +278,7 @@
         probes.retain(|_, out| *out > 0);
         for (name, host) in self.list.drop_gone(|host| !probes.contains_key(&host) && policy.forget(host)) {
             info!(self.log, "host {host} is forgotten"; "host" => &name);
-            self.peers.end(host);
+            self.orders.send(Order::End(host));
             self.hosts.release(&name);
         }
         let open: BTreeSet<usize> = self.open.values().map(|open| open.group).collect();
@@ -286,6 +288,7 @@
 
     fn decide(&mut self) {
         let now = self.clock.now();
+        self.decided = now;
         self.policy.passed(now);
         while let Some(decision) = self.policy.decide() {
             match decision {
@@ -294,7 +297,7 @@
                     let errand =
                         Errand::Statement { stmt, execution: open.hosts.len(), parcel: open.parcel.clone() };
                     open.hosts.push(host);
-                    self.peers.send(host, Job { errand, until: now + time_out });
+                    self.orders.send(Order::Do(host, Job { errand, until: now + time_out }));
                 }
                 Decision::Reject { stmt, return_after } => {
                     self.counters.rejected.add();
@@ -306,12 +309,12 @@
                 }
                 Decision::Recall { stmt, execution } => {
                     if let Some(&host) = self.open.get(&stmt).and_then(|o| o.hosts.get(execution)) {
-                        self.peers.recall(host, stmt, execution);
+                        self.orders.send(Order::Recall { host, stmt, execution });
                     }
                 }
                 Decision::Probe { host } => {
                     *self.probes.entry(host).or_default() += 1;
-                    self.peers.probe(host);
+                    self.orders.send(Order::Probe(host));
                 }
                 // The watch stands from the start and reopens by itself.
                 Decision::Subscribe => {}
--- a/crates/sandstile-router/src/exchange.rs
+++ b/crates/sandstile-router/src/exchange.rs
@@ -2,7 +2,7 @@
 //! listens to whoever dials it. Plain threads round the frames of `sandstile-exchange`; off without our own file.
 use crate::desk::Mail;
 use crate::mailbox::{narrow, Post};
-use crate::peer::STACK;
+use crate::router::STACK;
 use crate::sessions::{Telling, Word};
 use crossbeam_channel::RecvTimeoutError;
 use sandstile_exchange::{greeting, read_greeting, Heard, Listener, Teller, MOST_MARKS};
--- /dev/null
+++ b/crates/sandstile-router/src/hosts.rs
@@ -0,0 +1,523 @@
+//! The database hosts: for each the pool of its links, and for each link its socket beside its state machine.
+use crate::budget::{Holder, Rest};
+use crate::carrier::{Tools, TURN};
+use crate::counters::Counters;
+use crate::desk::Mail;
+use crate::ending::{Ending, Outcome};
+use crate::job::{Errand, Job};
+use crate::link::{Event, Link};
+use crate::mailbox::Post;
+use crate::pool::{Found, Free, Pool, Step};
+use crate::wire::{Moved, Wire};
+use mio::net::TcpStream;
+use mio::Token;
+use slab::Slab;
+use slog::{debug, info, o, Logger};
+use std::collections::{BTreeMap, VecDeque};
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// What the desk has done.
+pub enum Order {
+    /// A database host of the list and its address there. An entry that has left may come without one.
+    Known {
+        host: usize,
+        name: String,
+        address: Option<SocketAddr>,
+    },
+    /// It has left for good, and nothing is under way.
+    End(usize),
+    Do(usize, Job),
+    Probe(usize),
+    Recall {
+        host: usize,
+        stmt: u64,
+        execution: usize,
+    },
+}
+
+struct Host {
+    pool: Pool,
+    log: Logger,
+    /// When its endings of each kind were logged last, and how many were not since.
+    causes: BTreeMap<Ending, (f64, u64)>,
+    /// The time of the timer that stands for its idle links.
+    armed: f64,
+}
+
+struct Seat {
+    host: usize,
+    line: Link,
+    wire: Option<Wire>,
+    queued: bool,
+    armed: f64,
+    idle: Option<Rest>,
+}
+
+pub struct Hosts {
+    hosts: Vec<Option<Host>>,
+    seats: Slab<Seat>,
+    desk: Post<Mail>,
+    counters: Arc<Counters>,
+    log: Logger,
+    /// Links that wait for a descriptor, with where they go.
+    wanted: VecDeque<(usize, SocketAddr)>,
+    /// What has happened to links and is still to be acted on.
+    events: VecDeque<(usize, Event)>,
+    /// Seconds for a connection to come up, or for an answer that has begun to go on: what the network of this
+    /// deployment needs at most.
+    dial_limit: f64,
+    /// Seconds for which a link may rest: well before the host would close it, for a statement written across its
+    /// closing may have run.
+    rest_limit: f64,
+}
+
+/// ENOMEM, ENFILE, EMFILE and ENOBUFS on the platform: no socket is to be had here, which is not the host's fault.
+const OUT_OF: [i32; 4] = [12, 23, 24, 105];
+
+/// Tokens of links are odd; those of hosts, for timers alone, lie above all others.
+pub fn token(key: usize) -> Token {
+    Token(2 * key + 3)
+}
+
+pub const HOSTS: usize = usize::MAX / 2;
+
+impl Hosts {
+    pub fn new(
+        desk: Post<Mail>,
+        counters: Arc<Counters>,
+        log: Logger,
+        dial_limit: f64,
+        idle_close: f64,
+    ) -> Self {
+        Hosts {
+            hosts: Vec::new(),
+            seats: Slab::new(),
+            desk,
+            counters,
+            log,
+            wanted: VecDeque::new(),
+            events: VecDeque::new(),
+            dial_limit,
+            rest_limit: idle_close * 0.75,
+        }
+    }
+
+    fn host(&mut self, host: usize) -> &mut Host {
+        // The decisions name no host that no list has named, and none that was forgotten.
+        self.hosts.get_mut(host).and_then(Option::as_mut).expect("a pool for each host")
+    }
+
+    pub fn order(&mut self, order: Order, tools: &mut Tools) {
+        match order {
+            Order::Known { host, name, address } => self.known(host, &name, address, tools),
+            Order::End(host) => {
+                let links: Vec<usize> = self.host(host).pool.links().collect();
+                links.into_iter().for_each(|key| self.close(key, tools));
+                self.hosts[host] = None;
+                self.counters.hosts.less();
+            }
+            Order::Do(host, job) => self.begin(host, job, tools),
+            Order::Probe(host) => {
+                self.counters.probes.add();
+                let until = tools.clock.now() + self.dial_limit;
+                self.begin(host, Job { errand: Errand::Probe, until }, tools);
+            }
+            Order::Recall { host, stmt, execution } => self.recall(host, (stmt, execution), tools),
+        }
+        self.act(tools);
+    }
+
+    fn known(&mut self, host: usize, name: &str, address: Option<SocketAddr>, tools: &mut Tools) {
+        if self.hosts.len() <= host {
+            self.hosts.resize_with(host + 1, || None);
+        }
+        if self.hosts[host].is_none() {
+            info!(self.log, "host {host} is {name}");
+            self.counters.hosts.add();
+            let log = self.log.new(o!("host" => name.to_string()));
+            let (pool, causes, armed) = (Pool::default(), BTreeMap::new(), f64::INFINITY);
+            self.hosts[host] = Some(Host { pool, log, causes, armed });
+        }
+        let Some(address) = address else { return };
+        let Some(links) = self.host(host).pool.moved(address) else { return };
+        info!(self.host(host).log, "address is {address}");
+        for key in links {
+            self.counters.ended(Ending::Moved);
+            self.close(key, tools);
+        }
+    }
+
+    /// A job takes an idle link, if that is still of use, or waits for a dial.
+    fn begin(&mut self, host: usize, mut job: Job, tools: &mut Tools) {
+        loop {
+            match self.host(host).pool.begin(job) {
+                Step::Hand(key, handed) => {
+                    self.wake(key, tools);
+                    if self.quiet(key) {
+                        return self.hand(key, handed, tools);
+                    }
+                    self.host(host).pool.stale(key);
+                    self.counters.ended(Ending::IdleEnded);
+                    self.close(key, tools);
+                    job = handed;
+                }
+                Step::Dial(address) => {
+                    self.counters.dialled.add();
+                    let line = Link::wanted(tools.clock.now() + self.dial_limit, self.dial_limit);
+                    let (armed, idle) = (f64::INFINITY, None);
+                    let key = self.seats.insert(Seat { host, line, wire: None, queued: false, armed, idle });
+                    self.host(host).pool.dialled(key);
+                    self.wanted.push_back((key, address));
+                    return;
+                }
+                Step::End(job, ending) => return self.report(host, job, ending.into(), tools),
+            }
+        }
+    }
+
+    fn quiet(&self, key: usize) -> bool {
+        self.seats[key].wire.as_ref().is_some_and(Wire::quiet)
+    }
+
+    /// Strikes an idle link's record out.
+    fn wake(&mut self, key: usize, tools: &mut Tools) {
+        if let Some(rest) = self.seats[key].idle.take() {
+            tools.budget.strike(rest);
+        }
+    }
+
+    fn hand(&mut self, key: usize, job: Job, tools: &mut Tools) {
+        if job.which().is_some() {
+            self.counters.sent.add();
+        }
+        if let Some(event) = self.seats[key].line.begin(tools.clock.now(), job) {
+            self.events.push_back((key, event));
+        }
+        self.run(key, tools);
+    }
+
+    fn recall(&mut self, host: usize, which: (u64, usize), tools: &mut Tools) {
+        match self.host(host).pool.find(which) {
+            Found::Waiting(job) => self.report(host, job, Ending::WithdrawnUnsent.into(), tools),
+            Found::Under(key) => {
+                // An answer that has come by now counts: nobody has to wonder then whether it ran.
+                if let Some(wire) = &mut self.seats[key].wire {
+                    wire.look();
+                }
+                self.run(key, tools);
+                let Some(seat) = self.seats.get_mut(key) else { return };
+                if let Some(event) = seat.line.withdraw(which, &mut tools.budget) {
+                    self.events.push_back((key, event));
+                }
+            }
+            Found::Nowhere => {}
+        }
+    }
+
+    /// The next link that waits for a descriptor.
+    pub fn wanting(&mut self) -> bool {
+        while let Some((key, _)) = self.wanted.front() {
+            // Its time may be over by now, and its name another's.
+            if self.seats.get(*key).is_some_and(|seat| seat.wire.is_none() && !seat.line.dialling()) {
+                return true;
+            }
+            self.wanted.pop_front();
+        }
+        false
+    }
+
+    /// Dials it; a descriptor has been counted for it.
+    pub fn dial(&mut self, tools: &mut Tools) {
+        let Some((key, address)) = self.wanted.pop_front() else { return };
+        let dialled = TcpStream::connect(address).and_then(|stream| {
+            stream.set_nodelay(true)?;
+            Wire::new(&tools.registry, stream, token(key), false)
+        });
+        let seat = &mut self.seats[key];
+        seat.line.dialled();
+        match dialled {
+            Ok(wire) => {
+                seat.wire = Some(wire);
+                self.arm(key, tools);
+            }
+            Err(e) => {
+                tools.budget.release(Holder::Link);
+                let event = seat.line.failed(dial_ending(&e));
+                self.events.extend(event.map(|event| (key, event)));
+                self.act(tools);
+            }
+        }
+    }
+
+    pub fn told(&mut self, key: usize, event: &mio::event::Event, tools: &mut Tools) {
+        let Some(seat) = self.seats.get_mut(key) else { return };
+        let Some(wire) = &mut seat.wire else { return };
+        wire.told(event);
+        self.queue(key, tools);
+    }
+
+    fn queue(&mut self, key: usize, tools: &mut Tools) {
+        let seat = &mut self.seats[key];
+        if !std::mem::replace(&mut seat.queued, true) {
+            tools.queue.push_back(token(key));
+        }
+    }
+
+    pub fn called(&mut self, key: usize, tools: &mut Tools) {
+        if let Some(seat) = self.seats.get_mut(key) {
+            seat.queued = false;
+            self.run(key, tools);
+            self.act(tools);
+        }
+    }
+
+    /// A timer that may be this link's. What has come meanwhile is taken first.
+    pub fn timer(&mut self, key: usize, at: f64, tools: &mut Tools) {
+        let Some(seat) = self.seats.get_mut(key).filter(|seat| seat.armed == at) else { return };
+        seat.armed = f64::INFINITY;
+        if seat.line.due() <= tools.clock.now() {
+            if let Some(wire) = &mut seat.wire {
+                wire.look();
+            }
+            self.run(key, tools);
+            if let Some(seat) = self.seats.get_mut(key) {
+                if let Some(event) = seat.line.time(tools.clock.now(), &mut tools.budget) {
+                    self.events.push_back((key, event));
+                }
+            }
+            self.act(tools);
+        }
+        if self.seats.contains(key) {
+            self.arm(key, tools);
+        }
+    }
+
+    /// A timer that may be this host's: closes what has rested too long.
+    pub fn host_timer(&mut self, host: usize, at: f64, tools: &mut Tools) {
+        let before = tools.clock.now() - self.rest_limit;
+        let Some(h) = self.hosts.get_mut(host).and_then(Option::as_mut).filter(|h| h.armed == at) else {
+            return;
+        };
+        h.armed = f64::INFINITY;
+        while let Some((key, _)) = self.host(host).pool.oldest().filter(|(_, since)| *since <= before) {
+            self.leave(key, Ending::IdleExpired, tools);
+        }
+        self.arm_host(host, tools);
+    }
+
+    fn arm_host(&mut self, host: usize, tools: &mut Tools) {
+        let limit = self.rest_limit;
+        let h = self.host(host);
+        let due = h.pool.oldest().map_or(f64::INFINITY, |(_, since)| since + limit);
+        if due < h.armed {
+            h.armed = due;
+            tools.timers.push(due, Token(HOSTS + host));
+        }
+    }
+
+    fn arm(&mut self, key: usize, tools: &mut Tools) {
+        let seat = &mut self.seats[key];
+        let due = seat.line.due();
+        if due < seat.armed {
+            seat.armed = due;
+            tools.timers.push(due, token(key));
+        }
+    }
+
+    /// An idle link goes, for whatever reason of this machine.
+    pub fn leave(&mut self, key: usize, ending: Ending, tools: &mut Tools) {
+        let Some(seat) = self.seats.get_mut(key).filter(|seat| seat.line.idle()) else { return };
+        seat.line.leave();
+        let host = seat.host;
+        self.host(host).pool.left(key);
+        self.counters.ended(ending);
+        self.close(key, tools);
+    }
+
+    fn close(&mut self, key: usize, tools: &mut Tools) {
+        let Some(mut seat) = self.seats.try_remove(key) else { return };
+        if let Some(rest) = seat.idle {
+            tools.budget.strike(rest);
+        }
+        seat.line.release(&mut tools.budget);
+        if let Some(wire) = seat.wire {
+            wire.close(&tools.registry);
+            tools.budget.release(Holder::Link);
+        }
+    }
+
+    /// As much as one link may do before the others have their turn.
+    fn run(&mut self, key: usize, tools: &mut Tools) {
+        for turn in 0.. {
+            let Some(seat) = self.seats.get_mut(key) else { return };
+            let Some(wire) = &mut seat.wire else { return };
+            let mut event = None;
+            if seat.line.dialling() {
+                if !wire.writable() {
+                    break;
+                }
+                event = match up(wire.stream()) {
+                    Ok(true) => {
+                        seat.line.connected();
+                        None
+                    }
+                    Ok(false) => {
+                        wire.unwritable();
+                        break;
+                    }
+                    Err(ending) => seat.line.failed(ending),
+                };
+            }
+            let mut moved = false;
+            match wire.write(seat.line.out()) {
+                Moved::Bytes(put) => {
+                    seat.line.wrote(put);
+                    moved = true;
+                }
+                Moved::Broken => event = event.or(seat.line.closed(&mut tools.budget)),
+                Moved::Nothing => {}
+            }
+            if event.is_none() {
+                let wants = seat.line.wants().min(tools.scratch.len());
+                match wire.read(&mut tools.scratch[..wants]) {
+                    Moved::Bytes(got) => {
+                        let now = tools.clock.now();
+                        event = seat.line.bytes(now, &tools.scratch[..got], &mut tools.budget);
+                        moved = true;
+                    }
+                    Moved::Broken => event = seat.line.closed(&mut tools.budget),
+                    Moved::Nothing => {}
+                }
+            }
+            if let Some(event) = event {
+                self.events.push_back((key, event));
+                break;
+            }
+            if !moved {
+                break;
+            }
+            if turn >= TURN {
+                self.queue(key, tools);
+                break;
+            }
+        }
+        if self.seats.contains(key) {
+            self.arm(key, tools);
+        }
+    }
+
+    /// Acts on what has happened to links until nothing more follows from it.
+    fn act(&mut self, tools: &mut Tools) {
+        while let Some((key, event)) = self.events.pop_front() {
+            let Some(seat) = self.seats.get(key) else { continue };
+            let host = seat.host;
+            match event {
+                Event::Up => {
+                    if self.quiet(key) {
+                        let free = self.host(host).pool.up(key, tools.clock.now());
+                        self.freed(host, key, free, true, tools);
+                    } else {
+                        self.undialled(host, key, Ending::DialBroken, tools);
+                    }
+                }
+                Event::Failed(ending) => self.undialled(host, key, ending, tools),
+                Event::Over(ending) => {
+                    self.host(host).pool.left(key);
+                    self.counters.ended(ending);
+                    self.close(key, tools);
+                }
+                Event::Done { job, outcome, goes_on } => {
+                    // With more behind the answer than belongs to it, it is of no use to what waits.
+                    let spoilt = goes_on && self.host(host).pool.waiting() > 0 && !self.quiet(key);
+                    if spoilt {
+                        self.counters.ended(Ending::IdleEnded);
+                    }
+                    let goes_on = goes_on && !spoilt;
+                    if !goes_on {
+                        self.close(key, tools);
+                    }
+                    // The pool first: a further execution for this host is to find the link free.
+                    let free = self.host(host).pool.done(key, goes_on, tools.clock.now());
+                    self.report(host, job, outcome, tools);
+                    self.freed(host, key, free, false, tools);
+                }
+            }
+        }
+    }
+
+    /// A link with nothing to do has been given something, rests, or is of no use any more.
+    fn freed(&mut self, host: usize, key: usize, free: Free, fresh: bool, tools: &mut Tools) {
+        match free {
+            Free::Hand(job) => self.hand(key, job, tools),
+            Free::Rest => {
+                self.seats[key].idle = Some(tools.budget.rests(Holder::Link, key));
+                self.arm_host(host, tools);
+            }
+            Free::Moved if fresh => self.undialled(host, key, Ending::Moved, tools),
+            Free::Moved => {
+                if self.seats.contains(key) {
+                    self.counters.ended(Ending::Moved);
+                    self.close(key, tools);
+                }
+            }
+        }
+    }
+
+    /// A dial less.
+    fn undialled(&mut self, host: usize, key: usize, ending: Ending, tools: &mut Tools) {
+        self.close(key, tools);
+        match self.host(host).pool.undialled(key) {
+            Some(job) => self.report(host, job, ending.into(), tools),
+            None => self.ended(host, ending, tools),
+        }
+    }
+
+    fn report(&mut self, host: usize, job: Job, outcome: Outcome, tools: &Tools) {
+        self.ended(host, outcome.ending, tools);
+        self.desk.send(match job.errand {
+            Errand::Statement { stmt, execution, .. } => Mail::Ended { stmt, execution, outcome },
+            Errand::Probe => Mail::Probed { host, outcome },
+        });
+    }
+
+    /// Counts an ending, and logs it where it is out of the ordinary: each cause once a second and host, for
+    /// a host that is down ends statements by the hundred.
+    fn ended(&mut self, host: usize, ending: Ending, tools: &Tools) {
+        self.counters.ended(ending);
+        if ending.ordinary() {
+            return;
+        }
+        let now = tools.clock.now();
+        let h = self.host(host);
+        debug!(h.log, "{ending:?}");
+        let (at, more) = h.causes.entry(ending).or_insert((0.0, 0));
+        if now < *at + 1.0 {
+            *more += 1;
+        } else {
+            info!(h.log, "ended: {ending:?}"; "unlogged_before" => std::mem::take(more));
+            *at = now;
+        }
+    }
+}
+
+/// Whether a dial is up; the platform says so by letting it be written to, and then whether it came to anything.
+fn up(stream: &TcpStream) -> Result<bool, Ending> {
+    if let Some(e) = stream.take_error().map_err(|e| dial_ending(&e))? {
+        return Err(dial_ending(&e));
+    }
+    match stream.peer_addr() {
+        Ok(_) => Ok(true),
+        Err(e) if e.kind() == ErrorKind::NotConnected => Ok(false),
+        Err(e) => Err(dial_ending(&e)),
+    }
+}
+
+fn dial_ending(e: &std::io::Error) -> Ending {
+    match e.kind() {
+        ErrorKind::TimedOut | ErrorKind::WouldBlock => Ending::DialTimedOut,
+        _ if e.raw_os_error().is_some_and(|n| OUT_OF.contains(&n)) => Ending::NoRoom,
+        _ => Ending::DialRefused,
+    }
+}
--- a/crates/sandstile-router/src/lib.rs
+++ b/crates/sandstile-router/src/lib.rs
@@ -1,22 +1,21 @@
-//! The sandstile router: the decisions of `sandstile-policy` behind real sockets. The files follow the stages
-//! of a request: `listen`, `client`, `statement`, `desk`, `peer`, `link`, and back.
-pub mod budget;
+//! The sandstile router: the decisions of `sandstile-policy` behind real sockets. One thread, the `carrier`, carries
+//! the clients' connections (`clients`), the desk of the decisions (`desk`) and the database hosts (`hosts`); what
+//! happens on a connection is decided by the machines of `sandstile-lines`, which know neither socket nor clock.
+pub mod carrier;
 pub mod charter;
-pub mod client;
+pub mod clients;
 pub mod clock;
 pub mod counters;
 pub mod desk;
 pub mod discovery;
-pub mod ending;
 pub mod exchange;
+pub mod hosts;
 pub mod launch;
-pub mod link;
-pub mod listen;
 pub mod mailbox;
-pub mod peer;
 pub mod router;
 pub mod sessions;
 pub mod signals;
-pub mod statement;
+pub mod wire;
 
+pub use sandstile_lines::{budget, client, ending, job, link, pool, statement};
 pub use sandstile_pgwire as pg;
--- a/crates/sandstile-router/src/mailbox.rs
+++ b/crates/sandstile-router/src/mailbox.rs
@@ -1,39 +1,84 @@
 //! Mailboxes of actors: crossbeam's channels, whose reader sleeps at once. On its own, a blocking receive first
 //! spins and yields for a while, which pays where the writer runs on another core; a router has one core, or
 //! part of it, and the spinning took a third of that.
+//!
+//! A reader is a thread of its own, which is parked while there is nothing, or an actor that the carrier's thread
+//! carries, which is woken by a bell; within that thread mail is a push and a pop, and no bell is rung.
 use crossbeam_channel::{bounded, unbounded, Receiver, RecvTimeoutError, Sender, TryRecvError};
+use mio::Waker;
+use std::sync::atomic::{fence, AtomicBool, Ordering::SeqCst};
 use std::sync::{Arc, OnceLock};
 use std::thread::{self, Thread};
 use std::time::{Duration, Instant};
 
+/// Wakes the carrier's thread where it sleeps.
+pub struct Bell {
+    waker: Waker,
+    asleep: AtomicBool,
+}
+
+impl Bell {
+    pub fn new(waker: Waker) -> Arc<Bell> {
+        Arc::new(Bell { waker, asleep: AtomicBool::new(false) })
+    }
+
+    /// From now on mail rings. What came before is to be looked for once more behind this.
+    pub fn sleeps(&self) {
+        self.asleep.store(true, SeqCst);
+        fence(SeqCst);
+    }
+
+    pub fn wakes(&self) {
+        self.asleep.store(false, SeqCst);
+    }
+
+    fn ring(&self) {
+        fence(SeqCst);
+        if self.asleep.swap(false, SeqCst) {
+            // The carrier would sleep for ever on mail that it was not told of.
+            self.waker.wake().expect("a bell that rings");
+        }
+    }
+}
+
+#[derive(Clone)]
+enum Reader {
+    Thread(Arc<OnceLock<Thread>>),
+    Carried(Arc<Bell>),
+}
+
 /// The writing end; any number of them.
 pub struct Post<T> {
     sender: Option<Sender<T>>,
-    reader: Arc<OnceLock<Thread>>,
+    reader: Reader,
 }
 
 /// The reading end, for one thread.
 pub struct Mailbox<T> {
     receiver: Receiver<T>,
-    reader: Arc<OnceLock<Thread>>,
+    reader: Reader,
 }
 
 pub fn mailbox<T>() -> (Post<T>, Mailbox<T>) {
-    with(unbounded())
+    with(unbounded(), Reader::Thread(Arc::default()))
+}
+
+/// For an actor that the carrier's thread carries.
+pub fn carried<T>(bell: &Arc<Bell>) -> (Post<T>, Mailbox<T>) {
+    with(unbounded(), Reader::Carried(bell.clone()))
 }
 
 /// For one piece of mail at a time.
 pub fn slot<T>() -> (Post<T>, Mailbox<T>) {
-    with(bounded(1))
+    narrow(1)
 }
 
 /// For so many pieces of mail at the most.
 pub fn narrow<T>(most: usize) -> (Post<T>, Mailbox<T>) {
-    with(bounded(most))
+    with(bounded(most), Reader::Thread(Arc::default()))
 }
 
-fn with<T>((sender, receiver): (Sender<T>, Receiver<T>)) -> (Post<T>, Mailbox<T>) {
-    let reader = Arc::<OnceLock<Thread>>::default();
+fn with<T>((sender, receiver): (Sender<T>, Receiver<T>), reader: Reader) -> (Post<T>, Mailbox<T>) {
     (Post { sender: Some(sender), reader: reader.clone() }, Mailbox { receiver, reader })
 }
 
@@ -46,8 +91,13 @@
     }
 
     fn wake(&self) {
-        if let Some(reader) = self.reader.get() {
-            reader.unpark();
+        match &self.reader {
+            Reader::Thread(reader) => {
+                if let Some(reader) = reader.get() {
+                    reader.unpark();
+                }
+            }
+            Reader::Carried(bell) => bell.ring(),
         }
     }
 }
@@ -62,7 +112,9 @@
     fn drop(&mut self) {
         // The last one gone ends a reader's wait, so the channel has to know first.
         self.sender = None;
-        self.wake();
+        if matches!(self.reader, Reader::Thread(_)) {
+            self.wake();
+        }
     }
 }
 
@@ -71,10 +123,16 @@
         self.receiver.try_recv().ok()
     }
 
-    /// Waits without end where there is no limit.
+    pub fn is_empty(&self) -> bool {
+        self.receiver.is_empty()
+    }
+
+    /// Waits without end where there is no limit. Not for an actor that is carried.
     pub fn recv(&self, limit: Option<Duration>) -> Result<T, RecvTimeoutError> {
         // Who writes before this is known wakes nobody, and is found by the look below.
-        self.reader.get_or_init(thread::current);
+        if let Reader::Thread(reader) = &self.reader {
+            reader.get_or_init(thread::current);
+        }
         let until = limit.map(|limit| Instant::now() + limit);
         loop {
             match self.receiver.try_recv() {
--- a/crates/sandstile-router/src/main.rs
+++ b/crates/sandstile-router/src/main.rs
@@ -2,7 +2,8 @@
 use sandstile_router::charter::Charter;
 use sandstile_router::counters::Counters;
 use sandstile_router::launch::Launch;
-use sandstile_router::{charter, router, signals};
+use sandstile_router::signals::Wishes;
+use sandstile_router::{charter, router};
 use slog::{o, Drain, Level, Logger};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -128,9 +129,9 @@
     let level = if verbose { Level::Debug } else { Level::Info };
     let log = Logger::root(drain.filter_level(level).fuse(), o!("router" => launch.name.clone()));
     let counters = Arc::new(Counters::default());
-    let wishes = signals::listen(counters.clone()).map_err(|e| format!("signals: {e}"))?;
+    let mut wishes = Wishes::listen(counters.clone()).map_err(|e| format!("signals: {e}"))?;
     let again = || Launch::again(|name| std::env::var(name).ok());
-    let ended = router::serve(launch, charter, again, counters.clone(), log, &wishes);
+    let ended = router::serve(launch, charter, again, counters.clone(), log, &mut wishes);
     drop(guard);
     eprintln!("{counters}");
     ended
--- a/crates/sandstile-router/src/sessions.rs
+++ b/crates/sandstile-router/src/sessions.rs
@@ -3,9 +3,10 @@
 //! keys and the disk.
 use crate::charter;
 use crate::clock::Clock;
-use crate::desk::{Answer, Asked, Reply};
+use crate::desk::{Asked, Reply};
 use crate::ending::{Ending, Outcome};
 use crate::exchange::Exchange;
+use crate::job::Answer;
 use crate::mailbox::{mailbox, Mailbox, Post};
 use crate::statement::Workload;
 use crossbeam_channel::RecvTimeoutError;
--- a/crates/sandstile-router/src/signals.rs
+++ b/crates/sandstile-router/src/signals.rs
@@ -1,12 +1,10 @@
 //! SIGUSR1 prints the counters; SIGHUP has the configuration read again; SIGTERM or SIGINT ends the router, once
-//! all that it took is answered.
+//! all that it took is answered. The main thread waits for them, and does nothing else.
 use crate::counters::Counters;
-use crossbeam_channel::{bounded, Receiver};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
-use signal_hook::iterator::Signals;
+use signal_hook::iterator::{Handle, Signals};
 use std::io;
 use std::sync::Arc;
-use std::thread;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Wish {
@@ -14,19 +12,38 @@
     End,
 }
 
-/// What comes back yields each wish that operators have for the router.
-pub fn listen(counters: Arc<Counters>) -> io::Result<Receiver<Wish>> {
-    // Signals of one kind merge while they wait; beyond this, nobody takes wishes any more.
-    let (tell, wishes) = bounded(16);
-    let mut signals = Signals::new([SIGHUP, SIGTERM, SIGINT, SIGUSR1])?;
-    thread::Builder::new().name("signals".to_string()).spawn(move || {
-        for signal in signals.forever() {
-            if signal == SIGUSR1 {
-                eprintln!("{counters}");
-            } else {
-                let _ = tell.try_send(if signal == SIGHUP { Wish::Reload } else { Wish::End });
+/// Yields each wish that operators have for the router.
+pub struct Wishes {
+    signals: Signals,
+    counters: Arc<Counters>,
+}
+
+/// Ends the waiting for wishes.
+pub struct Enough(Handle);
+
+impl Drop for Enough {
+    fn drop(&mut self) {
+        self.0.close();
+    }
+}
+
+impl Wishes {
+    pub fn listen(counters: Arc<Counters>) -> io::Result<Wishes> {
+        Ok(Wishes { signals: Signals::new([SIGHUP, SIGTERM, SIGINT, SIGUSR1])?, counters })
+    }
+
+    pub fn enough(&self) -> Enough {
+        Enough(self.signals.handle())
+    }
+
+    /// The next one; `None` once there are to be no more.
+    pub fn await_one(&mut self) -> Option<Wish> {
+        loop {
+            match self.signals.forever().next()? {
+                SIGUSR1 => eprintln!("{}", self.counters),
+                SIGHUP => return Some(Wish::Reload),
+                _ => return Some(Wish::End),
             }
         }
-    })?;
-    Ok(wishes)
+    }
 }
--- /dev/null
+++ b/crates/sandstile-router/src/wire.rs
@@ -0,0 +1,110 @@
+//! A socket on the readiness loop, and what is known of it between events. Readiness is told once, at its edge: it
+//! stands until the platform says that there is nothing more.
+use mio::event::Event;
+use mio::net::TcpStream;
+use mio::{Interest, Registry, Token};
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::Shutdown;
+
+pub struct Wire {
+    stream: TcpStream,
+    readable: bool,
+    writable: bool,
+    /// The other side has ended its sending: reads go on until they have met that end.
+    ending: bool,
+}
+
+/// What a read or a write came to.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Moved {
+    Bytes(usize),
+    Nothing,
+    Broken,
+}
+
+impl Wire {
+    pub fn new(registry: &Registry, mut stream: TcpStream, token: Token, writable: bool) -> io::Result<Wire> {
+        registry.register(&mut stream, token, Interest::READABLE | Interest::WRITABLE)?;
+        Ok(Wire { stream, readable: false, writable, ending: false })
+    }
+
+    pub fn stream(&self) -> &TcpStream {
+        &self.stream
+    }
+
+    pub fn told(&mut self, event: &Event) {
+        // A connection that broke is found out by whichever comes first.
+        let broken = event.is_error();
+        self.ending |= event.is_read_closed() || broken;
+        self.readable |= event.is_readable() || self.ending;
+        self.writable |= event.is_writable() || event.is_write_closed() || broken;
+    }
+
+    /// Has the next read look, whatever was told: at the end of a time, or before something is said.
+    pub fn look(&mut self) {
+        self.readable = true;
+    }
+
+    pub fn readable(&self) -> bool {
+        self.readable
+    }
+
+    pub fn writable(&self) -> bool {
+        self.writable
+    }
+
+    pub fn unwritable(&mut self) {
+        self.writable = false;
+    }
+
+    pub fn read(&mut self, bytes: &mut [u8]) -> Moved {
+        if !self.readable || bytes.is_empty() {
+            return Moved::Nothing;
+        }
+        loop {
+            match self.stream.read(bytes) {
+                Ok(0) => return Moved::Broken,
+                Ok(got) => {
+                    // Less than there was room for is all there is; what comes from here on is told anew.
+                    self.readable = got == bytes.len() || self.ending;
+                    return Moved::Bytes(got);
+                }
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    self.readable = false;
+                    return Moved::Nothing;
+                }
+                Err(_) => return Moved::Broken,
+            }
+        }
+    }
+
+    pub fn write(&mut self, bytes: &[u8]) -> Moved {
+        if !self.writable || bytes.is_empty() {
+            return Moved::Nothing;
+        }
+        loop {
+            match self.stream.write(bytes) {
+                Ok(0) => return Moved::Broken,
+                Ok(put) => return Moved::Bytes(put),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    self.writable = false;
+                    return Moved::Nothing;
+                }
+                Err(_) => return Moved::Broken,
+            }
+        }
+    }
+
+    /// Whether nothing has come: bytes or an end on an idle connection mean that it is of no use any more.
+    pub fn quiet(&self) -> bool {
+        matches!(self.stream.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
+    }
+
+    pub fn close(self, registry: &Registry) {
+        let Wire { mut stream, .. } = self;
+        let _ = registry.deregister(&mut stream);
+        let _ = stream.shutdown(Shutdown::Both);
+    }
+}
--- a/crates/sandstile-fleet/tests/timers.rs
+++ b/crates/sandstile-timers/tests/timers.rs
@@ -1,6 +1,6 @@
 //! The wheel and the heap tell the same order, whatever comes and goes.
 use quickcheck::{Gen, QuickCheck};
-use sandstile_fleet::timers::{Heap, Wheel};
+use sandstile_timers::{Heap, Wheel};
 
 #[test]
 fn wheel_and_heap_agree() {
