Recordings by the router, a deployment in virtual time, the paper's experiment

Change: 'recording' in our own file has the router write arrivals (times, kinds, salted hashes) by a thread of its own; what the disk does not keep up with is counted (unrecorded). sandstile-virtual plays the fleet model with routers that are the real decision module in virtual time; sandstile-lab scale-out plays the paper's figures 4 and 5 with it, and a scaled-down run on sockets.

Measured: a saturated master does what its cores can do within 3% (and Little's law holds); six runs of deaths, pauses and lost machines leave no statement without its answer and run no write twice.

--- a/crates/sandstile-lab/src/charts.rs
+++ b/crates/sandstile-lab/src/charts.rs
@@ -65,6 +65,71 @@
     Ok(svg)
 }
 
+/// One curve.
+pub struct Line {
+    pub name: String,
+    pub points: Vec<(f64, f64)>,
+}
+
+/// Curves over a quantity, each point marked; `log` for values that span decades.
+pub fn lines(title: &str, x: &str, y: &str, curves: &[Line], log: bool) -> Result<String, String> {
+    let mut svg = String::new();
+    let scaled = |v: f64| if log { v.max(1e-3).log10() } else { v };
+    let shown = |v: f64| if log { 10f64.powf(v) } else { v };
+    let all = || curves.iter().flat_map(|c| &c.points);
+    let last = all().map(|p| p.0).fold(1.0, f64::max);
+    let high = all().map(|p| scaled(p.1)).fold(f64::NEG_INFINITY, f64::max);
+    let low = if log { all().map(|p| scaled(p.1)).fold(f64::INFINITY, f64::min) } else { 0.0 };
+    // Whole decades, or a tenth of room above.
+    let (low, high) =
+        if log { (low.floor(), high.ceil().max(low.floor() + 1.0)) } else { (0.0, high.max(1e-9) * 1.1) };
+    {
+        let area = SVGBackend::with_string(&mut svg, (960, 420)).into_drawing_area();
+        area.fill(&WHITE).map_err(told)?;
+        let mut chart = ChartBuilder::on(&area)
+            .caption(title, ("sans-serif", 20))
+            .margin(14)
+            .x_label_area_size(44)
+            .y_label_area_size(72)
+            .build_cartesian_2d(0.0..last, low..high)
+            .map_err(told)?;
+        chart
+            .configure_mesh()
+            .x_desc(x)
+            .y_desc(y)
+            .label_style(("sans-serif", 14))
+            .max_light_lines(1)
+            .bold_line_style(RGBColor(225, 225, 225))
+            .light_line_style(WHITE)
+            .y_labels(if log { (high - low) as usize + 1 } else { 8 })
+            .x_label_formatter(&|x| format!("{x:.0}"))
+            .y_label_formatter(&|y| format!("{:.0}", shown(*y)))
+            .draw()
+            .map_err(told)?;
+        for (n, curve) in curves.iter().enumerate() {
+            let colour = COLOURS[n % COLOURS.len()];
+            let style = colour.stroke_width(if n == 0 { 4 } else { 2 });
+            let points: Vec<(f64, f64)> = curve.points.iter().map(|p| (p.0, scaled(p.1))).collect();
+            chart
+                .draw_series(LineSeries::new(points.clone(), style))
+                .map_err(told)?
+                .label(curve.name.as_str())
+                .legend(move |(x, y)| PathElement::new([(x, y), (x + 24, y)], style));
+            chart.draw_series(points.iter().map(|p| Circle::new(*p, 4, colour.filled()))).map_err(told)?;
+        }
+        chart
+            .configure_series_labels()
+            .position(SeriesLabelPosition::LowerRight)
+            .background_style(WHITE.mix(0.9))
+            .border_style(RGBColor(120, 120, 120))
+            .label_font(("sans-serif", 14))
+            .draw()
+            .map_err(told)?;
+        area.present().map_err(told)?;
+    }
+    Ok(svg)
+}
+
 /// One difference with its interval; ends may be infinite.
 pub struct Bar {
     pub name: String,
--- a/crates/sandstile-lab/src/lib.rs
+++ b/crates/sandstile-lab/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod recordings;
 pub mod rehearse;
 pub mod report;
+pub mod scale_out;
--- a/crates/sandstile-lab/src/main.rs
+++ b/crates/sandstile-lab/src/main.rs
@@ -1,7 +1,7 @@
 //! The command line of the lab.
 use clap::{Parser, Subcommand, ValueEnum};
 use sandstile_emulator::Clock;
-use sandstile_lab::{capacity, experiment, processes, recordings, rehearse, report};
+use sandstile_lab::{capacity, experiment, processes, recordings, rehearse, report, scale_out};
 use sandstile_scenario::Script;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -86,6 +86,19 @@
         #[arg(long)]
         config: Option<PathBuf>,
     },
+    /// The paper's own experiment: many small databases with and without satellites
+    ScaleOut {
+        file: PathBuf,
+        /// The router's program; the one beside this program if absent
+        #[arg(long)]
+        router: Option<PathBuf>,
+        /// Where the table and the charts go
+        #[arg(long)]
+        out: PathBuf,
+        /// Ten counted seconds a point
+        #[arg(long)]
+        quick: bool,
+    },
     /// Play a script by two or more arms, in pairs; goes on where it was stopped
     Experiment {
         file: PathBuf,
@@ -260,6 +273,15 @@
                 })
             })
         }
+        Command::ScaleOut { file, router, out, quick } => beside(router).and_then(|router| {
+            let text = std::fs::read_to_string(&file).map_err(|e| format!("{}: {e}", file.display()))?;
+            let name = file.display().to_string();
+            let experiment = scale_out::Experiment::read(&name, &text).map_err(|problems| {
+                problems.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n")
+            })?;
+            println!("{}", scale_out::play(&experiment, &router, &out, quick)?);
+            Ok(ExitCode::SUCCESS)
+        }),
         Command::Audit { dir, stories, strict } => audit(&dir, stories, strict),
     };
     match done {
--- a/crates/sandstile-recording/src/lib.rs
+++ b/crates/sandstile-recording/src/lib.rs
@@ -156,6 +156,17 @@
         Ok(())
     }
 
+    /// Ends the block and hands all of it to where it is written.
+    pub fn sync(&mut self) -> io::Result<()> {
+        self.flush()?;
+        self.out.flush()
+    }
+
+    /// Where it is written.
+    pub fn out(&self) -> &W {
+        &self.out
+    }
+
     /// The end, by which a reader knows that nothing is missing.
     pub fn end(mut self) -> io::Result<W> {
         self.flush()?;
--- a/crates/sandstile-router/src/charter.rs
+++ b/crates/sandstile-router/src/charter.rs
@@ -1,5 +1,6 @@
 //! Our own file, in HCL: what the platform's configuration does not know. Without it all of this is off.
 use crate::exchange::Exchange;
+use crate::recorder;
 use crate::sessions::{Durability, Plan};
 use sandstile_hcl::{Section, Source};
 use sandstile_sessions::token::KeyRing;
@@ -9,6 +10,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Charter {
     pub sessions: Option<Plan>,
+    pub recording: Option<recorder::Plan>,
 }
 
 impl Charter {
@@ -31,8 +33,17 @@
         let charter = source.parse().map(|body| {
             let file = Section::of(&source, &body);
             let sessions = file.only("sessions").map(|s| sessions(&s));
+            let recording = file.only("recording").and_then(|r| {
+                let plan = recorder::Plan {
+                    file: PathBuf::from(r.needed_text("file")),
+                    most: r.count("most_mb", 1.0..1_000_000.0, 256) as u64 * 1024 * 1024,
+                };
+                let on = r.yes("on", true);
+                r.finish();
+                on.then_some(plan)
+            });
             file.finish();
-            Charter { sessions: sessions.flatten() }
+            Charter { sessions: sessions.flatten(), recording }
         });
         let problems = source.problems();
         match charter {
--- a/crates/sandstile-router/src/counters.rs
+++ b/crates/sandstile-router/src/counters.rs
@@ -34,6 +34,8 @@
     pub lists: Count,
     pub bad_lists: Count,
     pub watches: Count,
+    /// Arrivals that a recording has not kept.
+    pub unrecorded: Count,
     /// Database hosts that are known now.
     pub hosts: Count,
     endings: [Count; ALL.len()],
@@ -66,6 +68,7 @@
             ("bad_lists", &self.bad_lists),
             ("watches", &self.watches),
             ("hosts", &self.hosts),
+            ("unrecorded", &self.unrecorded),
         ];
         write!(f, "counters")?;
         for (name, count) in plain {
--- a/crates/sandstile-router/src/desk.rs
+++ b/crates/sandstile-router/src/desk.rs
@@ -8,6 +8,7 @@
 use crate::hosts::Order;
 use crate::job::{Answer, Errand, Job, Parcel};
 use crate::mailbox::{Mailbox, Post};
+use crate::recorder::{Seen, Tape};
 use crate::sessions::{Sessions, Wish, Word};
 use sandstile_intake::list::List;
 use sandstile_intake::names::Names;
@@ -97,6 +98,8 @@
     orders: Post<Order>,
     /// What sessions have seen beyond this instance's own life, where our own file turns that on.
     seen: Option<Sessions>,
+    /// Where arrivals are written down, where our own file turns that on.
+    pub tape: Option<Tape>,
     open: BTreeMap<u64, Open>,
     /// The ids of the open ones.
     ids: BTreeSet<String>,
@@ -130,6 +133,7 @@
     ) -> Self {
         Desk {
             seen,
+            tape: None,
             policy,
             clock,
             counters,
@@ -176,6 +180,16 @@
                     return asked.reply.give(Answer::Unusable);
                 }
                 self.counters.taken.add();
+                if let Some(tape) = &self.tape {
+                    tape.note(Seen {
+                        at: now,
+                        workload: asked.workload,
+                        group: asked.group.clone(),
+                        session: asked.session.clone(),
+                        wait: asked.until - now,
+                        again: asked.retry,
+                    });
+                }
                 // Groups that no list has named share one that has no members, or clients could fill the
                 // memory with names.
                 let group = self.groups.find(&asked.group).unwrap_or_else(|| self.groups.of(""));
--- a/crates/sandstile-router/src/lib.rs
+++ b/crates/sandstile-router/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod hosts;
 pub mod launch;
 pub mod mailbox;
+pub mod recorder;
 pub mod router;
 pub mod sessions;
 pub mod signals;
--- a/crates/sandstile-router/src/main.rs
+++ b/crates/sandstile-router/src/main.rs
@@ -141,7 +141,10 @@
     if let Some(path) = file {
         let charter = Charter::of(file)?;
         let sessions = charter.sessions.map_or("off".to_string(), |s| s.describe());
-        println!("{}: sessions {sessions}", path.display());
+        let recording = charter.recording.map_or("off".to_string(), |r| {
+            format!("to {}, {} MB at most", r.file.display(), r.most / 1024 / 1024)
+        });
+        println!("{}: sessions {sessions}; recording {recording}", path.display());
         if std::env::var_os("LB_CONFIG").is_none() {
             return Ok(());
         }
--- a/crates/sandstile-router/src/router.rs
+++ b/crates/sandstile-router/src/router.rs
@@ -9,6 +9,7 @@
 use crate::exchange;
 use crate::launch::Launch;
 use crate::pg;
+use crate::recorder;
 use crate::sessions::{Sessions, Word};
 use crate::signals::{Wish, Wishes};
 use sandstile_policy::policy::Instance;
@@ -58,7 +59,14 @@
         Some(sessions) => Some(Sessions::begin(sessions.clone(), &launch.workloads, &clock, &log)?),
         None => None,
     };
-    let desk = Desk::new(policy, clock, counters.clone(), log.clone(), posts.orders.clone(), seen);
+    let mut desk = Desk::new(policy, clock, counters.clone(), log.clone(), posts.orders.clone(), seen);
+    let mut recording = None;
+    if let Some(plan) = &charter.recording {
+        let workloads = launch.workloads.iter().map(|w| w.name.clone()).collect();
+        let groups = launch.known.entries.iter().map(|e| e.group.clone()).collect();
+        let (tape, thread) = recorder::begin(plan, workloads, groups, clock.now(), &counters, &log)?;
+        (desk.tape, recording) = (Some(tape), Some(thread));
+    }
     operators.send(Mail::Listed(launch.known));
     if let Some((plan, exchange)) = charter.sessions.as_ref().and_then(|s| Some((s, s.exchange.as_ref()?))) {
         let secrets = plan.read_keys()?.derived(exchange::CONTEXT);
@@ -120,7 +128,10 @@
             }
         }
     }
-    match carried.join() {
+    let ended = carried.join();
+    // The desk has gone, and its tape with it: what was recorded is whole.
+    recording.map(thread::JoinHandle::join);
+    match ended {
         Ok(carried) => carried.map_err(|e| format!("readiness: {e}")),
         Err(_) => Err("the carrier's thread has ended".to_string()),
     }
--- /dev/null
+++ b/crates/sandstile-virtual/src/mind.rs
@@ -0,0 +1,369 @@
+//! One router of the model: its connections, the executions on them, and what decides. The module decides here as it
+//! does behind sockets; `Mind::direct` decides nothing and asks the primary, as clients without a router would.
+use sandstile_fleet::event::{Answer, Ask, Input};
+use sandstile_policy::policy::Instance;
+use sandstile_policy::terms::{Arrival, Decision, Member, Note, Verdict};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What a client wants; `key` is its own name for it.
+#[derive(Clone, Debug)]
+pub struct Wanted {
+    pub key: u64,
+    pub workload: usize,
+    pub group: usize,
+    pub session: usize,
+    /// Seconds that it waits.
+    pub wait: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Final {
+    Completed,
+    /// With the seconds after which to come again, 0 for none.
+    Rejected(f64),
+    Aborted,
+}
+
+/// What a router does to the world; connections are named by the world.
+#[derive(Debug)]
+pub enum Act {
+    Dial { conn: u64, host: usize, until: f64 },
+    Say { conn: u64, input: Input, until: f64 },
+    Leave(u64),
+    Answer { key: u64, answer: Final },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Job {
+    /// `None` for a probe.
+    which: Option<(u64, usize)>,
+    until: f64,
+}
+
+enum Doing {
+    Rising(Job),
+    Idle,
+    Busy(Job),
+}
+
+struct Conn {
+    host: usize,
+    doing: Doing,
+}
+
+struct Open {
+    wanted: Wanted,
+    answered: bool,
+    hosts: Vec<usize>,
+}
+
+enum Decider {
+    Module(Box<Instance>),
+    /// The primary of each group, as known from the start.
+    Direct(Vec<usize>),
+}
+
+pub struct Mind {
+    decider: Decider,
+    conns: BTreeMap<u64, Conn>,
+    /// Idle connections of each host, the latest used last.
+    idle: BTreeMap<usize, Vec<u64>>,
+    open: BTreeMap<u64, Open>,
+    next: u64,
+    /// Statements that may be over.
+    ending: BTreeSet<u64>,
+    acts: Vec<Act>,
+    /// Names of connections come from here, each used once.
+    conns_made: u64,
+    /// Keeps the names of two routers' connections apart.
+    stride: u64,
+    dial_limit: f64,
+    /// Executions sent.
+    pub sent: u64,
+    pub probes: u64,
+}
+
+impl Mind {
+    /// A router with the module. `number` of so many routers.
+    pub fn module(policy: Instance, number: u64, of: u64, dial_limit: f64) -> Self {
+        Mind::new(Decider::Module(Box::new(policy)), number, of, dial_limit)
+    }
+
+    /// Clients that hold connections to the primaries themselves.
+    pub fn direct(primaries: Vec<usize>, number: u64, of: u64) -> Self {
+        Mind::new(Decider::Direct(primaries), number, of, 60.0)
+    }
+
+    fn new(decider: Decider, number: u64, of: u64, dial_limit: f64) -> Self {
+        Mind {
+            decider,
+            conns: BTreeMap::new(),
+            idle: BTreeMap::new(),
+            open: BTreeMap::new(),
+            next: 0,
+            ending: BTreeSet::new(),
+            acts: Vec::new(),
+            conns_made: number,
+            stride: of,
+            dial_limit,
+            sent: 0,
+            probes: 0,
+        }
+    }
+
+    pub fn acts(&mut self) -> Vec<Act> {
+        std::mem::take(&mut self.acts)
+    }
+
+    /// Whether this connection is one of its own that is still there.
+    pub fn has(&self, conn: u64) -> bool {
+        self.conns.contains_key(&conn)
+    }
+
+    pub fn listed(&mut self, now: f64, list: &[Member]) {
+        if let Decider::Module(policy) = &mut self.decider {
+            policy.members(now, list);
+        }
+        self.decide(now);
+    }
+
+    pub fn arrived(&mut self, now: f64, wanted: Wanted) {
+        let stmt = self.next;
+        self.next += 1;
+        let open = Open { wanted: wanted.clone(), answered: false, hosts: Vec::new() };
+        self.open.insert(stmt, open);
+        let direct = match &mut self.decider {
+            Decider::Module(policy) => {
+                let arrival = Arrival {
+                    workload: wanted.workload,
+                    group: wanted.group,
+                    session: Some(wanted.session),
+                    time_left: wanted.wait,
+                    token_age: None,
+                    retry: false,
+                    reach: None,
+                };
+                policy.arrived(now, stmt, &arrival);
+                None
+            }
+            Decider::Direct(primaries) => Some(primaries[wanted.group]),
+        };
+        if let Some(host) = direct {
+            self.send(host, stmt, now + wanted.wait);
+        }
+        self.decide(now);
+    }
+
+    pub fn wake(&self) -> Option<f64> {
+        match &self.decider {
+            Decider::Module(policy) => policy.wake_at(),
+            Decider::Direct(_) => None,
+        }
+    }
+
+    /// The time that it wanted to look again has come.
+    pub fn woken(&mut self, now: f64) {
+        self.decide(now);
+    }
+
+    fn send(&mut self, host: usize, stmt: u64, until: f64) {
+        let Some(open) = self.open.get_mut(&stmt) else { return };
+        let execution = open.hosts.len();
+        open.hosts.push(host);
+        self.sent += 1;
+        self.begin(host, Job { which: Some((stmt, execution)), until });
+    }
+
+    fn begin(&mut self, host: usize, job: Job) {
+        if let Some(conn) = self.idle.get_mut(&host).and_then(Vec::pop) {
+            return self.say(conn, job);
+        }
+        self.conns_made += self.stride;
+        let conn = self.conns_made;
+        self.conns.insert(conn, Conn { host, doing: Doing::Rising(job) });
+        self.acts.push(Act::Dial { conn, host, until: self.dial_limit });
+    }
+
+    fn say(&mut self, conn: u64, job: Job) {
+        let input = match job.which {
+            None => Input::Report,
+            Some((stmt, _)) => {
+                let wanted = &self.open[&stmt].wanted;
+                Input::Statement(Ask {
+                    id: format!("{}-{stmt}", conn % self.stride),
+                    workload: wanted.workload,
+                    wait: wanted.wait,
+                    after: None,
+                    session: Some(format!("u{}", wanted.session)),
+                })
+            }
+        };
+        self.conns.get_mut(&conn).expect("its own").doing = Doing::Busy(job);
+        self.acts.push(Act::Say { conn, input, until: job.until });
+    }
+
+    /// The host admits it.
+    pub fn greeted(&mut self, now: f64, conn: u64) {
+        let Some(c) = self.conns.get_mut(&conn) else { return };
+        if let Doing::Rising(job) = c.doing {
+            if now >= job.until || !self.wants(job) {
+                self.rest(conn);
+                self.over(now, conn, job, Verdict::Moot, Note::default());
+            } else {
+                self.say(conn, job);
+            }
+        }
+        self.decide(now);
+    }
+
+    /// Whether a job is still wanted: its statement may have been answered while it was dialled for.
+    fn wants(&self, job: Job) -> bool {
+        job.which.is_none_or(|(stmt, _)| self.open.get(&stmt).is_some_and(|open| !open.answered))
+    }
+
+    fn rest(&mut self, conn: u64) {
+        let c = self.conns.get_mut(&conn).expect("its own");
+        c.doing = Doing::Idle;
+        self.idle.entry(c.host).or_default().push(conn);
+    }
+
+    /// The connection is no more, by whoever's doing.
+    pub fn lost(&mut self, now: f64, conn: u64, rising: Verdict, busy: Verdict) {
+        let Some(c) = self.conns.remove(&conn) else { return };
+        match c.doing {
+            Doing::Idle => {
+                if let Some(idle) = self.idle.get_mut(&c.host) {
+                    idle.retain(|other| *other != conn);
+                }
+            }
+            Doing::Rising(job) => self.told(now, c.host, job, rising, Note::default()),
+            Doing::Busy(job) => self.told(now, c.host, job, busy, Note::default()),
+        }
+        self.decide(now);
+    }
+
+    pub fn answered(&mut self, now: f64, conn: u64, answer: &Answer) {
+        let Some(c) = self.conns.get(&conn) else { return };
+        let Doing::Busy(job) = c.doing else { return };
+        let noted = |primary: bool, position: f64| Note { position: Some(position), primary: Some(primary) };
+        let (verdict, note) = match answer {
+            Answer::Row { primary, position, .. } => (Verdict::Completed, noted(*primary, *position)),
+            Answer::Report { primary, position, .. } => (Verdict::Completed, noted(*primary, *position)),
+            Answer::Error { code, primary, position, .. } => {
+                let verdict = match *code {
+                    "25006" | "72000" => Verdict::Miss,
+                    "53300" => Verdict::Full,
+                    _ => Verdict::Error,
+                };
+                (verdict, noted(*primary, *position))
+            }
+            Answer::Spoilt { .. } => (Verdict::Spoilt, Note::default()),
+        };
+        if verdict == Verdict::Spoilt {
+            let host = c.host;
+            self.conns.remove(&conn);
+            self.acts.push(Act::Leave(conn));
+            self.told(now, host, job, verdict, note);
+        } else {
+            self.rest(conn);
+            self.over(now, conn, job, verdict, note);
+        }
+        self.decide(now);
+    }
+
+    fn over(&mut self, now: f64, conn: u64, job: Job, verdict: Verdict, note: Note) {
+        let host = self.conns[&conn].host;
+        self.told(now, host, job, verdict, note);
+    }
+
+    fn told(&mut self, now: f64, host: usize, job: Job, verdict: Verdict, note: Note) {
+        let Some((stmt, execution)) = job.which else {
+            if let Decider::Module(policy) = &mut self.decider {
+                policy.probed(now, host, verdict == Verdict::Completed, note);
+            }
+            return;
+        };
+        let Some(open) = self.open.get_mut(&stmt) else { return };
+        if verdict == Verdict::Completed && !open.answered {
+            open.answered = true;
+            self.acts.push(Act::Answer { key: open.wanted.key, answer: Final::Completed });
+        }
+        let over = open.answered;
+        self.ending.insert(stmt);
+        match &mut self.decider {
+            Decider::Module(policy) => policy.ended(now, stmt, execution, verdict, over, note),
+            Decider::Direct(_) => self.give(stmt, Final::Aborted),
+        }
+    }
+
+    /// A connection's time is up: a dial that never came up, an execution that was not answered.
+    pub fn timed_out(&mut self, now: f64, conn: u64, at: f64) {
+        let Some(c) = self.conns.get(&conn) else { return };
+        let (rising, busy) = match c.doing {
+            Doing::Rising(_) => (Verdict::ConnectFailed, Verdict::Moot),
+            Doing::Busy(job) if job.until <= at => (Verdict::Moot, Verdict::TimedOut),
+            // The alarm of a job that was answered long ago.
+            _ => return,
+        };
+        self.acts.push(Act::Leave(conn));
+        self.lost(now, conn, rising, busy);
+    }
+
+    fn give(&mut self, stmt: u64, answer: Final) {
+        if let Some(open) = self.open.get_mut(&stmt).filter(|open| !open.answered) {
+            open.answered = true;
+            self.acts.push(Act::Answer { key: open.wanted.key, answer });
+        }
+        self.ending.insert(stmt);
+    }
+
+    fn decide(&mut self, now: f64) {
+        let mut decisions = Vec::new();
+        if let Decider::Module(policy) = &mut self.decider {
+            policy.passed(now);
+            decisions.extend(std::iter::from_fn(|| policy.decide()));
+        }
+        for decision in decisions {
+            match decision {
+                Decision::Send { stmt, host, time_out } => self.send(host, stmt, now + time_out),
+                Decision::Reject { stmt, return_after } => self.give(stmt, Final::Rejected(return_after)),
+                Decision::Abort { stmt } => self.give(stmt, Final::Aborted),
+                Decision::Recall { stmt, execution } => self.recall(now, (stmt, execution)),
+                Decision::Probe { host } => {
+                    self.probes += 1;
+                    self.begin(host, Job { which: None, until: now + self.dial_limit });
+                }
+                Decision::Log(_) | Decision::Subscribe => {}
+            }
+        }
+        for stmt in std::mem::take(&mut self.ending) {
+            let holds = match &self.decider {
+                Decider::Module(policy) => policy.holds(stmt),
+                Decider::Direct(_) => false,
+            };
+            if !holds {
+                self.open.remove(&stmt);
+            }
+        }
+    }
+
+    fn recall(&mut self, now: f64, which: (u64, usize)) {
+        let under = self.conns.iter().find(
+            |(_, c)| matches!(c.doing, Doing::Rising(job) | Doing::Busy(job) if job.which == Some(which)),
+        );
+        let Some((&conn, _)) = under else { return };
+        self.acts.push(Act::Leave(conn));
+        let c = self.conns.remove(&conn).expect("found just now");
+        let (job, verdict) = match c.doing {
+            Doing::Rising(job) => (job, Verdict::Moot),
+            Doing::Busy(job) => (job, Verdict::Cancelled),
+            Doing::Idle => return,
+        };
+        self.told(now, c.host, job, verdict, Note::default());
+    }
+
+    /// Statements that are not over.
+    pub fn open(&self) -> usize {
+        self.open.len()
+    }
+}
--- /dev/null
+++ b/crates/sandstile-virtual/src/world.rs
@@ -0,0 +1,255 @@
+//! The one clock: what happens next, in the model, at a router or at a client, and to whom it is told.
+use crate::mind::{Act, Final, Mind, Wanted};
+use crate::EPOCH;
+use sandstile_fleet::event::{Event, Input, Output, Readiness as Listed};
+use sandstile_fleet::Fleet;
+use sandstile_policy::terms::{Member, Readiness, Verdict};
+use sandstile_timers::Heap;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Who asks. Times are those of the world's clock.
+pub trait Clients {
+    /// When somebody wants to ask next; infinite where nobody does.
+    fn next(&self) -> f64;
+    /// What is asked at `now`, each with the router that it goes to.
+    fn due(&mut self, now: f64) -> Vec<(usize, Wanted)>;
+    fn answered(&mut self, now: f64, key: u64, answer: Final);
+}
+
+enum Alarm {
+    /// A connection's time is up.
+    Conn { router: usize, conn: u64 },
+    /// Every router hears of a change of the list.
+    Told(Vec<Member>),
+}
+
+pub struct World {
+    pub fleet: Fleet,
+    pub minds: Vec<Mind>,
+    alarms: Heap<Alarm>,
+    now: f64,
+    /// Whose connection it is.
+    owners: BTreeMap<u64, usize>,
+    by_host: BTreeMap<usize, BTreeSet<u64>>,
+    /// Hosts that refuse new connections, and those that say nothing.
+    down: BTreeSet<usize>,
+    silent: BTreeSet<usize>,
+    /// Seconds until a change of the list is told.
+    list_late: f64,
+    /// Looks at all that happens inside the model.
+    pub watch: Option<Box<dyn FnMut(f64, &Event)>>,
+}
+
+impl World {
+    pub fn new(fleet: Fleet, minds: Vec<Mind>, list_late: f64) -> Self {
+        let mut world = World {
+            fleet,
+            minds,
+            alarms: Heap::default(),
+            now: EPOCH,
+            owners: BTreeMap::new(),
+            by_host: BTreeMap::new(),
+            down: BTreeSet::new(),
+            silent: BTreeSet::new(),
+            list_late,
+            watch: None,
+        };
+        let list = world.list();
+        for router in 0..world.minds.len() {
+            world.minds[router].listed(EPOCH, &list);
+            world.act(router);
+        }
+        world
+    }
+
+    pub fn now(&self) -> f64 {
+        self.now
+    }
+
+    fn list(&self) -> Vec<Member> {
+        (0..self.fleet.hosts())
+            .filter_map(|host| {
+                let listing = self.fleet.listing(host);
+                let group = self.fleet.plan().groups.iter().position(|g| g.name == listing.group)?;
+                let readiness = match listing.readiness {
+                    Listed::Active => Readiness::Active,
+                    Listed::Leaving => Readiness::Draining,
+                    Listed::Left => Readiness::Gone,
+                };
+                Some(Member {
+                    host,
+                    group,
+                    zone: 0,
+                    primary: listing.primary,
+                    since: listing.since,
+                    readiness,
+                })
+            })
+            .collect()
+    }
+
+    /// Plays until this time of the world's clock.
+    pub fn play(&mut self, clients: &mut dyn Clients, until: f64) {
+        loop {
+            let wake = self.minds.iter().filter_map(Mind::wake).fold(f64::INFINITY, f64::min);
+            let model = self.fleet.next_wake().unwrap_or(f64::INFINITY);
+            let alarm = self.alarms.earliest().unwrap_or(f64::INFINITY);
+            // The decisions look no more often than behind sockets.
+            let at = wake.max(self.now + 0.001).min(model).min(alarm).min(clients.next());
+            if at > until {
+                self.now = until;
+                return;
+            }
+            self.now = self.now.max(at);
+            let now = self.now;
+            self.fleet.advance(now);
+            self.heard(clients);
+            while let Some((at, alarm)) = self.alarms.pop(now) {
+                match alarm {
+                    Alarm::Conn { router, conn } => self.minds[router].timed_out(now, conn, at),
+                    Alarm::Told(list) => self.minds.iter_mut().for_each(|mind| mind.listed(now, &list)),
+                }
+            }
+            for (router, wanted) in clients.due(now) {
+                self.minds[router].arrived(now, wanted);
+            }
+            for mind in &mut self.minds {
+                if mind.wake().is_some_and(|at| at <= now) {
+                    mind.woken(now);
+                }
+            }
+            self.settle(clients);
+        }
+    }
+
+    /// Until nothing follows any more at this time.
+    fn settle(&mut self, clients: &mut dyn Clients) {
+        loop {
+            let mut acted = false;
+            for router in 0..self.minds.len() {
+                for (key, answer) in self.act(router) {
+                    clients.answered(self.now, key, answer);
+                    acted = true;
+                }
+            }
+            if !self.heard(clients) && !acted {
+                return;
+            }
+        }
+    }
+
+    /// Does what a router wants done; yields its final answers.
+    fn act(&mut self, router: usize) -> Vec<(u64, Final)> {
+        let (now, mut answers) = (self.now, Vec::new());
+        loop {
+            let acts = self.minds[router].acts();
+            if acts.is_empty() {
+                return answers;
+            }
+            for act in acts {
+                match act {
+                    Act::Dial { conn, host, until } => {
+                        if self.down.contains(&host) {
+                            let refused = Verdict::ConnectFailed;
+                            self.minds[router].lost(now, conn, refused, refused);
+                            continue;
+                        }
+                        self.alarms.push(now + until, Alarm::Conn { router, conn });
+                        if !self.silent.contains(&host) {
+                            self.owners.insert(conn, router);
+                            self.by_host.entry(host).or_default().insert(conn);
+                            self.fleet.input(now, conn, Input::Connect { host });
+                        }
+                    }
+                    Act::Say { conn, input, until } => {
+                        self.alarms.push(until, Alarm::Conn { router, conn });
+                        self.fleet.input(now, conn, input);
+                    }
+                    Act::Leave(conn) => {
+                        self.fleet.input(now, conn, Input::Closed);
+                        self.forget(conn);
+                    }
+                    Act::Answer { key, answer } => answers.push((key, answer)),
+                }
+            }
+        }
+    }
+
+    fn forget(&mut self, conn: u64) {
+        self.owners.remove(&conn);
+        self.by_host.values_mut().for_each(|conns| {
+            conns.remove(&conn);
+        });
+    }
+
+    /// Tells the routers what came out of the model; `false` where nothing did.
+    fn heard(&mut self, clients: &mut dyn Clients) -> bool {
+        let mut any = false;
+        while let Some((at, event)) = self.fleet.observed() {
+            if let Some(watch) = &mut self.watch {
+                watch(at, &event);
+            }
+        }
+        while let Some((_, output)) = self.fleet.output() {
+            any = true;
+            let now = self.now;
+            match output {
+                Output::Greet { conn } => {
+                    if let Some(&router) = self.owners.get(&conn) {
+                        self.minds[router].greeted(now, conn);
+                    }
+                }
+                Output::TurnAway { conn, .. } => self.drop_conn(conn, Verdict::Full, Verdict::Full),
+                Output::Answer { conn, answer } => {
+                    if let Some(&router) = self.owners.get(&conn) {
+                        self.minds[router].answered(now, conn, &answer);
+                    }
+                }
+                Output::Close { conn } => self.drop_conn(conn, Verdict::ConnectFailed, Verdict::Spoilt),
+                Output::Down { host } => {
+                    self.down.insert(host);
+                    self.silent.remove(&host);
+                    self.reset(host);
+                }
+                Output::Silent { host } => {
+                    self.silent.insert(host);
+                }
+                Output::Refuse { host } => {
+                    self.down.insert(host);
+                }
+                Output::Up { host } => {
+                    self.down.remove(&host);
+                    if self.silent.remove(&host) {
+                        self.reset(host);
+                    }
+                }
+                Output::Admit { host } => {
+                    self.down.remove(&host);
+                }
+                Output::Born { .. } => {}
+                Output::List { .. } => {
+                    let list = self.list();
+                    self.alarms.push(now + self.list_late, Alarm::Told(list));
+                }
+            }
+            for router in 0..self.minds.len() {
+                for (key, answer) in self.act(router) {
+                    clients.answered(self.now, key, answer);
+                }
+            }
+        }
+        any
+    }
+
+    fn drop_conn(&mut self, conn: u64, rising: Verdict, busy: Verdict) {
+        let Some(&router) = self.owners.get(&conn) else { return };
+        self.forget(conn);
+        self.minds[router].lost(self.now, conn, rising, busy);
+    }
+
+    fn reset(&mut self, host: usize) {
+        for conn in self.by_host.remove(&host).unwrap_or_default() {
+            self.drop_conn(conn, Verdict::ConnectFailed, Verdict::Reset);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sandstile-virtual/tests/world.rs
@@ -0,0 +1,183 @@
+//! The deployment in virtual time against what can be reckoned, and against what must never happen.
+use sandstile_fleet::event::Event;
+use sandstile_fleet::plan::*;
+use sandstile_fleet::{Fault, Fleet, Kind, Target};
+use sandstile_policy::policy::Instance;
+use sandstile_policy::terms::{self, DedupScope, Terms};
+use sandstile_virtual::{Mind, Workers, World, EPOCH};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+fn plan(groups: usize, satellites: usize, cores: usize, seed: u64) -> Plan {
+    let kind = |name: &str| MachineKind {
+        cores: vec![1.0; cores],
+        queue: 100_000,
+        connections: 100_000,
+        idle_s: 3600.0,
+        setup_work: 0.0,
+        ..MachineKind::standard(name)
+    };
+    let node = |name: String, kind| Node { name, zone: String::new(), kind };
+    let mut nodes = vec![node("master".to_string(), 0)];
+    nodes.extend((0..satellites).map(|n| node(format!("satellite-{n}"), 1)));
+    let groups = (0..groups)
+        .map(|g| Group {
+            name: format!("db{g}"),
+            nodes: std::iter::once(0).chain((satellites > 0).then(|| 1 + g % satellites.max(1))).collect(),
+            ship_s: 0.001,
+            apply: Work::Fixed(0.0005),
+            detect_s: 1.0,
+            elect_s: 0.5,
+            hold_s: 0.0,
+            dedup_s: 0.0,
+        })
+        .collect();
+    let workload = |name: &str, consistency, effect, work| Workload {
+        name: name.to_string(),
+        effect,
+        consistency,
+        bound_s: 0.0,
+        work,
+        value_bytes: 100,
+    };
+    Plan {
+        seed,
+        kinds: vec![kind("master"), kind("satellite")],
+        nodes,
+        groups,
+        workloads: vec![
+            workload("read", Consistency::Any, Effect::Idempotent, Work::Exponential(0.008)),
+            workload("write", Consistency::Write, Effect::NonIdempotent, Work::Exponential(0.004)),
+        ],
+        tokens: Tokens::Remembered,
+        guarded: true,
+    }
+}
+
+fn terms(routers: usize) -> Terms {
+    let workload = |consistency, effect| terms::Workload {
+        slo: 4.0,
+        timeout: 20.0,
+        importance: 1.0,
+        late_share: 0.5,
+        effect,
+        scope: DedupScope::Group,
+        window: 0.0,
+        consistency,
+        bound: 0.0,
+    };
+    Terms {
+        workloads: vec![
+            workload(terms::Consistency::Any, terms::Effect::Idempotent),
+            workload(terms::Consistency::Write, terms::Effect::NonIdempotent),
+        ],
+        tick: 0.001,
+        routers,
+        most_executions: 4,
+        may_recall: true,
+        may_probe: true,
+        max_return: 1.0,
+        idle_close: 3600.0,
+        cold_multiple: 4.0,
+        checked: true,
+        stamped: true,
+        tokens_remembered: true,
+        ..Terms::default()
+    }
+}
+
+fn world(plan: Plan, routers: u64, direct: bool) -> World {
+    let seed = plan.seed;
+    let fleet = Fleet::new(plan, EPOCH);
+    let groups = fleet.plan().groups.len();
+    let minds = (0..routers)
+        .map(|n| match direct {
+            true => {
+                let primaries = (0..groups).map(|g| fleet.primary_of(g).expect("a primary")).collect();
+                Mind::direct(primaries, n, routers)
+            }
+            false => Mind::module(Instance::new(&terms(routers as usize), seed + n, EPOCH), n, routers, 1.0),
+        })
+        .collect();
+    World::new(fleet, minds, 0.5)
+}
+
+fn workers(count: usize, groups: usize, routers: usize) -> Workers {
+    Workers::new(3, count, groups, routers, 0.2, 20.0, EPOCH, EPOCH + 10.0, 30.0)
+}
+
+/// A saturated closed loop does what its cores can do, and each worker waits its share (Little's law).
+#[test]
+fn a_master_alone_saturates_where_its_cores_do() {
+    let mut world = world(plan(100, 0, 2, 1), 1, true);
+    let mut workers = workers(300, 100, 1);
+    world.play(&mut workers, EPOCH + 40.0);
+    let (rate, mean) = (workers.tally.rate(), workers.tally.mean_ms() / 1e3);
+    let expected = 2.0 / (0.8 * 0.008 + 0.2 * 0.004);
+    assert!((rate / expected - 1.0).abs() < 0.03, "{rate} of {expected} a second");
+    assert!((rate * mean / 300.0 - 1.0).abs() < 0.03, "Little: {rate} x {mean}");
+    assert_eq!((workers.tally.rejected, workers.tally.aborted), (0, 0));
+}
+
+/// Reads move to the satellites, and the master is left with the writes.
+#[test]
+fn satellites_take_the_reads() {
+    let mut alone = world(plan(100, 0, 2, 1), 1, false);
+    let mut few = workers(300, 100, 1);
+    alone.play(&mut few, EPOCH + 40.0);
+    let mut farm = world(plan(100, 10, 2, 1), 1, false);
+    let mut many = workers(300, 100, 1);
+    farm.play(&mut many, EPOCH + 40.0);
+    assert!(many.tally.rate() > 3.0 * few.tally.rate(), "{} {}", many.tally.rate(), few.tally.rate());
+    assert!(many.tally.at_ms(0.9) < few.tally.at_ms(0.9));
+}
+
+/// The same seed plays the same hour.
+#[test]
+fn a_seed_plays_the_same_again() {
+    let play = || {
+        let mut world = world(plan(20, 4, 1, 9), 3, false);
+        let mut workers = workers(60, 20, 3);
+        world.play(&mut workers, EPOCH + 20.0);
+        let sent: Vec<u64> = world.minds.iter().map(|m| m.sent).collect();
+        (workers.tally.completed, workers.tally.took.value_at_quantile(0.99), sent)
+    };
+    assert_eq!(play(), play());
+}
+
+/// Hosts die, vanish, pause and return under the load: each statement has one answer, none is left over, and no write
+/// runs twice.
+#[test]
+fn deaths_leave_no_statement_without_its_answer() {
+    let mut hurt = 0;
+    for seed in 0..6 {
+        let mut world = world(plan(12, 4, 2, seed), 2, false);
+        let ran: Rc<RefCell<BTreeMap<String, usize>>> = Rc::default();
+        let seen = ran.clone();
+        world.watch = Some(Box::new(move |_, event| {
+            if let Event::Ran { id, commit: Some(_), .. } = event {
+                *seen.borrow_mut().entry(id.clone()).or_default() += 1;
+            }
+        }));
+        let mut workers = Workers::new(seed, 80, 12, 2, 0.3, 3.0, EPOCH, EPOCH, 20.0);
+        let mut at = EPOCH;
+        for n in 0..12 {
+            at += 1.0;
+            world.play(&mut workers, at);
+            let host = (seed as usize * 5 + n * 3) % world.fleet.hosts();
+            let kind = [Kind::Crash, Kind::Pause, Kind::Lost, Kind::FastErrors(0.5)][n % 4].clone();
+            let target = Target::Host(world.fleet.listing(host).name);
+            world.fleet.begin(at, Fault { kind, target, lasts: 0.8 });
+        }
+        world.play(&mut workers, EPOCH + 20.0);
+        let t = &workers.tally;
+        hurt += t.aborted + t.rejected;
+        assert!(t.completed > 2_000, "{} {} {}", t.completed, t.rejected, t.aborted);
+        assert_eq!(workers.out(), 80 - workers.waiting(), "every worker has one out or waits to ask");
+        assert!(ran.borrow().len() > 500);
+        let twice: Vec<_> = ran.borrow().iter().filter(|(_, n)| **n > 1).map(|(id, _)| id.clone()).collect();
+        assert!(twice.is_empty(), "seed {seed}: {twice:?}");
+    }
+    assert!(hurt > 0, "faults that struck nobody");
+}
--- a/deploy/sessions.hcl
+++ b/deploy/sessions.hcl
@@ -29,3 +29,10 @@
   #   peers  = ["10.0.0.5:7432", "10.0.0.6:7432"]
   # }
 }
+
+# Who asked what kind of thing when, for models and rehearsals; no literal, no name of a session. The recording ends at
+# its most, and is never written over.
+# recording {
+#   file    = "/var/lib/sandstile/evening.rec"
+#   most_mb = 256
+# }
