--- /dev/null
+++ b/crates/sandstile-relay/examples/cost.rs
@@ -0,0 +1,48 @@
+//! What a relay costs where no fault stands: round trips of a small statement and its answer with and without one, one
+//! at a time, in microseconds. `cargo run --release -p sandstile-relay --example cost`
+use sandstile_faults::End;
+use sandstile_relay::Relay;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread;
+use std::time::Instant;
+
+const ROUNDS: usize = 20_000;
+
+fn measure(at: SocketAddr) -> (f64, f64) {
+    let mut stream = TcpStream::connect(at).expect("it listens");
+    stream.set_nodelay(true).expect("a socket");
+    let mut took: Vec<f64> = Vec::with_capacity(ROUNDS);
+    let (ask, mut answer) = ([1; 200], [0; 200]);
+    for _ in 0..ROUNDS {
+        let start = Instant::now();
+        stream.write_all(&ask).expect("it reads");
+        stream.read_exact(&mut answer).expect("it answers");
+        took.push(start.elapsed().as_secs_f64() * 1e6);
+    }
+    took.sort_by(f64::total_cmp);
+    (took[ROUNDS / 2], took[ROUNDS * 99 / 100])
+}
+
+fn main() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a socket");
+    let target = listener.local_addr().expect("a socket");
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || {
+                let mut stream = stream;
+                let _ = stream.set_nodelay(true);
+                let mut bytes = [0; 200];
+                while stream.read_exact(&mut bytes).is_ok() && stream.write_all(&bytes).is_ok() {}
+            });
+        }
+    });
+    let relay = Relay::start(1).expect("a loop");
+    let free = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a socket");
+    relay.stream(End::Router(0), End::Clients, free, target).expect("it listens");
+    println!("| | p50 us | p99 us |\n| --- | --- | --- |");
+    for (name, at) in [("direct", target), ("over a relay", free)] {
+        let (p50, p99) = measure(at);
+        println!("| {name} | {p50:.0} | {p99:.0} |");
+    }
+}
--- /dev/null
+++ b/crates/sandstile-relay/src/carry.rs
@@ -0,0 +1,475 @@
+//! The loop that holds all relays.
+use crate::{Side, Summary};
+use crossbeam_channel::Receiver;
+use hdrhistogram::Histogram;
+use mio::net::{TcpListener, TcpStream, UdpSocket};
+use mio::{Events, Interest, Poll, Token};
+use sandstile_faults::weather::Where;
+use sandstile_faults::{Datagrams, End, Lane, Net, Strike, Weather};
+use socket2::SockRef;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr};
+use std::time::{Duration, Instant};
+
+pub(crate) enum Command {
+    Stream { from: End, to: End, listener: std::net::TcpListener, target: SocketAddr },
+    Datagrams { sides: Box<[Side; 2]>, sockets: [std::net::UdpSocket; 2] },
+    Begin(usize, Where, Strike),
+    Heal(usize),
+    Stop,
+}
+
+struct Route {
+    from: End,
+    to: End,
+    listener: TcpListener,
+    target: SocketAddr,
+}
+
+/// One socket of a stream's two, and what goes on over it.
+struct Half {
+    socket: Option<TcpStream>,
+    up: bool,
+    /// What comes from the other half on its way to this socket.
+    lane: Lane,
+    /// Bytes that the platform has not taken yet.
+    out: Vec<u8>,
+    sent: usize,
+    /// The other half has ended: so does this one, once all is written.
+    ends: Option<Ends>,
+    /// It has no more to say; how it ended.
+    heard_end: bool,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Ends {
+    Whole,
+    Reset,
+}
+
+struct Stream {
+    route: usize,
+    /// The one that dialled, and the one that is dialled: 0 and 1.
+    halves: [Half; 2],
+    /// What holds on the way to each half.
+    weather: [Weather; 2],
+}
+
+struct Pair {
+    sides: [Side; 2],
+    sockets: [UdpSocket; 2],
+    /// On their way to each side.
+    ways: [Datagrams; 2],
+    weather: [Weather; 2],
+}
+
+#[derive(Clone, Copy)]
+enum Place {
+    Route(usize),
+    Half(usize, usize),
+    Pair(usize, usize),
+}
+
+pub(crate) struct Carry {
+    poll: Poll,
+    seed: u64,
+    start: Instant,
+    net: Net,
+    routes: Vec<Route>,
+    streams: BTreeMap<usize, Stream>,
+    pairs: Vec<Pair>,
+    places: BTreeMap<usize, Place>,
+    next: usize,
+    /// When a stream, or a pair (behind `PAIRS`), has something that arrives; in nanoseconds, some long past.
+    due: BinaryHeap<Reverse<(u64, usize)>>,
+    summary: Summary,
+}
+
+const PAIRS: usize = usize::MAX / 2;
+const PIECE: usize = 16 * 1024;
+/// Pieces of one socket before the others have their turn.
+const TURN: usize = 8;
+
+impl Carry {
+    pub fn new(poll: Poll, seed: u64) -> Carry {
+        let late_us = Histogram::new_with_bounds(1, 60_000_000, 3).expect("usable bounds");
+        let summary = Summary { streams: 0, bytes: 0, datagrams: 0, lost: 0, reset: 0, late_us };
+        Carry {
+            poll,
+            seed,
+            start: Instant::now(),
+            net: Net::default(),
+            routes: Vec::new(),
+            streams: BTreeMap::new(),
+            pairs: Vec::new(),
+            places: BTreeMap::new(),
+            next: 1,
+            due: BinaryHeap::new(),
+            summary,
+        }
+    }
+
+    fn now(&self) -> f64 {
+        self.start.elapsed().as_secs_f64()
+    }
+
+    fn token(&mut self, place: Place) -> Token {
+        let token = self.next;
+        self.next += 1;
+        self.places.insert(token, place);
+        Token(token)
+    }
+
+    fn chance(&mut self) -> u64 {
+        self.seed = self.seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        self.seed
+    }
+
+    pub fn run(mut self, commands: &Receiver<Command>) -> io::Result<Summary> {
+        let mut events = Events::with_capacity(1024);
+        loop {
+            while let Ok(command) = commands.try_recv() {
+                if let Command::Stop = command {
+                    self.summary.lost = self.pairs.iter().flat_map(|p| &p.ways).map(|w| w.lost).sum();
+                    return Ok(self.summary);
+                }
+                self.obey(command)?;
+            }
+            self.arrivals();
+            let sleep = self
+                .due
+                .peek()
+                .map(|Reverse((at, _))| Duration::from_nanos(*at).saturating_sub(self.start.elapsed()));
+            match self.poll.poll(&mut events, sleep) {
+                Err(e) if e.kind() != ErrorKind::Interrupted => return Err(e),
+                _ => {}
+            }
+            for event in &events {
+                match self.places.get(&event.token().0).copied() {
+                    Some(Place::Route(route)) => self.accept(route)?,
+                    Some(Place::Half(stream, half)) => {
+                        if let Some(s) = self.streams.get_mut(&stream) {
+                            if event.is_writable() && !s.halves[half].up {
+                                s.halves[half].rise();
+                            }
+                        }
+                        self.turn(stream);
+                    }
+                    Some(Place::Pair(pair, side)) => self.datagrams(pair, side),
+                    None => {}
+                }
+            }
+        }
+    }
+
+    fn obey(&mut self, command: Command) -> io::Result<()> {
+        match command {
+            Command::Stream { from, to, listener, target } => {
+                let mut listener = TcpListener::from_std(listener);
+                let token = self.token(Place::Route(self.routes.len()));
+                self.poll.registry().register(&mut listener, token, Interest::READABLE)?;
+                self.routes.push(Route { from, to, listener, target });
+                self.accept(self.routes.len() - 1)?;
+            }
+            Command::Datagrams { sides, sockets } => {
+                let pair = self.pairs.len();
+                let mut sockets = sockets.map(UdpSocket::from_std);
+                for (side, socket) in sockets.iter_mut().enumerate() {
+                    let token = self.token(Place::Pair(pair, side));
+                    self.poll.registry().register(socket, token, Interest::READABLE)?;
+                }
+                let ways = [Datagrams::new(self.chance()), Datagrams::new(self.chance())];
+                let weather = self.of_pair(&sides);
+                self.pairs.push(Pair { sides: *sides, sockets, ways, weather });
+                (0..2).for_each(|side| self.datagrams(pair, side));
+            }
+            Command::Begin(number, at, strike) => {
+                self.net.begin(number, at, strike);
+                self.changed();
+            }
+            Command::Heal(number) => {
+                self.net.heal(number);
+                self.changed();
+            }
+            Command::Stop => {}
+        }
+        Ok(())
+    }
+
+    fn of_pair(&self, sides: &[Side; 2]) -> [Weather; 2] {
+        [self.net.weather(&sides[1].end, &sides[0].end), self.net.weather(&sides[0].end, &sides[1].end)]
+    }
+
+    fn of_route(&self, route: usize) -> [Weather; 2] {
+        let Route { from, to, .. } = &self.routes[route];
+        [self.net.weather(to, from), self.net.weather(from, to)]
+    }
+
+    /// The weather is another: each link takes note.
+    fn changed(&mut self) {
+        let now = self.now();
+        let keys: Vec<usize> = self.streams.keys().copied().collect();
+        for key in keys {
+            let Some(s) = self.streams.get(&key) else { continue };
+            let weather = self.of_route(s.route);
+            let Some(s) = self.streams.get_mut(&key) else { continue };
+            for (half, weather) in s.halves.iter_mut().zip(&weather) {
+                half.lane.changed(now, weather);
+            }
+            s.weather = weather;
+            if weather.iter().any(|w| w.reset) {
+                self.summary.reset += 1;
+                self.drop_stream(key, true);
+            } else {
+                self.turn(key);
+            }
+        }
+        for pair in 0..self.pairs.len() {
+            let weather = self.of_pair(&self.pairs[pair].sides);
+            let p = &mut self.pairs[pair];
+            p.weather = weather;
+            p.ways.iter_mut().zip(&weather).for_each(|(way, weather)| way.changed(weather));
+        }
+    }
+
+    fn accept(&mut self, route: usize) -> io::Result<()> {
+        loop {
+            let mut near = match self.routes[route].listener.accept() {
+                Ok((near, _)) => near,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
+                // One that left again, or no descriptor just now.
+                Err(e) if e.kind() == ErrorKind::ConnectionAborted => continue,
+                Err(_) => return Ok(()),
+            };
+            let weather = self.of_route(route);
+            if weather.iter().any(|w| w.reset) {
+                self.summary.reset += 1;
+                let _ = SockRef::from(&near).set_linger(Some(Duration::ZERO));
+                continue;
+            }
+            let _ = near.set_nodelay(true);
+            let key = self.next;
+            self.next += 1;
+            let token = self.token(Place::Half(key, 0));
+            self.poll.registry().register(&mut near, token, Interest::READABLE | Interest::WRITABLE)?;
+            let mut halves = [Half::new(self.chance()), Half::new(self.chance())];
+            (halves[0].socket, halves[0].up) = (Some(near), true);
+            halves.iter_mut().zip(&weather).for_each(|(h, w)| h.lane.changed(0.0, w));
+            self.streams.insert(key, Stream { route, halves, weather });
+            self.summary.streams += 1;
+            self.turn(key);
+        }
+    }
+
+    /// The far side is dialled once nothing keeps a first packet from it.
+    fn dial(&mut self, key: usize) -> io::Result<()> {
+        let Some(s) = self.streams.get(&key) else { return Ok(()) };
+        if s.halves[1].socket.is_some() || s.weather.iter().any(|w| w.cut) {
+            return Ok(());
+        }
+        let mut far = TcpStream::connect(self.routes[s.route].target)?;
+        let token = self.token(Place::Half(key, 1));
+        self.poll.registry().register(&mut far, token, Interest::READABLE | Interest::WRITABLE)?;
+        if let Some(s) = self.streams.get_mut(&key) {
+            s.halves[1].socket = Some(far);
+        }
+        Ok(())
+    }
+
+    /// All that one stream can do now.
+    fn turn(&mut self, key: usize) {
+        let now = self.now();
+        if self.dial(key).is_err() {
+            return self.drop_stream(key, true);
+        }
+        let Some(s) = self.streams.get_mut(&key) else { return };
+        let mut over = false;
+        for from in 0..2 {
+            let to = 1 - from;
+            let weather = s.weather[to];
+            let [near, far] = &mut s.halves;
+            let (one, other) = if from == 0 { (near, far) } else { (far, near) };
+            self.summary.bytes += one.read(now, other, &weather);
+            over |= !other.write(now, weather.cut, &mut self.summary.late_us);
+        }
+        let due = s.halves.iter().filter(|h| h.out.is_empty() && h.up).filter_map(|h| h.lane.next());
+        let due = due.reduce(f64::min);
+        let done = |h: &Half| h.socket.is_none() || (h.heard_end && h.ends.is_none());
+        over |= s.halves[1].socket.is_some() && s.halves.iter().all(done);
+        if over {
+            return self.drop_stream(key, true);
+        }
+        if let Some(at) = due {
+            self.due.push(Reverse(((at.max(now) * 1e9) as u64 + 1, key)));
+        }
+    }
+
+    fn drop_stream(&mut self, key: usize, resets: bool) {
+        let Some(s) = self.streams.remove(&key) else { return };
+        self.places.retain(|_, place| !matches!(place, Place::Half(of, _) if *of == key));
+        for half in s.halves {
+            // One that both have ended in order leaves nothing to reset.
+            if let Some(socket) = half.socket.filter(|_| resets && !half.heard_end) {
+                let _ = SockRef::from(&socket).set_linger(Some(Duration::ZERO));
+            }
+        }
+    }
+
+    fn arrivals(&mut self) {
+        let now = self.start.elapsed().as_nanos() as u64;
+        while let Some(Reverse((at, key))) = self.due.peek().copied() {
+            if at > now {
+                return;
+            }
+            self.due.pop();
+            if key >= PAIRS {
+                self.deliver(key - PAIRS);
+            } else {
+                self.turn(key);
+            }
+        }
+    }
+
+    fn datagrams(&mut self, pair: usize, side: usize) {
+        let now = self.now();
+        let mut bytes = [0; 65_536];
+        let p = &mut self.pairs[pair];
+        loop {
+            match p.sockets[side].recv_from(&mut bytes) {
+                Ok((n, _)) => {
+                    let to = 1 - side;
+                    self.summary.datagrams += 1;
+                    self.summary.bytes += n as u64;
+                    p.ways[to].push(now, &bytes[..n], &p.weather[to]);
+                }
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                // What could not be delivered earlier is told here, too.
+                Err(e) if e.kind() == ErrorKind::ConnectionRefused => {}
+                Err(_) => break,
+            }
+        }
+        self.deliver(pair);
+    }
+
+    fn deliver(&mut self, pair: usize) {
+        let now = self.now();
+        let p = &mut self.pairs[pair];
+        for to in 0..2 {
+            while let Some(bytes) = p.ways[to].pop(now) {
+                // From the address that this side sends to itself, so that it takes it for the other's.
+                let _ = p.sockets[to].send_to(&bytes, p.sides[to].at);
+            }
+        }
+        if let Some(at) = p.ways.iter().filter_map(Datagrams::next).reduce(f64::min) {
+            self.due.push(Reverse(((at * 1e9) as u64 + 1, PAIRS + pair)));
+        }
+    }
+}
+
+impl Half {
+    fn new(seed: u64) -> Half {
+        Half {
+            socket: None,
+            up: false,
+            lane: Lane::new(seed),
+            out: Vec::new(),
+            sent: 0,
+            ends: None,
+            heard_end: false,
+        }
+    }
+
+    /// A dial is up, or it failed: the platform tells by the socket's error.
+    fn rise(&mut self) {
+        let Some(socket) = &self.socket else { return };
+        match socket.take_error() {
+            Ok(None) if socket.peer_addr().is_ok() => {
+                let _ = socket.set_nodelay(true);
+                self.up = true;
+            }
+            Ok(None) => {}
+            _ => {
+                self.up = true;
+                self.heard_end = true;
+                self.socket = None;
+            }
+        }
+    }
+
+    /// Takes what has come and puts it on the way to the other half; yields how much.
+    fn read(&mut self, now: f64, other: &mut Half, weather: &Weather) -> u64 {
+        let mut bytes = [0; PIECE];
+        let mut all = 0;
+        for _ in 0..TURN {
+            let room = other.lane.room().min(PIECE);
+            let Some(socket) = self.socket.as_mut().filter(|_| self.up && !self.heard_end && room > 0) else {
+                break;
+            };
+            match socket.read(&mut bytes[..room]) {
+                Ok(0) => {
+                    self.heard_end = true;
+                    other.ends = Some(Ends::Whole);
+                }
+                Ok(n) => {
+                    all += n as u64;
+                    other.lane.push(now, &bytes[..n], weather);
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => {
+                    self.heard_end = true;
+                    other.ends = Some(Ends::Reset);
+                }
+            }
+        }
+        if self.socket.is_none() && self.up && other.ends.is_none() {
+            other.ends = Some(Ends::Reset);
+        }
+        all
+    }
+
+    /// Writes what has arrived; `false` where the stream is over.
+    fn write(&mut self, now: f64, cut: bool, late_us: &mut Histogram<u64>) -> bool {
+        if !self.up {
+            return true;
+        }
+        loop {
+            if self.out.is_empty() {
+                let due = self.lane.next();
+                match self.lane.pop(now) {
+                    Some(bytes) => {
+                        late_us.saturating_record(((now - due.unwrap_or(now)) * 1e6) as u64);
+                        self.out = bytes;
+                    }
+                    None => break,
+                }
+            }
+            let Some(socket) = &mut self.socket else { return true };
+            match socket.write(&self.out[self.sent..]) {
+                Ok(n) if self.sent + n == self.out.len() => {
+                    self.out.clear();
+                    self.sent = 0;
+                }
+                Ok(n) => self.sent += n,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return true,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                // Its own end is told by what is read from it.
+                Err(_) => return self.ends.is_none(),
+            }
+        }
+        // An end is news as well, and a cut keeps it.
+        match self.ends.filter(|_| self.lane.is_empty() && !cut) {
+            Some(Ends::Whole) => {
+                if let Some(socket) = &self.socket {
+                    let _ = socket.shutdown(Shutdown::Write);
+                }
+                self.ends = None;
+                true
+            }
+            Some(Ends::Reset) => false,
+            None => true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/sandstile-relay/src/lib.rs
@@ -0,0 +1,108 @@
+//! Links between processes that can fail. Whoever is to be told another's address is told a relay's instead; what comes
+//! there goes on as the weather of that link has it. One thread with a readiness loop carries all relays of a rehearsal;
+//! nothing privileged is needed. What the weather does to bytes is decided in `sandstile-faults`; here are only sockets.
+mod carry;
+
+use carry::{Carry, Command};
+use crossbeam_channel::{unbounded, Sender};
+use hdrhistogram::Histogram;
+use mio::{Poll, Token, Waker};
+use sandstile_faults::weather::Where;
+use sandstile_faults::{End, Strike};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+
+/// How the relays did.
+#[derive(Clone, Debug)]
+pub struct Summary {
+    pub streams: u64,
+    pub bytes: u64,
+    pub datagrams: u64,
+    /// Datagrams that a fault or a full queue took.
+    pub lost: u64,
+    /// Connections that a reset ended.
+    pub reset: u64,
+    /// Microseconds by which what was held back came later than it should.
+    pub late_us: Histogram<u64>,
+}
+
+/// One side of a pair that sends datagrams.
+#[derive(Clone, Debug)]
+pub struct Side {
+    pub end: End,
+    /// Where it sends what is for the other.
+    pub sends_to: SocketAddr,
+    /// Where it listens itself.
+    pub at: SocketAddr,
+}
+
+pub struct Relay {
+    commands: Sender<Command>,
+    waker: Arc<Waker>,
+    thread: JoinHandle<io::Result<Summary>>,
+}
+
+const BACKLOG: i32 = 1024;
+
+fn bind(address: SocketAddr, kind: Type, protocol: Protocol) -> io::Result<Socket> {
+    let socket = Socket::new(Domain::for_address(address), kind, Some(protocol))?;
+    if kind == Type::STREAM {
+        socket.set_reuse_address(true)?;
+    }
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    Ok(socket)
+}
+
+impl Relay {
+    /// A loop without any link yet. Chances follow the seed.
+    pub fn start(seed: u64) -> io::Result<Relay> {
+        let poll = Poll::new()?;
+        let waker = Arc::new(Waker::new(poll.registry(), Token(0))?);
+        let (commands, told) = unbounded();
+        let carry = Carry::new(poll, seed);
+        let thread = thread::Builder::new().name("relay".to_string()).spawn(move || carry.run(&told))?;
+        Ok(Relay { commands, waker, thread })
+    }
+
+    fn tell(&self, command: Command) {
+        let _ = self.commands.send(command);
+        let _ = self.waker.wake();
+    }
+
+    /// Connections that come at `listen` go on to `target`. It listens once this returns.
+    pub fn stream(&self, from: End, to: End, listen: SocketAddr, target: SocketAddr) -> io::Result<()> {
+        let socket = bind(listen, Type::STREAM, Protocol::TCP)?;
+        socket.listen(BACKLOG)?;
+        self.tell(Command::Stream { from, to, listener: socket.into(), target });
+        Ok(())
+    }
+
+    /// Datagrams between two: each hears the other from the address that it sends to itself.
+    pub fn datagrams(&self, one: Side, other: Side) -> io::Result<()> {
+        let first = bind(one.sends_to, Type::DGRAM, Protocol::UDP)?;
+        let second = bind(other.sends_to, Type::DGRAM, Protocol::UDP)?;
+        self.tell(Command::Datagrams {
+            sides: Box::new([one, other]),
+            sockets: [first.into(), second.into()],
+        });
+        Ok(())
+    }
+
+    /// A strike begins, under a number of the caller's, and stands until it is healed.
+    pub fn begin(&self, number: usize, at: Where, strike: Strike) {
+        self.tell(Command::Begin(number, at, strike));
+    }
+
+    pub fn heal(&self, number: usize) {
+        self.tell(Command::Heal(number));
+    }
+
+    pub fn stop(self) -> io::Result<Summary> {
+        self.tell(Command::Stop);
+        self.thread.join().expect("the relays' thread does not panic")
+    }
+}
--- /dev/null
+++ b/crates/sandstile-relay/tests/links.rs
@@ -0,0 +1,190 @@
+//! Relays on real sockets of loopback: what a fault does to a link is seen at its ends.
+use sandstile_faults::weather::Where;
+use sandstile_faults::{End, Pick, Strike};
+use sandstile_relay::{Relay, Side};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::thread;
+use std::time::{Duration, Instant};
+
+fn pick(text: &str) -> Pick {
+    Pick::read(text).unwrap()
+}
+
+fn between(one_way: bool) -> Where {
+    Where::Between { from: pick("router:0"), to: pick("agent:0"), one_way }
+}
+
+/// One that says back what it is told, behind a relay.
+fn echo(relay: &Relay) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let target = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let Ok(mut stream) = stream else { return };
+            thread::spawn(move || {
+                let mut bytes = [0; 4096];
+                while let Ok(n) = stream.read(&mut bytes) {
+                    if n == 0 || stream.write_all(&bytes[..n]).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    let free = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    relay.stream(End::Router(0), End::Agent(0), free, target).unwrap();
+    free
+}
+
+fn dial(at: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(at).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    stream
+}
+
+fn told(stream: &mut TcpStream, what: &[u8]) -> Duration {
+    let start = Instant::now();
+    stream.write_all(what).unwrap();
+    let mut back = vec![0; what.len()];
+    stream.read_exact(&mut back).unwrap();
+    assert_eq!(back, what);
+    start.elapsed()
+}
+
+#[test]
+fn fair_weather_carries_all_and_both_ends() {
+    let relay = Relay::start(1).unwrap();
+    let at = echo(&relay);
+    let mut stream = dial(at);
+    let big: Vec<u8> = (0..3_000_000u32).map(|n| (n % 251) as u8).collect();
+    let mut reader = stream.try_clone().unwrap();
+    let want = big.clone();
+    let reads = thread::spawn(move || {
+        let mut got = Vec::new();
+        reader.read_to_end(&mut got).unwrap();
+        assert!(got == want, "{} bytes", got.len());
+    });
+    stream.write_all(&big).unwrap();
+    stream.shutdown(std::net::Shutdown::Write).unwrap();
+    reads.join().unwrap();
+    let summary = relay.stop().unwrap();
+    assert_eq!((summary.streams, summary.bytes), (1, 6_000_000));
+}
+
+#[test]
+fn a_cut_holds_back_and_a_heal_lets_go() {
+    let relay = Relay::start(1).unwrap();
+    let at = echo(&relay);
+    let mut stream = dial(at);
+    told(&mut stream, b"before");
+    relay.begin(1, between(false), Strike::Cut);
+    // The strike is obeyed by the relay's thread: what is written then is held.
+    thread::sleep(Duration::from_millis(50));
+    stream.write_all(b"during").unwrap();
+    stream.set_read_timeout(Some(Duration::from_millis(300))).unwrap();
+    let mut back = [0; 6];
+    let nothing = stream.read(&mut back).unwrap_err();
+    assert!(matches!(nothing.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut), "{nothing}");
+    relay.heal(1);
+    stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    stream.read_exact(&mut back).unwrap();
+    assert_eq!(&back, b"during");
+    relay.stop().unwrap();
+}
+
+#[test]
+fn one_way_the_question_arrives_and_the_answer_does_not() {
+    let relay = Relay::start(1).unwrap();
+    let at = echo(&relay);
+    let mut stream = dial(at);
+    told(&mut stream, b"before");
+    let back_way = Where::Between { from: pick("agent:0"), to: pick("router:0"), one_way: true };
+    relay.begin(1, back_way, Strike::Cut);
+    thread::sleep(Duration::from_millis(50));
+    stream.write_all(b"asked").unwrap();
+    thread::sleep(Duration::from_millis(100));
+    relay.heal(1);
+    let start = Instant::now();
+    let mut back = [0; 5];
+    stream.read_exact(&mut back).unwrap();
+    // It had been said already: what came back needed no second question.
+    assert!(start.elapsed() < Duration::from_secs(2));
+    relay.stop().unwrap();
+}
+
+#[test]
+fn a_reset_ends_what_stands_and_what_comes() {
+    let relay = Relay::start(1).unwrap();
+    let at = echo(&relay);
+    let mut stream = dial(at);
+    told(&mut stream, b"before");
+    relay.begin(1, between(false), Strike::Reset);
+    let mut byte = [0; 1];
+    let ended = |r: std::io::Result<usize>| match r {
+        Ok(n) => n == 0,
+        Err(e) => matches!(e.kind(), ErrorKind::ConnectionReset | ErrorKind::BrokenPipe),
+    };
+    assert!(ended(stream.read(&mut byte)));
+    assert!(ended(dial(at).read(&mut byte)));
+    relay.heal(1);
+    let until = Instant::now() + Duration::from_secs(5);
+    while Instant::now() < until {
+        let mut again = dial(at);
+        if again.write_all(b"x").is_ok() && again.read_exact(&mut byte).is_ok() {
+            assert!(relay.stop().unwrap().reset >= 2);
+            return;
+        }
+    }
+    panic!("no connection after the heal");
+}
+
+#[test]
+fn delay_and_rate_are_as_said() {
+    let relay = Relay::start(1).unwrap();
+    let at = echo(&relay);
+    let mut stream = dial(at);
+    told(&mut stream, b"up");
+    relay.begin(1, between(false), Strike::Delay { by: 0.05, jitter: 0.0 });
+    thread::sleep(Duration::from_millis(50));
+    assert!(told(&mut stream, b"there and back") >= Duration::from_millis(100));
+    relay.heal(1);
+    relay.begin(2, between(true), Strike::Rate(100_000.0));
+    thread::sleep(Duration::from_millis(50));
+    assert!(told(&mut stream, &[7; 30_000]) >= Duration::from_millis(280));
+    relay.stop().unwrap();
+}
+
+#[test]
+fn datagrams_cross_a_pair_of_relays_and_are_lost_in_a_cut() {
+    let relay = Relay::start(1).unwrap();
+    let sockets = [(); 2].map(|()| UdpSocket::bind("127.0.0.1:0").unwrap());
+    let free = [(); 2].map(|()| UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap());
+    let side =
+        |n: usize| Side { end: End::Router(n), sends_to: free[n], at: sockets[n].local_addr().unwrap() };
+    relay.datagrams(side(0), side(1)).unwrap();
+    let mut bytes = [0; 64];
+    for s in &sockets {
+        s.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    }
+    sockets[0].send_to(b"hello", free[0]).unwrap();
+    let (n, from) = sockets[1].recv_from(&mut bytes).unwrap();
+    // An answer to where it seems to come from finds the way back.
+    assert_eq!((&bytes[..n], from), (&b"hello"[..], free[1]));
+    sockets[1].send_to(b"back", from).unwrap();
+    let (n, from) = sockets[0].recv_from(&mut bytes).unwrap();
+    assert_eq!((&bytes[..n], from), (&b"back"[..], free[0]));
+    let one_way = Where::Between { from: pick("router:0"), to: pick("router:1"), one_way: true };
+    relay.begin(1, one_way, Strike::Cut);
+    thread::sleep(Duration::from_millis(50));
+    sockets[0].send_to(b"lost", free[0]).unwrap();
+    sockets[1].send_to(b"heard", free[1]).unwrap();
+    let (n, _) = sockets[0].recv_from(&mut bytes).unwrap();
+    assert_eq!(&bytes[..n], b"heard");
+    relay.heal(1);
+    thread::sleep(Duration::from_millis(50));
+    sockets[0].send_to(b"after", free[0]).unwrap();
+    let (n, _) = sockets[1].recv_from(&mut bytes).unwrap();
+    assert_eq!(&bytes[..n], b"after");
+    assert_eq!(relay.stop().unwrap().lost, 1);
+}
