Rehearsals strike many processes and the links between them; returns are judged

Need: no rehearsal restarted more than one router, none had a link that can fail, none measured a time to full service.

--- a/crates/sandstile-audit/src/trace.rs
+++ b/crates/sandstile-audit/src/trace.rs
@@ -97,12 +97,40 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum RouterState {
     Started,
+    /// It answers.
+    Ready,
+    /// It stands still, wholly or most of the time, and goes on.
+    Stopped,
+    Continued,
     Term,
     Killed,
     /// With its exit code, if it had one.
     Ended(Option<i64>),
 }
 
+/// What a router process holds at one time.
+#[derive(Clone, Copy, Debug)]
+pub struct Weight {
+    pub t: f64,
+    pub router: usize,
+    pub rss_kb: f64,
+    pub descriptors: f64,
+}
+
+/// A cue of links: which kinds of ends it touches, and when it stood.
+#[derive(Clone, Debug)]
+pub struct LinkFault {
+    pub name: String,
+    pub clients: bool,
+    pub hosts: bool,
+    pub agents: bool,
+    pub begin: f64,
+    pub end: f64,
+}
+
+/// Seconds after a heal in which what a link held back still arrives: a retransmission, and what queues behind it.
+const SETTLES: f64 = 1.0;
+
 #[derive(Clone, Debug, Default)]
 pub struct Trace {
     pub terms: Option<Terms>,
@@ -120,6 +148,18 @@
     /// Commits that no host has any more: when, group, statement, position.
     pub lost: Vec<(f64, String, String, f64)>,
     pub primaries: Vec<(f64, String, String)>,
+    /// Cues that were carried out.
+    pub cues: Vec<(f64, String)>,
+    pub links: Vec<LinkFault>,
+    /// Dials, handshakes and probes at hosts.
+    pub asked_of_hosts: Vec<(f64, String, &'static str)>,
+    /// When routers asked for lists.
+    pub lists: Vec<(f64, usize)>,
+    /// When a router was told, last, that a host is primary.
+    pub told_primary: BTreeMap<(usize, String), f64>,
+    /// When hosts left for good.
+    pub left: BTreeMap<String, f64>,
+    pub held: Vec<Weight>,
     /// Why the run itself says little, where it does.
     pub unsound: Option<String>,
     pub lines: usize,
@@ -216,10 +256,48 @@
                     let at = self.leaving.entry(key).or_insert(t);
                     *at = at.min(t);
                 }
+                if json["primary"] == true {
+                    self.told_primary.insert((number("router")? as usize, text("host")?), t);
+                }
+            }
+            "cue" => self.cues.push((t, text("name")?)),
+            "link_begins" => {
+                let touches =
+                    |what: &str| json["on"].as_array().is_some_and(|on| on.iter().any(|w| w == what));
+                self.links.push(LinkFault {
+                    name: text("name")?,
+                    clients: touches("clients"),
+                    hosts: touches("hosts"),
+                    agents: touches("agents"),
+                    begin: t,
+                    end: f64::INFINITY,
+                });
+            }
+            "link_ends" => {
+                let name = text("name")?;
+                if let Some(link) = self.links.iter_mut().find(|l| l.name == name && l.end.is_infinite()) {
+                    link.end = t;
+                }
+            }
+            "dialled" => self.asked_of_hosts.push((t, text("host")?, "dials")),
+            "greeted" => self.asked_of_hosts.push((t, text("host")?, "handshakes")),
+            "probed" => self.asked_of_hosts.push((t, text("host")?, "probes")),
+            "list_asked" => self.lists.push((t, number("router")? as usize)),
+            "listed" if json["readiness"] == "left" => {
+                self.left.insert(text("host")?, t);
             }
+            "held" => self.held.push(Weight {
+                t,
+                router: number("number")? as usize,
+                rss_kb: number("rss_kb")?,
+                descriptors: number("descriptors")?,
+            }),
             "router" => {
                 let state = match json["state"].as_str() {
                     Some("started") => RouterState::Started,
+                    Some("ready") => RouterState::Ready,
+                    Some("stopped" | "slow") => RouterState::Stopped,
+                    Some("continued") => RouterState::Continued,
                     Some("term") => RouterState::Term,
                     Some("killed") => RouterState::Killed,
                     Some("ended") => RouterState::Ended(json["code"].as_i64()),
@@ -251,6 +329,45 @@
         self.statements.entry(id.to_string()).or_default()
     }
 
+    fn link(&self, which: impl Fn(&LinkFault) -> bool, from: f64, to: f64) -> bool {
+        self.links.iter().any(|l| which(l) && l.begin <= to && from <= l.end + SETTLES)
+    }
+
+    /// Whether a link between clients and routers was in trouble between these times.
+    pub fn clients_cut_off(&self, from: f64, to: f64) -> bool {
+        self.link(|l| l.clients, from, to)
+    }
+
+    /// Whether news could be late for a router, or what it sent for a host, between these times.
+    pub fn routers_cut_off(&self, router: usize, from: f64, to: f64) -> bool {
+        self.link(|l| l.hosts || l.agents, from, to) || self.stood_still(router, from, to)
+    }
+
+    /// Whether a router stood still at some time between these.
+    pub fn stood_still(&self, router: usize, from: f64, to: f64) -> bool {
+        let mut stopped = None;
+        for (t, _, state) in self.routers.iter().filter(|(_, n, _)| *n == router) {
+            match state {
+                RouterState::Stopped => stopped = Some(*t),
+                RouterState::Continued => {
+                    if stopped.take().is_some_and(|since| since <= to && from <= *t + SETTLES) {
+                        return true;
+                    }
+                }
+                _ => {}
+            }
+        }
+        stopped.is_some_and(|since| since <= to)
+    }
+
+    /// Whether what this host read now may have been sent long before: it stood still, or a link held it back.
+    pub fn held_back(&self, host: &str, t: f64) -> bool {
+        let still = |(kind, on, begin, end): &(String, String, f64, f64)| {
+            kind == "pause" && on == host && *begin <= t && t <= end + SETTLES
+        };
+        self.faults.iter().any(still) || self.link(|l| l.hosts, t, t)
+    }
+
     /// Whether a router was killed, or had ended, between these times.
     pub fn killed(&self, router: usize, from: f64, to: f64) -> bool {
         self.routers
--- a/crates/sandstile-emulator/src/agent.rs
+++ b/crates/sandstile-emulator/src/agent.rs
@@ -19,7 +19,7 @@
 }
 
 impl Entry {
-    fn json(&self) -> serde_json::Value {
+    fn json(&self, address: SocketAddr) -> serde_json::Value {
         let status = match self.readiness {
             Readiness::Active => "active",
             Readiness::Leaving => "leaving",
@@ -28,7 +28,7 @@
         let group =
             self.group.parse::<u64>().map_or_else(|_| self.group.clone().into(), serde_json::Value::from);
         serde_json::json!({
-            "name": self.name, "address": self.address.to_string(), "zone": self.zone, "type": self.machine,
+            "name": self.name, "address": address.to_string(), "zone": self.zone, "type": self.machine,
             "group": group, "status": status, "weight": 1.0, "since_ms": (self.since * 1000.0).floor(),
             "mode": if self.primary { "read-write" } else { "read-only" },
         })
@@ -68,17 +68,17 @@
         self.index
     }
 
-    /// The whole list, without those that have left.
-    pub fn whole(&self) -> String {
+    /// The whole list, without those that have left; `at` says where the one who asks is to find each host.
+    pub fn whole(&self, at: &dyn Fn(&Entry) -> SocketAddr) -> String {
         let there = self.entries.values().filter(|(_, e)| e.readiness != Readiness::Left);
-        list(self.index, true, there.map(|(_, e)| e))
+        list(self.index, true, there.map(|(_, e)| e), at)
     }
 
     /// What changed after this version; `None` where nothing did.
-    pub fn since(&self, index: u64) -> Option<(String, Vec<Entry>)> {
+    pub fn since(&self, index: u64, at: &dyn Fn(&Entry) -> SocketAddr) -> Option<(String, Vec<Entry>)> {
         let changed: Vec<&Entry> =
             self.entries.values().filter(|(at, _)| *at > index).map(|(_, e)| e).collect();
-        let text = list(self.index, false, changed.iter().copied());
+        let text = list(self.index, false, changed.iter().copied(), at);
         (!changed.is_empty()).then(|| (text, changed.into_iter().cloned().collect()))
     }
 
@@ -88,8 +88,13 @@
     }
 }
 
-fn list<'a>(index: u64, whole: bool, entries: impl Iterator<Item = &'a Entry>) -> String {
-    let endpoints: Vec<serde_json::Value> = entries.map(Entry::json).collect();
+fn list<'a>(
+    index: u64,
+    whole: bool,
+    entries: impl Iterator<Item = &'a Entry>,
+    at: &dyn Fn(&Entry) -> SocketAddr,
+) -> String {
+    let endpoints: Vec<serde_json::Value> = entries.map(|e| e.json(at(e))).collect();
     serde_json::json!({"index": index, "snapshot": whole, "endpoints": endpoints}).to_string()
 }
 
--- a/crates/sandstile-emulator/src/lib.rs
+++ b/crates/sandstile-emulator/src/lib.rs
@@ -8,4 +8,4 @@
 pub mod speech;
 
 pub use clock::Clock;
-pub use run::{Emulator, Handle, Note, Record, Summary, What};
+pub use run::{router_address, Emulator, Handle, Note, Record, Summary, What};
--- a/crates/sandstile-faults/src/draw.rs
+++ b/crates/sandstile-faults/src/draw.rs
@@ -81,8 +81,9 @@
                 1 | 2 => Strike::Reset,
                 3 => Strike::Delay { by, jitter: by },
                 4 => Strike::Loss(0.1),
+                // A stream's own checksums keep spoilt bytes from its ends: such a strike is for datagrams.
                 5 => Strike::Rate(20_000.0),
-                _ => Strike::Spoil(0.1),
+                _ => Strike::Delay { by: 0.0, jitter: by },
             };
             let to = match chance.rand_range(0..4) {
                 0 => format!("agent:{router}"),
--- a/crates/sandstile-fleet/src/event.rs
+++ b/crates/sandstile-fleet/src/event.rs
@@ -118,6 +118,21 @@
 #[derive(Clone, Debug, PartialEq, Serialize)]
 #[serde(tag = "what", rename_all = "snake_case")]
 pub enum Event {
+    /// A connection came up and wants its set-up's work.
+    Dialled {
+        host: String,
+    },
+    /// Its set-up is done.
+    Greeted {
+        host: String,
+    },
+    TurnedAway {
+        host: String,
+    },
+    /// A probe asked for the load report.
+    Probed {
+        host: String,
+    },
     /// A statement's last byte was read, whether or not it will run.
     Taken {
         host: String,
--- a/crates/sandstile-fleet/src/fleet.rs
+++ b/crates/sandstile-fleet/src/fleet.rs
@@ -252,7 +252,7 @@
         }
         if self.hosts[host].effects.paused {
             if let Input::Connect { .. } = input {
-                self.conns.insert(conn, Conn { host, doing: Doing::Rising, turn: 0 });
+                self.conns.insert(conn, Conn { host, doing: Doing::Rising, turn: 0, served: 0 });
                 self.hosts[host].conns.insert(conn);
             }
             return self.hosts[host].deferred.push_back((conn, input));
@@ -265,6 +265,7 @@
             Input::Connect { .. } => self.connect(now, host, conn),
             Input::Statement(ask) => self.statement(now, host, conn, ask),
             Input::Report => {
+                self.event(now, Event::Probed { host: self.hosts[host].name.clone() });
                 let (primary, position) = (self.is_primary(host), self.position(now, host));
                 let machine = &self.machines[self.hosts[host].node];
                 let share = machine.cpu.jobs() as f64 / machine.cpu.capacity().max(1e-9);
@@ -278,14 +279,16 @@
 
     fn connect(&mut self, now: f64, host: usize, conn: u64) {
         let node = self.hosts[host].node;
+        self.event(now, Event::Dialled { host: self.hosts[host].name.clone() });
         let kind = &self.plan.kinds[self.machines[node].kind];
         // One that came while the process stood still is on record already.
         self.hosts[host].conns.remove(&conn);
         self.conns.remove(&conn);
         if self.hosts[host].conns.len() >= kind.connections {
+            self.event(now, Event::TurnedAway { host: self.hosts[host].name.clone() });
             return self.out(now, Output::TurnAway { conn, code: "53300" });
         }
-        self.conns.insert(conn, Conn { host, doing: Doing::Rising, turn: 0 });
+        self.conns.insert(conn, Conn { host, doing: Doing::Rising, turn: 0, served: 0 });
         self.hosts[host].conns.insert(conn);
         let wait = self.hosts[host].effects.greet_s;
         if wait > 0.0 {
@@ -423,7 +426,15 @@
         if self.machines[node].cpu.full() {
             return self.refuse(now, job, "53300");
         }
-        let work = self.work[workload].work(&self.plan.workloads[workload].work);
+        let mut work = self.work[workload].work(&self.plan.workloads[workload].work);
+        let conn = self.jobs[&job].conn.and_then(|conn| self.conns.get_mut(&conn));
+        if let Some(conn) = conn {
+            conn.served = conn.served.saturating_add(1);
+            let kind = &self.plan.kinds[self.machines[node].kind];
+            if conn.served <= kind.fresh_statements {
+                work *= kind.fresh_times;
+            }
+        }
         self.run(now, job, work);
         let kind = &self.plan.kinds[self.machines[node].kind];
         let warmth = self.hosts[host].warmth(kind, now);
@@ -573,6 +584,7 @@
             let Some(conn) = conn else { return };
             if self.conns.contains_key(&conn) {
                 self.idle(now, conn);
+                self.event(now, Event::Greeted { host: self.hosts[host].name.clone() });
                 self.out(now, Output::Greet { conn });
             }
             return;
--- a/crates/sandstile-fleet/src/host.rs
+++ b/crates/sandstile-fleet/src/host.rs
@@ -70,6 +70,8 @@
     pub host: usize,
     pub doing: Doing,
     pub turn: u64,
+    /// Statements that have begun on it.
+    pub served: u32,
 }
 
 #[derive(Clone, Copy, PartialEq, Debug)]
--- a/crates/sandstile-fleet/src/plan.rs
+++ b/crates/sandstile-fleet/src/plan.rs
@@ -35,6 +35,9 @@
     pub idle_s: f64,
     /// Seconds of work for a connection's set-up.
     pub setup_work: f64,
+    /// The first statements of a connection take so many times their work: its process has nothing at hand yet.
+    pub fresh_times: f64,
+    pub fresh_statements: u32,
 }
 
 impl MachineKind {
@@ -53,6 +56,8 @@
             connections: 200,
             idle_s: 15.0,
             setup_work: 0.0005,
+            fresh_times: 1.0,
+            fresh_statements: 0,
         }
     }
 }
--- a/crates/sandstile-lab/src/book.rs
+++ b/crates/sandstile-lab/src/book.rs
@@ -45,6 +45,13 @@
         state: &'static str,
         code: Option<i32>,
     },
+    /// What a router process holds, about once a second.
+    Held {
+        number: usize,
+        rss_kb: u64,
+        descriptors: u64,
+        cpu_ms: u64,
+    },
     End {
         unsound: Option<String>,
     },
--- a/crates/sandstile-lab/src/clients.rs
+++ b/crates/sandstile-lab/src/clients.rs
@@ -95,7 +95,8 @@
         // Enough for a time in which nothing is answered.
         let rate: f64 = script.streams.iter().map(|s| s.rate * peak(s)).sum();
         let wait = script.terms.iter().map(|t| t.timeout).fold(0.1, f64::max);
-        let workers = ((rate * wait * 2.0) as usize).clamp(32, MOST_WORKERS);
+        let crowd = script.clients.crowd * script.routers.count;
+        let workers = ((rate * wait * 2.0) as usize + crowd).clamp(32, MOST_WORKERS);
         let (jobs, take) = unbounded();
         let workers =
             (0..workers).map(|_| worker(shared.clone(), take.clone())).collect::<io::Result<_>>()?;
@@ -127,6 +128,22 @@
         }
     }
 
+    /// So many clients come to this router in the same instant, each with a wish of the first stream.
+    pub fn crowd(&self, router: usize, many: usize) {
+        let (Some(jobs), Some(stream)) = (&self.jobs, self.shared.script.streams.first()) else { return };
+        let now = self.shared.clock.now();
+        let (doors, workload) = (self.shared.doors.len() as u64, stream.workload);
+        for n in 0..many as u64 {
+            // Viewers of their own, whose home is this router.
+            let session = router as u64 + doors * (1_000_000 + n);
+            let group = stream.groups[n as usize % stream.groups.len()];
+            let arrival = Arrival { at: now, stream: 0, workload, group, session, draw: 1.0 };
+            if jobs.send((now, arrival)).is_err() {
+                return;
+            }
+        }
+    }
+
     /// Statements asked and answered so far, and those under way.
     pub fn counts(&self) -> (u64, u64, usize) {
         (self.shared.asked.load(Relaxed), self.shared.answered.load(Relaxed), self.shared.busy.load(Relaxed))
@@ -231,7 +248,10 @@
                     return true;
                 }
                 // Told to come again, which is harmless; or nothing went out.
-                Ended::Rejected(wait) => wait.unwrap_or(self.script.clients.pause),
+                Ended::Rejected(wait) => match self.script.clients.ignore_return {
+                    true => self.script.clients.pause,
+                    false => wait.unwrap_or(self.script.clients.pause),
+                },
                 Ended::Nothing { sent: false } => self.script.clients.pause,
                 Ended::Failed | Ended::Nothing { sent: true } if effect == Effect::Idempotent => {
                     self.script.clients.pause
