--- a/crates/sandstile-lab/src/rehearse.rs
+++ b/crates/sandstile-lab/src/rehearse.rs
@@ -291,6 +291,7 @@
     });
     for number in 0..script.routers.count {
         stage.start(number, &emulator.known(number)).map_err(told("a router"))?;
+        thread::sleep(Duration::from_secs_f64(script.routers.apart));
     }
     let crew = Crew::new(&script, script.plan.seed, &emulator.doors, clock, book.clone())
         .map_err(told("clients"))?;
--- /dev/null
+++ b/crates/sandstile-return/src/dials.rs
@@ -0,0 +1,145 @@
+//! When a dial may begin. A statement that finds no idle link waits for the first that is free, so that a dial held back
+//! costs nothing where answers come; where none comes yet, one dial is always allowed.
+use crate::Pace;
+use oorandom::Rand64;
+use std::collections::BTreeMap;
+
+/// Links that a plain pool opens to each host at its start.
+pub const PLAIN_POOL: usize = 8;
+/// Seconds over which first dials are spread by chance.
+const JITTER: f64 = 0.5;
+/// Dials a second and host of all routers together.
+const TOKENS: f64 = 50.0;
+/// Seconds of one router's turn, and how many turns make a round at most: beyond, several share one.
+const SLOT: f64 = 0.02;
+const MOST_SLOTS: usize = 25;
+/// Seconds a router by which first dials are spread, so that the first handshakes of hundreds do not meet.
+const EACH: f64 = 0.002;
+/// And the longest that one router waits for it.
+const LONGEST_SPREAD: f64 = 1.0;
+/// A handshake that takes so many times the quickest, and a little, tells of a crowd at that host.
+const SLOW: f64 = 2.0;
+const LITTLE: f64 = 0.005;
+/// Each quick handshake lets so much more go at once: a router cannot see how many others do the same.
+const GROWS: f64 = 0.5;
+/// So many at once are no matter any more.
+const FREE: f64 = 16.0;
+
+/// When a dial that is wanted may begin.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum When {
+    Now,
+    At(f64),
+    /// Once one that is under way at this host has ended.
+    Ended,
+}
+
+struct Host {
+    /// How many may be under way, as far as its handshakes have told.
+    window: f64,
+    under_way: usize,
+    /// Seconds of its quickest handshake.
+    quickest: f64,
+    /// No dial before that.
+    not_before: f64,
+}
+
+pub struct Dials {
+    pace: Pace,
+    peers: usize,
+    slot: usize,
+    start: f64,
+    chance: Rand64,
+    hosts: BTreeMap<usize, Host>,
+}
+
+impl Dials {
+    /// `number` tells this router from its peers, as far as that is known.
+    pub fn new(pace: Pace, peers: usize, number: u64, seed: u64, now: f64) -> Dials {
+        let peers = peers.max(1);
+        let slot = (number % peers.min(MOST_SLOTS) as u64) as usize;
+        let chance = Rand64::new(u128::from(seed) ^ u128::from(number) << 64);
+        Dials { pace, peers, slot, start: now, chance, hosts: BTreeMap::new() }
+    }
+
+    /// Links to open to a host that has just become known, beside what statements want.
+    pub fn at_once(&self) -> usize {
+        match self.pace {
+            Pace::Plainest => PLAIN_POOL,
+            _ => 0,
+        }
+    }
+
+    fn host(&mut self, now: f64, host: usize) -> &mut Host {
+        let spread = match self.pace {
+            // Hosts that come later are met one by one, as need has it.
+            _ if now > self.start + LONGEST_SPREAD => 0.0,
+            Pace::Jitter => JITTER,
+            Pace::Answers => (self.peers as f64 * EACH).min(LONGEST_SPREAD),
+            _ => 0.0,
+        };
+        let (start, chance) = (self.start, &mut self.chance);
+        self.hosts.entry(host).or_insert_with(|| Host {
+            window: 1.0,
+            under_way: 0,
+            quickest: f64::INFINITY,
+            not_before: start + spread * chance.rand_float(),
+        })
+    }
+
+    /// A dial is wanted at this host.
+    pub fn wanted(&mut self, now: f64, host: usize) -> When {
+        let (pace, slot, peers) = (self.pace, self.slot, self.peers);
+        let h = self.host(now, host);
+        match pace {
+            Pace::Plainest => When::Now,
+            Pace::Slots => {
+                let round = SLOT * peers.min(MOST_SLOTS) as f64;
+                let into = (now - slot as f64 * SLOT).rem_euclid(round);
+                match into < SLOT {
+                    true => When::Now,
+                    // A little into it, or rounding would ask again and again.
+                    false => When::At(now + round - into + 1e-4),
+                }
+            }
+            _ if now < h.not_before => When::At(h.not_before),
+            Pace::Answers if h.window < FREE && (h.under_way + 1) as f64 > h.window => When::Ended,
+            _ => When::Now,
+        }
+    }
+
+    pub fn began(&mut self, now: f64, host: usize) {
+        let (pace, peers) = (self.pace, self.peers);
+        let h = self.host(now, host);
+        h.under_way += 1;
+        if pace == Pace::Tokens {
+            h.not_before = now.max(h.not_before) + peers as f64 / TOKENS;
+        }
+    }
+
+    /// One that had begun has ended; `up` after how many seconds, where it came up.
+    pub fn ended(&mut self, now: f64, host: usize, up: Option<f64>) {
+        let h = self.host(now, host);
+        h.under_way = h.under_way.saturating_sub(1);
+        match up {
+            Some(took) => {
+                let slow = took > SLOW * h.quickest + LITTLE;
+                h.quickest = h.quickest.min(took);
+                h.window = if slow { (h.window / 2.0).max(1.0) } else { (h.window + GROWS).min(FREE) };
+            }
+            None => h.window = 1.0,
+        }
+    }
+
+    pub fn forget(&mut self, host: usize) {
+        self.hosts.remove(&host);
+    }
+
+    pub fn under_way(&self, host: usize) -> usize {
+        self.hosts.get(&host).map_or(0, |h| h.under_way)
+    }
+
+    pub fn held(&self) -> usize {
+        self.hosts.len()
+    }
+}
--- /dev/null
+++ b/crates/sandstile-return/src/ramp.rs
@@ -0,0 +1,65 @@
+//! The crowd that comes back with a router comes in as fast as answers come: so many statements are under way at most, one
+//! more with each that completes, and the ramp is over once it has held nobody up for a while.
+use std::collections::BTreeSet;
+
+/// Statements under way to begin with.
+const FIRST: f64 = 8.0;
+/// Completions without anybody held up, after which the ramp is over.
+const CALM: u32 = 200;
+/// A window beyond which no router of ours goes.
+const WIDE: f64 = 256.0;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Door {
+    In,
+    /// Turned away at once, unsent.
+    Later,
+}
+
+pub struct Ramp {
+    window: f64,
+    under_way: BTreeSet<u64>,
+    calm: u32,
+    over: bool,
+}
+
+impl Default for Ramp {
+    fn default() -> Self {
+        Ramp { window: FIRST, under_way: BTreeSet::new(), calm: 0, over: false }
+    }
+}
+
+impl Ramp {
+    pub fn asked(&mut self, stmt: u64) -> Door {
+        if self.over {
+            return Door::In;
+        }
+        if self.under_way.len() as f64 >= self.window {
+            self.calm = 0;
+            return Door::Later;
+        }
+        self.under_way.insert(stmt);
+        Door::In
+    }
+
+    /// A statement that came in has its end.
+    pub fn ended(&mut self, stmt: u64, completed: bool) {
+        if self.over || !self.under_way.remove(&stmt) || !completed {
+            return;
+        }
+        self.window += 1.0;
+        self.calm += 1;
+        if self.calm >= CALM || self.window >= WIDE {
+            self.over = true;
+            self.under_way.clear();
+        }
+    }
+
+    pub fn over(&self) -> bool {
+        self.over
+    }
+
+    pub fn held(&self) -> usize {
+        self.under_way.len()
+    }
+}
--- a/crates/sandstile-router/src/carrier.rs
+++ b/crates/sandstile-router/src/carrier.rs
@@ -13,6 +13,7 @@
 use crate::statement::Workload;
 use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Registry, Token};
+use sandstile_return::Dials;
 use sandstile_timers::Wheel;
 use slog::{info, warn, Logger};
 use std::collections::VecDeque;
@@ -118,13 +119,15 @@
     /// Seconds, as `Hosts` has them.
     pub dial_limit: f64,
     pub idle_close: f64,
+    /// How dials are paced, where our own file turns that on.
+    pub dials: Option<Dials>,
     pub last_word: bool,
 }
 
 impl Carrier {
     pub fn new(posts: Posts, parts: Parts, listener: std::net::TcpListener) -> io::Result<Carrier> {
         let Posts { poll, bell, desk: to_desk, mail, orders: _, order_box, charge_box, charges: _ } = posts;
-        let Parts { clock, budget, counters, log, desk, workloads, dial_limit, idle_close, last_word } =
+        let Parts { clock, budget, counters, log, desk, workloads, dial_limit, idle_close, dials, last_word } =
             parts;
         listener.set_nonblocking(true)?;
         let mut listener = TcpListener::from_std(listener);
@@ -132,7 +135,8 @@
         registry.register(&mut listener, DOOR, Interest::READABLE)?;
         let (answer, answers) = carried(&bell);
         let (timers, queue) = (Wheel::from(clock.now()), VecDeque::new());
-        let hosts = Hosts::new(to_desk.clone(), counters.clone(), log.clone(), dial_limit, idle_close);
+        let mut hosts = Hosts::new(to_desk.clone(), counters.clone(), log.clone(), dial_limit, idle_close);
+        hosts.dials = dials;
         let scratch = vec![0; MOST_READ];
         Ok(Carrier {
             poll,
@@ -163,6 +167,7 @@
         self.settle();
         while !self.over() {
             self.sleep(&mut events)?;
+            self.desk.look();
             for event in &events {
                 match event.token() {
                     BELL => {}
@@ -201,7 +206,7 @@
         } else {
             // Once the window has closed there is nothing left to wake for: a time that has passed would spin.
             let window = if self.door.closing { f64::INFINITY } else { self.ends_at };
-            let mut due = self.desk.due().min(window);
+            let mut due = self.desk.due().min(window).min(self.hosts.due());
             due = due.min(self.tools.timers.earliest().unwrap_or(f64::INFINITY));
             if self.door.ready && self.door.paused_until > self.tools.clock.now() {
                 due = due.min(self.door.paused_until);
@@ -228,7 +233,7 @@
                 self.hosts.order(order, &mut self.tools);
                 worked = true;
             }
-            while self.hosts.wanting() && self.claim(Holder::Link) {
+            while self.hosts.wanting(self.tools.clock.now()) && self.claim(Holder::Link) {
                 self.hosts.dial(&mut self.tools);
                 worked = true;
             }
--- a/crates/sandstile-router/src/charter.rs
+++ b/crates/sandstile-router/src/charter.rs
@@ -12,6 +12,8 @@
     pub sessions: Option<Plan>,
     pub recording: Option<recorder::Plan>,
     pub limits: Option<sandstile_limits::Terms>,
+    /// How a router that has just started comes back.
+    pub back: Option<sandstile_return::Terms>,
 }
 
 impl Charter {
@@ -54,8 +56,19 @@
                 l.finish();
                 on.then_some(terms)
             });
+            let back = file.only("return").and_then(|r| {
+                let usual = sandstile_return::Terms::default();
+                let terms = sandstile_return::Terms {
+                    pace: r.word("pace", &sandstile_return::PACES, Some(usual.pace)),
+                    ramp: r.yes("ramp", usual.ramp),
+                    stall_s: r.ms("stall_ms", 0.0..60_000.0, usual.stall_s),
+                };
+                let on = r.yes("on", true);
+                r.finish();
+                on.then_some(terms)
+            });
             file.finish();
-            Charter { sessions: sessions.flatten(), recording, limits }
+            Charter { sessions: sessions.flatten(), recording, limits, back }
         });
         let problems = source.problems();
         match charter {
--- a/crates/sandstile-router/src/counters.rs
+++ b/crates/sandstile-router/src/counters.rs
@@ -37,6 +37,11 @@
     /// Storms seen, and later tries turned away in them.
     pub storms: Count,
     pub turned_away: Count,
+    /// Dials that waited for their turn, and statements that a ramp turned away, after a start.
+    pub dials_held: Count,
+    pub ramped: Count,
+    /// Times that this process stood still.
+    pub stalls: Count,
     /// Arrivals that a recording has not kept.
     pub unrecorded: Count,
     /// Database hosts that are known now.
@@ -74,6 +79,9 @@
             ("unrecorded", &self.unrecorded),
             ("storms", &self.storms),
             ("turned_away", &self.turned_away),
+            ("dials_held", &self.dials_held),
+            ("ramped", &self.ramped),
+            ("stalls", &self.stalls),
         ];
         write!(f, "counters")?;
         for (name, count) in plain {
--- a/crates/sandstile-router/src/desk.rs
+++ b/crates/sandstile-router/src/desk.rs
@@ -15,7 +15,8 @@
 use sandstile_limits::{Entry, Limits};
 use sandstile_policy::policy::Instance;
 use sandstile_policy::terms::{Arrival, Decision};
-use slog::{info, Logger};
+use sandstile_return::{Door, Ramp, Stall};
+use slog::{info, warn, Logger};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -105,6 +106,11 @@
     pub tape: Option<Tape>,
     /// Storms and what is done in them, where our own file turns that on; with the longest time to return.
     pub limits: Option<(Limits, f64)>,
+    /// What comes in right after the start, and whether this process stood still, where our own file turns that on.
+    pub ramp: Option<(Ramp, f64)>,
+    pub stall: Option<Stall>,
+    /// Seconds, as the settings have it.
+    pub longest_return: f64,
     open: BTreeMap<u64, Open>,
     /// The ids of the open ones.
     ids: BTreeSet<String>,
@@ -140,6 +146,9 @@
             seen,
             tape: None,
             limits: None,
+            ramp: None,
+            stall: None,
+            longest_return: 0.0,
             policy,
             clock,
             counters,
@@ -166,7 +175,12 @@
             self.take(mail);
             took = true;
         }
-        if took || self.due() <= self.clock.now() {
+        let now = self.clock.now();
+        if self.stall.as_ref().is_some_and(|s| s.holds(now)) {
+            // What is known is of before a stop: the list is to come in first.
+            return took;
+        }
+        if took || self.due() <= now {
             self.decide();
             return true;
         }
@@ -175,7 +189,21 @@
 
     /// When the decisions want to look again; infinite where never.
     pub fn due(&self) -> f64 {
-        self.policy.wake_at().map_or(f64::INFINITY, |at| at.max(self.decided + SHORTEST_SLEEP))
+        let decides = self.policy.wake_at().map_or(f64::INFINITY, |at| at.max(self.decided + SHORTEST_SLEEP));
+        match &self.stall {
+            Some(stall) if stall.holds(self.clock.now()) => stall.due(),
+            Some(stall) => decides.min(stall.due()),
+            None => decides,
+        }
+    }
+
+    /// The loop looks at the time: one that comes much too late tells that this process stood still.
+    pub fn look(&mut self) {
+        let now = self.clock.now();
+        if let Some(stood) = self.stall.as_mut().and_then(|s| s.look(now)) {
+            warn!(self.log, "stood still for {stood:.1} s: what is known is of before that");
+            self.counters.stalls.add();
+        }
     }
 
     fn take(&mut self, mail: Mail) {
@@ -209,6 +237,23 @@
                         return asked.reply.give(Answer::Rejected(after));
                     }
                 }
+                // Came while this process stood still, nobody knows when: its time may be over, and nothing was sent.
+                let lost = self.stall.as_ref().map_or(0.0, |s| s.lost(now));
+                if lost > 0.0 && asked.until - lost <= now {
+                    self.ids.remove(&asked.id);
+                    self.counters.rejected.add();
+                    return asked.reply.give(Answer::Rejected(self.longest_return));
+                }
+                if let Some((ramp, most)) = &mut self.ramp {
+                    if ramp.asked(asked.stmt) == Door::Later {
+                        self.ids.remove(&asked.id);
+                        self.counters.ramped.add();
+                        self.counters.rejected.add();
+                        let after =
+                            self.limits.as_mut().map_or(*most, |(l, most)| l.return_after(now, *most));
+                        return asked.reply.give(Answer::Rejected(after));
+                    }
+                }
                 let term = self.policy.term(group);
                 let wish = self.seen.as_mut().and_then(|seen| seen.asked(now, &asked, term));
                 let arrival = Arrival {
@@ -242,6 +287,9 @@
                     self.counters.clients_gone.add();
                     open.reply = None;
                     self.ending.push(stmt);
+                    if let Some((ramp, _)) = &mut self.ramp {
+                        ramp.ended(stmt, false);
+                    }
                     self.policy.client_gone(now, stmt);
                 }
             }
@@ -259,6 +307,9 @@
                 if outcome.ending == Ending::Completed {
                     if let Some(reply) = open.reply.take() {
                         self.counters.completed.add();
+                        if let Some((ramp, _)) = &mut self.ramp {
+                            ramp.ended(stmt, true);
+                        }
                         if let Some((limits, _)) = &mut self.limits {
                             limits.answered(now, open.workload, open.group, true, !open.retry);
                         }
@@ -290,6 +341,9 @@
                 }
             }
             Mail::Listed(update) => {
+                if let Some(stall) = &mut self.stall {
+                    stall.heard();
+                }
                 for (name, address) in update.addresses {
                     let host = self.hosts.of(&name);
                     self.orders.send(Order::Known { host, name, address });
@@ -385,6 +439,9 @@
         self.ending.push(stmt);
         let Some(open) = self.open.get_mut(&stmt) else { return };
         if let Some(reply) = open.reply.take() {
+            if let Some((ramp, _)) = &mut self.ramp {
+                ramp.ended(stmt, false);
+            }
             if let Some((limits, _)) = &mut self.limits {
                 limits.answered(self.decided, open.workload, open.group, false, !open.retry);
             }
--- a/crates/sandstile-router/src/discovery.rs
+++ b/crates/sandstile-router/src/discovery.rs
@@ -6,6 +6,7 @@
 use crate::pg;
 use sandstile_intake::list::{readiness, Entry};
 use sandstile_policy::terms::Readiness;
+use sandstile_return::Lists;
 use serde_json::Value;
 use slog::{info, warn, Logger};
 use std::collections::BTreeSet;
@@ -110,6 +111,8 @@
     pub counters: Arc<Counters>,
     pub log: Logger,
     pub told: BTreeSet<String>,
+    /// The spread of pauses between watches, where our own file turns that on.
+    pub lists: Option<Lists>,
 }
 
 /// Discovery says something, if only an empty line, every 2 s, and what it has to tell counts as told after 6
@@ -134,7 +137,7 @@
             };
             if self.agent.address() == address {
                 self.complain(why, "the list is kept");
-                thread::sleep(PAUSE);
+                thread::sleep(self.lists.as_mut().map_or(PAUSE, |l| Duration::from_secs_f64(l.again())));
             }
         }
     }
@@ -203,6 +206,9 @@
     }
 
     fn line(&mut self, line: &[u8]) -> Result<(), String> {
+        if let Some(lists) = &mut self.lists {
+            lists.heard();
+        }
         if line.iter().all(u8::is_ascii_whitespace) {
             return Ok(());
         }
--- a/crates/sandstile-router/src/hosts.rs
+++ b/crates/sandstile-router/src/hosts.rs
@@ -11,6 +11,7 @@
 use crate::wire::{Moved, Wire};
 use mio::net::TcpStream;
 use mio::Token;
+use sandstile_return::{Dials, When};
 use slab::Slab;
 use slog::{debug, info, o, Logger};
 use std::collections::{BTreeMap, VecDeque};
@@ -53,6 +54,8 @@
     queued: bool,
     armed: f64,
     idle: Option<Rest>,
+    /// When its dial began, while that is under way and somebody counts.
+    began: Option<f64>,
 }
 
 pub struct Hosts {
@@ -65,6 +68,10 @@
     wanted: VecDeque<(usize, SocketAddr)>,
     /// What has happened to links and is still to be acted on.
     events: VecDeque<(usize, Event)>,
+    /// When a dial may begin, where our own file turns that on.
+    pub dials: Option<Dials>,
+    /// When the next that waits for its turn may; infinite where none does.
+    turn_at: f64,
     /// Seconds for a connection to come up, or for an answer that has begun to go on: what the network of this
     /// deployment needs at most.
     dial_limit: f64,
@@ -99,6 +106,8 @@
             log,
             wanted: VecDeque::new(),
             events: VecDeque::new(),
+            dials: None,
+            turn_at: f64::INFINITY,
             dial_limit,
             rest_limit: idle_close * 0.75,
         }
@@ -117,6 +126,9 @@
                 links.into_iter().for_each(|key| self.close(key, tools));
                 self.hosts[host] = None;
                 self.counters.hosts.less();
+                if let Some(dials) = &mut self.dials {
+                    dials.forget(host);
+                }
             }
             Order::Do(host, job) => self.begin(host, job, tools),
             Order::Probe(host) => {
@@ -147,6 +159,19 @@
             self.counters.ended(Ending::Moved);
             self.close(key, tools);
         }
+        for _ in 0..self.dials.as_ref().map_or(0, Dials::at_once) {
+            self.want(host, address, tools);
+        }
+    }
+
+    /// One more link is to be dialled.
+    fn want(&mut self, host: usize, address: SocketAddr, tools: &Tools) {
+        self.counters.dialled.add();
+        let line = Link::wanted(tools.clock.now() + self.dial_limit, self.dial_limit);
+        let (armed, idle, began) = (f64::INFINITY, None, None);
+        let key = self.seats.insert(Seat { host, line, wire: None, queued: false, armed, idle, began });
+        self.host(host).pool.dialled(key);
+        self.wanted.push_back((key, address));
     }
 
     /// A job takes an idle link, if that is still of use, or waits for a dial.
@@ -164,12 +189,7 @@
                     job = handed;
                 }
                 Step::Dial(address) => {
-                    self.counters.dialled.add();
-                    let line = Link::wanted(tools.clock.now() + self.dial_limit, self.dial_limit);
-                    let (armed, idle) = (f64::INFINITY, None);
-                    let key = self.seats.insert(Seat { host, line, wire: None, queued: false, armed, idle });
-                    self.host(host).pool.dialled(key);
-                    self.wanted.push_back((key, address));
+                    self.want(host, address, tools);
                     return;
                 }
                 Step::End(job, ending) => return self.report(host, job, ending.into(), tools),
@@ -216,18 +236,49 @@
         }
     }
 
-    /// The next link that waits for a descriptor.
-    pub fn wanting(&mut self) -> bool {
-        while let Some((key, _)) = self.wanted.front() {
-            // Its time may be over by now, and its name another's.
-            if self.seats.get(*key).is_some_and(|seat| seat.wire.is_none() && !seat.line.dialling()) {
-                return true;
+    /// The next link that waits for a descriptor, brought to the front.
+    pub fn wanting(&mut self, now: f64) -> bool {
+        // Its time may be over by now, and its name another's.
+        let stands = |seat: &Seat| seat.wire.is_none() && !seat.line.dialling();
+        self.turn_at = f64::INFINITY;
+        let Some(dials) = &mut self.dials else {
+            while let Some((key, _)) = self.wanted.front() {
+                if self.seats.get(*key).is_some_and(stands) {
+                    return true;
+                }
+                self.wanted.pop_front();
+            }
+            return false;
+        };
+        let seats = &self.seats;
+        self.wanted.retain(|(key, _)| seats.get(*key).is_some_and(stands));
+        for at in 0..self.wanted.len() {
+            let Some(seat) = seats.get(self.wanted[at].0) else { continue };
+            match dials.wanted(now, seat.host) {
+                When::Now => {
+                    self.wanted.swap(0, at);
+                    return true;
+                }
+                When::At(turn) => self.turn_at = self.turn_at.min(turn),
+                When::Ended => {}
             }
-            self.wanted.pop_front();
         }
         false
     }
 
+    /// When a dial that waits for its turn may begin.
+    pub fn due(&self) -> f64 {
+        self.turn_at
+    }
+
+    /// A dial is no longer under way: up, or come to nothing.
+    fn dialled(&mut self, key: usize, up: bool, now: f64) {
+        let Some(seat) = self.seats.get_mut(key) else { return };
+        if let (Some(dials), Some(began)) = (&mut self.dials, seat.began.take()) {
+            dials.ended(now, seat.host, up.then_some(now - began));
+        }
+    }
+
     /// Dials it; a descriptor has been counted for it.
     pub fn dial(&mut self, tools: &mut Tools) {
         let Some((key, address)) = self.wanted.pop_front() else { return };
@@ -235,8 +286,13 @@
             stream.set_nodelay(true)?;
             Wire::new(&tools.registry, stream, token(key), false)
         });
+        let now = tools.clock.now();
         let seat = &mut self.seats[key];
         seat.line.dialled();
+        if let Some(dials) = &mut self.dials {
+            seat.began = Some(now);
+            dials.began(now, seat.host);
+        }
         match dialled {
             Ok(wire) => {
                 seat.wire = Some(wire);
@@ -415,6 +471,7 @@
             let host = seat.host;
             match event {
                 Event::Up => {
+                    self.dialled(key, true, tools.clock.now());
                     if self.quiet(key) {
                         let free = self.host(host).pool.up(key, tools.clock.now());
                         self.freed(host, key, free, true, tools);
@@ -467,6 +524,7 @@
 
     /// A dial less.
     fn undialled(&mut self, host: usize, key: usize, ending: Ending, tools: &mut Tools) {
+        self.dialled(key, false, tools.clock.now());
         self.close(key, tools);
         match self.host(host).pool.undialled(key) {
             Some(job) => self.report(host, job, ending.into(), tools),
--- a/crates/sandstile-router/src/main.rs
+++ b/crates/sandstile-router/src/main.rs
@@ -147,7 +147,9 @@
         let limits = charter.limits.map_or("off".to_string(), |l| {
             format!("{} later tries a first one completed, in a storm", l.later_tries)
         });
-        println!("{}: sessions {sessions}; recording {recording}; limits {limits}", path.display());
+        let back = charter.back.map_or("off".to_string(), |b| format!("{:?}", b.pace).to_lowercase());
+        let path = path.display();
+        println!("{path}: sessions {sessions}; recording {recording}; limits {limits}; return {back}");
         if std::env::var_os("LB_CONFIG").is_none() {
             return Ok(());
         }
--- a/crates/sandstile-router/src/router.rs
+++ b/crates/sandstile-router/src/router.rs
@@ -13,6 +13,7 @@
 use crate::sessions::{Sessions, Word};
 use crate::signals::{Wish, Wishes};
 use sandstile_policy::policy::Instance;
+use sandstile_return::{Dials, Lists, Ramp, Stall};
 use slog::{info, warn, Logger};
 use std::collections::BTreeSet;
 use std::net::TcpListener;
@@ -26,6 +27,12 @@
 /// What a thread that parses a line or two and writes a line of log needs, with room to spare.
 pub const STACK: usize = 128 * 1024;
 
+/// The number that a name ends with: routers of one deployment are named alike.
+fn numbered(name: &str) -> Option<u64> {
+    let digits = name.len() - name.trim_end_matches(|c: char| c.is_ascii_digit()).len();
+    name[name.len() - digits..].parse().ok()
+}
+
 /// Serves until told to end, and until all that was taken is answered. `again` reads the configuration anew.
 pub fn serve(
     launch: Launch,
@@ -53,6 +60,7 @@
         counters: counters.clone(),
         log: log.clone(),
         told: BTreeSet::new(),
+        lists: charter.back.as_ref().map(|_| Lists::new(launch.seed.into())),
     };
     let policy = Instance::new(&launch.terms, launch.seed, clock.now());
     let seen = match &charter.sessions {
@@ -65,6 +73,14 @@
         .limits
         .as_ref()
         .map(|terms| (sandstile_limits::Limits::new(terms, launch.seed, clock.now()), policy_returns));
+    let back = charter.back.as_ref();
+    desk.ramp = back.filter(|b| b.ramp).map(|_| (Ramp::default(), policy_returns));
+    desk.stall = back.filter(|b| b.stall_s > 0.0).map(|b| Stall::new(b.stall_s, clock.now()));
+    desk.longest_return = policy_returns;
+    let dials = back.map(|b| {
+        let number = numbered(&launch.name).unwrap_or(launch.seed.into());
+        Dials::new(b.pace, launch.terms.routers, number, launch.seed.into(), clock.now())
+    });
     let mut recording = None;
     if let Some(plan) = &charter.recording {
         let workloads = launch.workloads.iter().map(|w| w.name.clone()).collect();
@@ -86,6 +102,7 @@
         workloads: launch.workloads,
         dial_limit: launch.dial_limit,
         idle_close: launch.terms.idle_close,
+        dials,
         last_word: charter.sessions.is_some(),
     };
     let carrier = Carrier::new(posts, parts, listener).map_err(|e| format!("listen: {e}"))?;
--- a/crates/sandstile-scenario/src/script.rs
+++ b/crates/sandstile-scenario/src/script.rs
@@ -64,6 +64,8 @@
     pub count: usize,
     pub memory_mb: usize,
     pub sockets: usize,
+    /// Seconds between the starts of one and the next before the script begins.
+    pub apart: f64,
     /// How those that start come back, in the words of our own file; `None` where that is off.
     pub pace: Option<String>,
     /// Storms are watched and later tries held to a budget, by our own file.
@@ -348,6 +350,7 @@
             count: s.count("count", 1.0..64.0, 2),
             memory_mb: s.count("memory_mb", 16.0..65_536.0, 192),
             sockets: s.count("sockets", 64.0..65_536.0, 1024),
+            apart: s.ms("apart_ms", 0.0..60_000.0, 0.0),
             pace: s.text("pace"),
             limits: s.yes("limits", false),
         };
@@ -413,7 +416,7 @@
 
 impl Routers {
     fn usual() -> Self {
-        Routers { count: 2, memory_mb: 192, sockets: 1024, pace: None, limits: false }
+        Routers { count: 2, memory_mb: 192, sockets: 1024, apart: 0.0, pace: None, limits: false }
     }
 }
 
