Dials that came too late back off by chance; a dial that waited has all of its time

Checked and ruled out: places at hosts (turned away 0 or 1), the list (told after 2 s), descriptors. Lines: State::Queued kept its deadline when the dial began (link.rs), so one that had waited for its turn had 50 of 250 ms left. Change: pace answers draws a pause over twice as long after each late dial, by peers; dialled_by gives a dial that waited its whole time.

--- a/crates/sandstile-lines/src/link.rs
+++ b/crates/sandstile-lines/src/link.rs
@@ -161,6 +161,13 @@
         }
     }
 
+    /// It begins only now, after it waited for its turn: the host is to have all of its time.
+    pub fn dialled_by(&mut self, by: f64) {
+        if let State::Queued { .. } = self.state {
+            self.state = State::Dialling { until: by };
+        }
+    }
+
     /// The connection is up: the greeting goes out.
     pub fn connected(&mut self) {
         if let State::Dialling { until } = self.state {
--- a/crates/sandstile-return/src/dials.rs
+++ b/crates/sandstile-return/src/dials.rs
@@ -25,6 +25,26 @@
 /// So many at once are no matter any more.
 const FREE: f64 = 16.0;
 
+/// Seconds within which the next dial comes after one that was too late, by chance; twice as many with each further one.
+const LATE: f64 = 0.25;
+/// At the longest a second, or so many a router where that is more: a host that takes the longest to greet one has to greet
+/// them all within their time.
+const LONGEST: f64 = 1.0;
+const LONGEST_EACH: f64 = 0.05;
+/// A host that refuses is asked again after so long: a refusal costs it nothing.
+const REFUSED: f64 = 0.1;
+
+/// How a dial ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Came {
+    /// Greeted, after so many seconds.
+    Up(f64),
+    /// Nobody is there, or the host has no place.
+    Refused,
+    /// Nothing came in time: a host that has gone, or one with a crowd before it, whose work for this dial is lost.
+    Late,
+}
+
 /// When a dial that is wanted may begin.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum When {
@@ -42,6 +62,8 @@
     quickest: f64,
     /// No dial before that.
     not_before: f64,
+    /// Dials that were too late, one after the other.
+    late: u32,
 }
 
 pub struct Dials {
@@ -84,6 +106,7 @@
             under_way: 0,
             quickest: f64::INFINITY,
             not_before: start + spread * chance.rand_float(),
+            late: 0,
         })
     }
 
@@ -117,17 +140,30 @@
         }
     }
 
-    /// One that had begun has ended; `up` after how many seconds, where it came up.
-    pub fn ended(&mut self, now: f64, host: usize, up: Option<f64>) {
+    /// One that had begun has ended.
+    pub fn ended(&mut self, now: f64, host: usize, came: Came) {
+        let (pace, longest) = (self.pace, LONGEST.max(self.peers as f64 * LONGEST_EACH));
+        let chance = self.chance.rand_float();
         let h = self.host(now, host);
         h.under_way = h.under_way.saturating_sub(1);
-        match up {
-            Some(took) => {
+        let mut pause = 0.0;
+        match came {
+            Came::Up(took) => {
                 let slow = took > SLOW * h.quickest + LITTLE;
                 h.quickest = h.quickest.min(took);
                 h.window = if slow { (h.window / 2.0).max(1.0) } else { (h.window + GROWS).min(FREE) };
+                h.late = 0;
+            }
+            Came::Refused => pause = REFUSED * (0.5 + chance),
+            Came::Late => {
+                h.late = (h.late + 1).min(16);
+                h.window = 1.0;
+                // By chance over the whole of it: all that were too late were so at the same time.
+                pause = (LATE * f64::powi(2.0, h.late as i32 - 1)).min(longest) * chance;
             }
-            None => h.window = 1.0,
+        }
+        if pace == Pace::Answers {
+            h.not_before = h.not_before.max(now + pause);
         }
     }
 
--- a/crates/sandstile-return/src/lib.rs
+++ b/crates/sandstile-return/src/lib.rs
@@ -9,7 +9,7 @@
 pub mod ramp;
 pub mod stall;
 
-pub use dials::{Dials, When};
+pub use dials::{Came, Dials, When};
 pub use lists::Lists;
 pub use ramp::{Door, Ramp};
 pub use stall::Stall;
--- a/crates/sandstile-router/src/hosts.rs
+++ b/crates/sandstile-router/src/hosts.rs
@@ -11,7 +11,7 @@
 use crate::wire::{Moved, Wire};
 use mio::net::TcpStream;
 use mio::Token;
-use sandstile_return::{Dials, When};
+use sandstile_return::{Came, Dials, When};
 use slab::Slab;
 use slog::{debug, info, o, Logger};
 use std::collections::{BTreeMap, VecDeque};
@@ -272,10 +272,15 @@
     }
 
     /// A dial is no longer under way: up, or come to nothing.
-    fn dialled(&mut self, key: usize, up: bool, now: f64) {
+    fn dialled(&mut self, key: usize, failed: Option<Ending>, now: f64) {
         let Some(seat) = self.seats.get_mut(key) else { return };
         if let (Some(dials), Some(began)) = (&mut self.dials, seat.began.take()) {
-            dials.ended(now, seat.host, up.then_some(now - began));
+            let came = match failed {
+                None => Came::Up(now - began),
+                Some(Ending::DialTimedOut) => Came::Late,
+                Some(_) => Came::Refused,
+            };
+            dials.ended(now, seat.host, came);
         }
     }
 
@@ -288,10 +293,12 @@
         });
         let now = tools.clock.now();
         let seat = &mut self.seats[key];
-        seat.line.dialled();
         if let Some(dials) = &mut self.dials {
+            seat.line.dialled_by(now + self.dial_limit);
             seat.began = Some(now);
             dials.began(now, seat.host);
+        } else {
+            seat.line.dialled();
         }
         match dialled {
             Ok(wire) => {
@@ -471,7 +478,7 @@
             let host = seat.host;
             match event {
                 Event::Up => {
-                    self.dialled(key, true, tools.clock.now());
+                    self.dialled(key, None, tools.clock.now());
                     if self.quiet(key) {
                         let free = self.host(host).pool.up(key, tools.clock.now());
                         self.freed(host, key, free, true, tools);
@@ -524,7 +531,7 @@
 
     /// A dial less.
     fn undialled(&mut self, host: usize, key: usize, ending: Ending, tools: &mut Tools) {
-        self.dialled(key, false, tools.clock.now());
+        self.dialled(key, Some(ending), tools.clock.now());
         self.close(key, tools);
         match self.host(host).pool.undialled(key) {
             Some(job) => self.report(host, job, ending.into(), tools),
