A fresh host is met at once by its share of routers, and all-cold fleets go on by what completes

Checked: reasons of each given-up statement counted at answer(); places (room), rests and lost primaries were the smaller part. Cause: credit of a host began at 0 (members()), one is earned in about six seconds, and its primary could not be probed before that.

--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -143,7 +143,12 @@
             (host.group, host.zone, host.listed) = (m.group, m.zone, m.readiness);
             if m.since > host.fresh_since {
                 // A machine that replaces another is behind by seconds and cold, whatever it answers first.
-                (host.fresh_since, host.credit, host.seen_draining, host.mute) = (m.since, 0.0, false, false);
+                // Credit begins as it would stand had it been earned and spent for long: of hundreds of routers each
+                // earns one in the whole cold time, and none knows who is primary. The rest is for two probes.
+                let lucky = f64::from(self.chance.0.rand_float()) < self.cold_ease * self.terms.cold_from;
+                let credit = if lucky { 1.0 } else { 0.2 };
+                (host.fresh_since, host.credit, host.seen_draining, host.mute) =
+                    (m.since, credit, false, false);
             }
             self.cold_until = self.cold_until.max(host.fresh_since + self.cold_s);
             host.seen_draining |= m.readiness == Readiness::Draining;
@@ -549,10 +554,18 @@
     /// A completion at a warm host earns the cold ones their share of the sends to a warm one. Sends would
     /// not do, for refused ones multiply; nor the group's alone, whose one warm host may be jammed.
     fn earn(&mut self, index: usize) {
-        if self.cold_until <= self.now || self.share(&self.hosts[index]) < 1.0 {
+        if self.cold_until <= self.now {
+            return;
+        }
+        let warm = self.hosts.iter().filter(|h| self.share(h) >= 1.0 && self.sendable(h)).count();
+        if warm == 0 {
+            // All came back at once: what a cold host completes is all that tells what it bears.
+            let h = &mut self.hosts[index];
+            h.credit = (h.credit + 1.0).min(2.0);
+        }
+        if self.share(&self.hosts[index]) < 1.0 || warm == 0 {
             return;
         }
-        let warm = self.hosts.iter().filter(|h| self.share(h) >= 1.0 && self.sendable(h)).count().max(1);
         for m in 0..self.hosts.len() {
             let gain = self.cold_ease * self.share(&self.hosts[m]) / warm as f64;
             // Whole sends by chance: saved up in parts, none of hundreds of routers has one in the cold time.
