--- a/crates/sandstile-experiment/src/rows.rs
+++ b/crates/sandstile-experiment/src/rows.rs
@@ -23,6 +23,9 @@
     /// Shares in time of each second, all workloads together.
     pub seconds: Vec<f64>,
     pub broken: usize,
+    /// How the deployment came back from its faults, by name; rows of earlier versions have none.
+    #[serde(default)]
+    pub returning: BTreeMap<String, f64>,
     pub unsound: Option<String>,
 }
 
--- a/crates/sandstile-experiment/tests/goes_on.rs
+++ b/crates/sandstile-experiment/tests/goes_on.rs
@@ -25,6 +25,7 @@
         workloads: BTreeMap::from([("a".to_string(), service), ("b".to_string(), 1.0)]),
         seconds: Vec::new(),
         broken: 0,
+        returning: Default::default(),
         unsound: None,
     }
 }
--- a/crates/sandstile-lab/src/experiment.rs
+++ b/crates/sandstile-lab/src/experiment.rs
@@ -6,7 +6,7 @@
 use sandstile_scenario::Script;
 use sandstile_stats::{Looks, Verdict};
 use serde_json::Value;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write as _;
 use std::fs::{self, OpenOptions};
 use std::io::Write as _;
@@ -117,6 +117,7 @@
             workloads: workloads(&json),
             seconds: seconds(&json),
             broken: summary.broken,
+            returning: returning(&json),
             unsound: summary.unsound.clone(),
         };
         if let Some(why) = &row.unsound {
@@ -143,6 +144,47 @@
     all.filter_map(|w| Some((w["name"].as_str()?.to_string(), w["service"].as_f64()?))).collect()
 }
 
+fn returning(json: &Value) -> BTreeMap<String, f64> {
+    let all = json["returning"].as_object().into_iter().flatten();
+    all.filter_map(|(name, value)| Some((name.clone(), value.as_f64()?))).collect()
+}
+
+/// What returns came to, by arm: means, with the interval of the mean over pairs and the least and the most.
+fn returns(rows: &Rows, names: &[String], pairs: usize) -> String {
+    let of = |arm: &str| -> Vec<&Row> { (0..pairs).filter_map(|p| rows.of(p, arm)).collect() };
+    let measures: BTreeSet<&String> =
+        names.iter().flat_map(|arm| of(arm)).flat_map(|row| row.returning.keys()).collect();
+    if measures.is_empty() {
+        return String::new();
+    }
+    let mut out =
+        String::from("\nReturns, mean of so many runs with its interval (90%), and least to most:\n\n| |");
+    names.iter().for_each(|arm| out.push_str(&format!(" {arm} |")));
+    out.push_str("\n| --- |");
+    names.iter().for_each(|_| out.push_str(" --- |"));
+    out.push('\n');
+    for measure in measures {
+        let _ = write!(out, "| {measure} |");
+        for arm in names {
+            let mut values: Vec<f64> =
+                of(arm).iter().filter_map(|row| row.returning.get(measure).copied()).collect();
+            values.sort_by(f64::total_cmp);
+            let (Some(least), Some(most)) = (values.first(), values.last()) else {
+                out.push_str(" |");
+                continue;
+            };
+            let i = sandstile_stats::interval(&values, 0.1, 1);
+            let ends = match i.low.is_finite() && i.high.is_finite() {
+                true => format!(", {:.2} to {:.2}", i.low, i.high),
+                false => String::new(),
+            };
+            let _ = write!(out, " {:.2} of {}{ends} ({least:.2} to {most:.2}) |", i.mean, values.len());
+        }
+        out.push('\n');
+    }
+    out
+}
+
 /// The share in time by second, over all workloads.
 fn seconds(json: &Value) -> Vec<f64> {
     let mut sums: Vec<(f64, f64)> = Vec::new();
@@ -214,6 +256,7 @@
             );
         }
     }
+    out.push_str(&returns(&rows, &names, pairs));
     if let Some(row) = rows.rows.first() {
         let _ = writeln!(out, "\nMachine: {}. Rows that can't be read: {}.", row.machine, rows.skipped);
     }
--- a/crates/sandstile-lab/src/main.rs
+++ b/crates/sandstile-lab/src/main.rs
@@ -1,7 +1,9 @@
 //! The command line of the lab.
 use clap::{Parser, Subcommand, ValueEnum};
 use sandstile_emulator::Clock;
-use sandstile_lab::{capacity, experiment, processes, recordings, rehearse, report, scale_out};
+use sandstile_lab::{
+    capacity, experiment, hunt, processes, recordings, rehearse, report, returns, scale_out,
+};
 use sandstile_scenario::Script;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -115,6 +117,39 @@
         #[arg(long)]
         pairs: Option<usize>,
     },
+    /// Draw fault schedules by seed, play them short, judge, and shrink what fails; exits with 1 where one does
+    Hunt {
+        /// The script that schedules are added to
+        #[arg(default_value = "rehearsals/hunt.hcl")]
+        base: PathBuf,
+        /// The seed of the first schedule
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value_t = 40)]
+        runs: usize,
+        /// Faults of one schedule
+        #[arg(long, default_value_t = 5)]
+        size: usize,
+        #[arg(long)]
+        router: Option<PathBuf>,
+        #[arg(long, default_value = "target/hunt")]
+        out: PathBuf,
+        /// Eight schedules
+        #[arg(long)]
+        quick: bool,
+        /// Hosts have a flaw that is to be found; exits with 1 where it is not
+        #[arg(long)]
+        plant: bool,
+    },
+    /// How a return grows with the number of routers, in virtual time: a table and charts
+    Returns {
+        /// Where the table and the charts go
+        #[arg(long, default_value = "target/returns")]
+        out: PathBuf,
+        /// Up to a hundred routers
+        #[arg(long)]
+        quick: bool,
+    },
     /// Write tables, charts and a page from an experiment's rows
     Report { dir: PathBuf },
     /// Load an address that speaks the platform's protocol
@@ -230,6 +265,18 @@
             println!("{}", experiment::run(&wanted)?);
             Ok(ExitCode::SUCCESS)
         }),
+        Command::Hunt { base, seed, runs, size, router, out, quick, plant } => {
+            beside(router).and_then(|router| {
+                let runs = if quick { 8 } else { runs };
+                let found = hunt::hunt(&hunt::Wanted { base, router, out, seed, runs, size, plant })?;
+                println!("{}", found.text);
+                Ok(ExitCode::from(u8::from((found.failed > 0) != plant)))
+            })
+        }
+        Command::Returns { out, quick } => returns::grow(&out, quick).map(|text| {
+            println!("{text}");
+            ExitCode::SUCCESS
+        }),
         Command::Report { dir } => experiment::report(&dir).map(|text| {
             println!("{text}");
             ExitCode::SUCCESS
--- /dev/null
+++ b/crates/sandstile-router/tests/returns.rs
@@ -0,0 +1,234 @@
+//! Several processes of this program, and faults between them: short forms of the rehearsals of returns.
+use sandstile_audit::returning::Returning;
+use sandstile_audit::{judge, returning, Trace};
+use sandstile_lab::rehearse::{rehearse, Wanted};
+use sandstile_scenario::Script;
+use std::path::{Path, PathBuf};
+
+/// Four routers before one group whose hosts pay for each connection, cues behind it.
+const FLEET: &str = r#"
+title = "Returns, in little"
+seconds = 12
+settle = 1
+machine "std" {
+  cores = [1, 1]
+  setup_work_ms = SETUP
+  warm_s = 2
+  connections = 60
+}
+node "a" { machine = "std" }
+node "b" { machine = "std" }
+node "c" { machine = "std" }
+group "1" {
+  nodes = ["a", "b", "c"]
+  detect_s = 0.6
+  elect_s = 0.2
+}
+workload "look" {
+  consistency = "any"
+  work_ms = 4
+  slo_ms = 400
+  timeout_ms = 1000
+}
+workload "save" {
+  consistency = "write"
+  work_ms = 4
+  slo_ms = 500
+  timeout_ms = 1200
+}
+traffic "browse" {
+  workload = "look"
+  rate = 120
+}
+traffic "bookmark" {
+  workload = "save"
+  rate = 20
+}
+clients {
+  retries = 2
+  crowd = 10
+}
+routers {
+  count = 4
+  memory_mb = 64
+  sockets = 512
+  apart_ms = 100
+  pace = "PACE"
+}
+"#;
+
+struct Played {
+    trace: Trace,
+    back: Returning,
+    text: String,
+    out: PathBuf,
+}
+
+impl Drop for Played {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.out);
+    }
+}
+
+fn play(name: &str, setup: &str, pace: &str, cues: &str) -> Played {
+    let text = FLEET.replace("SETUP", setup).replace("PACE", pace) + cues;
+    let script = Script::read(name, &text).unwrap_or_else(|p| panic!("{p:?}"));
+    let out = std::env::temp_dir().join(format!("sandstile-{name}-{}", std::process::id()));
+    let router = Path::new(env!("CARGO_BIN_EXE_sandstile")).to_path_buf();
+    let wanted = Wanted { script, quick: false, router, out: out.clone() };
+    let summary = rehearse(wanted).expect("a rehearsal");
+    let trace =
+        Trace::read(&std::fs::read_to_string(out.join("trace.jsonl")).expect("a trace")).expect("lines");
+    // On a machine that stands still for a while answers are seen late; nothing else may be found, ever.
+    let found = judge(&trace).expect("a whole trace");
+    let broken: Vec<_> =
+        found.iter().filter(|f| f.rule.binds() && !f.what.contains("after its time was over")).collect();
+    assert!(broken.is_empty(), "{broken:?}\n{}", summary.text);
+    let back = returning(&trace);
+    Played { trace, back, text: summary.text, out }
+}
+
+/// All die in one instant and come back with their clients; service is whole again, and no host was trampled.
+#[test]
+fn all_restart_at_once_and_service_comes_back() {
+    let cues = r#"
+restart "all" {
+  share = 1
+  kind = "kill"
+  back = 0.4
+  at = 4
+}
+"#;
+    let played = play("all", "10", "answers", cues);
+    let starts = played.trace.routers.iter().filter(|(_, _, s)| format!("{s:?}") == "Started").count();
+    assert_eq!(starts, 8, "{}", played.text);
+    let whole = played.back.whole_after().expect("a cue");
+    assert!(whole < 6.0, "{whole}\n{}", played.text);
+    let dials = played.back.worst("dials").expect("dials").most;
+    assert!(dials <= 16.0, "{dials} dials at a host in 100 ms\n{}", played.text);
+}
+
+/// Four dials at once are one too many for a cold host's dial limit; a plain return keeps it busy with work that nobody waits
+/// for. The pace finds what it can greet.
+#[test]
+fn hosts_that_greet_no_crowd_in_time_are_reached_all_the_same() {
+    let cues = r#"
+fault "hosts" {
+  kind = "crash"
+  on = "group:1"
+  at = 3
+  for = 0.5
+}
+restart "all" {
+  share = 1
+  kind = "kill"
+  back = 0.4
+  when = "begins:hosts"
+}
+"#;
+    let paced = play("paced", "50", "answers", cues);
+    let served = |p: &Played| {
+        let begin = p.trace.terms.as_ref().expect("terms").begin;
+        let late = |s: &&sandstile_audit::trace::Statement| {
+            s.asked.as_ref().is_some_and(|a| a.intended > begin + 9.0)
+        };
+        let all: Vec<_> = p.trace.statements.values().filter(late).collect();
+        let good = all.iter().filter(|s| {
+            s.answered.iter().any(|(_, a)| matches!(a, sandstile_audit::trace::Answered::Completed { .. }))
+        });
+        good.count() as f64 / all.len().max(1) as f64
+    };
+    let share = served(&paced);
+    assert!(share > 0.8, "{share}\n{}", paced.text);
+    let plain = play("plain", "50", "plainest", cues);
+    assert!(served(&plain) < 0.5, "the baseline no longer falls over: {}", served(&plain));
+}
+
+/// A router stands still for some seconds, its agent's link is cut meanwhile, and it goes on with yesterday's statements.
+#[test]
+fn a_router_that_stood_still_decides_nothing_on_yesterday() {
+    let cues = r#"
+stop "still" {
+  router = 2
+  at = 3
+  for = 3
+}
+link "agent" {
+  from = "router:1"
+  to = "agent:1"
+  kind = "reset"
+  when = "begins:still"
+  for = 2
+}
+fault "primary" {
+  kind = "drain"
+  on = "primary:1"
+  when = "begins:still"
+  plus_ms = 500
+  for = 4
+}
+"#;
+    let played = play("still", "1", "answers", cues);
+    assert!(played.trace.stood_still(2, 0.0, f64::INFINITY) && !played.trace.links.is_empty());
+    assert!(played.back.stale.is_empty(), "{:?}\n{}", played.back.stale, played.text);
+    let log = std::fs::read_to_string(played.out.join("router-2.log")).expect("its log");
+    assert!(log.contains("stood still for") && log.contains("stalls=1"), "{log}");
+    let agent = std::fs::read_to_string(played.out.join("router-1.log")).expect("its log");
+    assert!(agent.contains("discovery:"), "its agent's link was cut: {agent}");
+}
+
+const OUT: &str = "SANDSTILE_TEST_OUT";
+
+/// Not a test of its own: a rehearsal in a process that the next one kills.
+#[test]
+#[ignore = "played by a_lab_that_is_killed_leaves_no_router_behind"]
+fn plays_until_it_is_killed() {
+    let Ok(out) = std::env::var(OUT) else { return };
+    let still = "stop \"still\" {\n  router = 1\n  at = 0.1\n  for = 9\n}\n";
+    let text = FLEET.replace("SETUP", "1").replace("PACE", "answers") + still;
+    let script = Script::read("killed", &text).unwrap_or_else(|p| panic!("{p:?}"));
+    let router = Path::new(env!("CARGO_BIN_EXE_sandstile")).to_path_buf();
+    let _ = rehearse(Wanted { script, quick: false, router, out: out.into() });
+}
+
+/// Whoever kills the lab leaves no router behind, and none that stands still either.
+#[test]
+fn a_lab_that_is_killed_leaves_no_router_behind() {
+    let out = std::env::temp_dir().join(format!("sandstile-killed-{}", std::process::id()));
+    let this = std::env::current_exe().expect("this program");
+    let mut lab = std::process::Command::new(this)
+        .args(["--ignored", "--exact", "plays_until_it_is_killed"])
+        .env(OUT, &out)
+        .stdout(std::process::Stdio::null())
+        .stderr(std::process::Stdio::null())
+        .spawn()
+        .expect("a process");
+    // Routers know their configuration by its path, which lies in that folder alone.
+    let routers = || -> Vec<u32> {
+        let folder = format!("LB_CONFIG={}/router-", out.display());
+        let of = |pid: &u32| {
+            let environ = std::fs::read(format!("/proc/{pid}/environ")).unwrap_or_default();
+            String::from_utf8_lossy(&environ).contains(&folder)
+        };
+        let all = std::fs::read_dir("/proc").expect("processes").flatten();
+        all.filter_map(|e| e.file_name().to_str()?.parse().ok()).filter(of).collect()
+    };
+    let stands_still = || {
+        routers().iter().any(|pid| {
+            let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+            stat.rsplit_once(')').is_some_and(|(_, rest)| rest.trim_start().starts_with('T'))
+        })
+    };
+    let wait_for = |what: &str, holds: &dyn Fn() -> bool| {
+        let until = std::time::Instant::now() + std::time::Duration::from_secs(20);
+        while !holds() {
+            assert!(std::time::Instant::now() < until, "{what}: {:?}", routers());
+            std::thread::sleep(std::time::Duration::from_millis(5));
+        }
+    };
+    wait_for("four routers, one of them stopped", &|| routers().len() == 4 && stands_still());
+    lab.kill().expect("it runs");
+    lab.wait().expect("its end");
+    wait_for("no router is left", &|| routers().is_empty());
+    std::fs::remove_dir_all(out).expect("our own folder");
+}
--- a/crates/sandstile-scenario/tests/scripts.rs
+++ b/crates/sandstile-scenario/tests/scripts.rs
@@ -151,3 +151,86 @@
     let ramp = [Jump { at: 10.0, lasts: 10.0, times: 3.0, ramp: 2.0 }];
     assert_eq!([9.0, 11.0, 15.0, 19.0, 21.0].map(|t| level(&ramp, t)), [1.0, 2.0, 3.0, 2.0, 1.0]);
 }
+
+const FAULTS: &str = r#"
+link "cut" {
+  from = "router:0 clients"
+  to = "group:1"
+  kind = "delay"
+  delay_ms = 50
+  one_way = true
+  at = 3
+  for = 2
+}
+partition "split" {
+  sides = ["router:0 zone:a", "router:1 zone:b"]
+  when = "begins:cut"
+  for = 1
+}
+restart "most" {
+  share = 0.7
+  kind = "kill"
+  state = "older"
+  spread = 1
+  when = "ends:split"
+}
+stop "still" {
+  router = 1
+  for = 2
+  at = 4
+}
+state "copy" {
+  router = 0
+  at = 1
+}
+"#;
+
+#[test]
+fn faults_between_processes_are_read_and_checked_against_those_there_are() {
+    use sandstile_faults::{Blow, End, State};
+    let script = Script::read("faults.hcl", &format!("{GOOD}{FAULTS}")).expect("good");
+    let host = |name: &str, zone: &str| End::Host { name: name.into(), group: "1".into(), zone: zone.into() };
+    assert!(script.relayed(&End::Router(0), &host("s-1-a", "a")));
+    assert!(script.relayed(&End::Router(1), &host("s-1-a", "a")), "another side's host");
+    assert!(!script.relayed(&End::Router(1), &End::Agent(1)), "nothing strikes that link");
+    assert!(!script.relayed(&End::Clients, &host("s-1-a", "a")), "they never talk");
+    let older = script.cues.iter().any(|c| {
+        matches!(c.act, Act::Process { blow: Blow::Restart { kill: true, state: State::Older, .. }, spread, .. } if spread == 1.0)
+    });
+    assert!(older);
+    for (from, to, told) in [
+        ("group:1", "group:7", "7"),
+        ("zone:a", "zone:q", "q"),
+        ("router:0 clients", "router:9", "router"),
+        ("kind = \"delay\"", "kind = \"rain\"", "rain"),
+        ("share = 0.7", "share = 0.7\n  router = 0", "both"),
+        ("for = 1", "for = 1\n  one_way = true", "one_way"),
+        ("state = \"older\"", "state = \"odd\"", "odd"),
+    ] {
+        let text = format!("{GOOD}{}", FAULTS.replacen(from, to, 1));
+        let problems = Script::read("bad.hcl", &text).expect_err(to);
+        assert!(problems.iter().any(|p| p.to_string().contains(told)), "{to}: {problems:?}");
+    }
+}
+
+#[test]
+fn a_fleet_can_stand_in_a_file_that_scripts_share() {
+    let split = GOOD.find("traffic").expect("traffic");
+    let (fleet, own) = (GOOD[GOOD.find("machine").expect("a machine")..split].to_string(), &GOOD[split..]);
+    let text = format!("title = \"Shared\"\nseconds = 20\nfleet = \"f.hcl\"\n{own}");
+    let read = |fleet: String| {
+        Script::read_with("own.hcl", &text, &move |name| match name {
+            "f.hcl" => Ok(fleet.clone()),
+            other => Err(format!("no {other}")),
+        })
+    };
+    let script = read(fleet.clone()).expect("good");
+    assert_eq!((script.plan.nodes.len(), script.cues.len()), (2, 3));
+    // What is wrong in the shared file is told with its name and line.
+    let wrong = read(fleet.replace("queue = 32", "queues = 32")).expect_err("a typo");
+    assert!(wrong.iter().any(|p| p.to_string().contains("f.hcl:")), "{wrong:?}");
+    let gone = Script::read("own.hcl", &text).expect_err("no file");
+    assert!(gone.iter().any(|p| p.to_string().contains("f.hcl")), "{gone:?}");
+    let broken = read("machine \"std\" {".to_string()).expect_err("no HCL");
+    assert!(!broken.is_empty());
+}
--- a/crates/sandstile-virtual/src/mind.rs
+++ b/crates/sandstile-virtual/src/mind.rs
@@ -3,7 +3,8 @@
 use sandstile_fleet::event::{Answer, Ask, Input};
 use sandstile_policy::policy::Instance;
 use sandstile_policy::terms::{Arrival, Decision, Member, Note, Verdict};
-use std::collections::{BTreeMap, BTreeSet};
+use sandstile_return::{Came, Dials, When};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// What a client wants; `key` is its own name for it.
 #[derive(Clone, Debug)]
@@ -42,6 +43,8 @@
 
 enum Doing {
     Rising(Job),
+    /// Dialled since then, for whatever waits longest by the time that it is up.
+    Paced(f64),
     Idle,
     Busy(Job),
 }
@@ -78,6 +81,13 @@
     /// Keeps the names of two routers' connections apart.
     stride: u64,
     dial_limit: f64,
+    /// Where dials are paced: when they may begin, and the jobs of each host that wait, with the end of their patience.
+    dials: Option<Dials>,
+    waiting: BTreeMap<usize, VecDeque<(f64, Job)>>,
+    /// Dials under way at each host, and when one that waits for its turn may begin.
+    under_way: BTreeMap<usize, usize>,
+    turn_at: f64,
+    met: BTreeSet<usize>,
     /// Executions sent.
     pub sent: u64,
     pub probes: u64,
@@ -106,11 +116,27 @@
             conns_made: number,
             stride: of,
             dial_limit,
+            dials: None,
+            waiting: BTreeMap::new(),
+            under_way: BTreeMap::new(),
+            turn_at: f64::INFINITY,
+            met: BTreeSet::new(),
             sent: 0,
             probes: 0,
         }
     }
 
+    /// Its dials keep this pace.
+    pub fn paced(mut self, dials: Dials) -> Self {
+        self.dials = Some(dials);
+        self
+    }
+
+    /// It takes the place of another: names of connections are used once in the world's life.
+    pub(crate) fn goes_on_from(&mut self, former: &Mind) {
+        self.conns_made = former.conns_made;
+    }
+
     pub fn acts(&mut self) -> Vec<Act> {
         std::mem::take(&mut self.acts)
     }
@@ -124,6 +150,12 @@
         if let Decider::Module(policy) = &mut self.decider {
             policy.members(now, list);
         }
+        for host in list.iter().map(|m| m.host) {
+            let at_once = self.dials.as_ref().map_or(0, Dials::at_once);
+            if self.met.insert(host) {
+                (0..at_once).for_each(|_| self.dial(now, host));
+            }
+        }
         self.decide(now);
     }
 
@@ -149,35 +181,116 @@
             Decider::Direct(primaries) => Some(primaries[wanted.group]),
         };
         if let Some(host) = direct {
-            self.send(host, stmt, now + wanted.wait);
+            self.send(now, host, stmt, now + wanted.wait);
         }
         self.decide(now);
     }
 
     pub fn wake(&self) -> Option<f64> {
         match &self.decider {
-            Decider::Module(policy) => policy.wake_at(),
+            Decider::Module(policy) => {
+                let patience = self.waiting.values().filter_map(|w| w.front()).map(|(until, _)| *until);
+                let paced = patience.fold(self.turn_at, f64::min);
+                policy.wake_at().into_iter().chain(paced.is_finite().then_some(paced)).reduce(f64::min)
+            }
             Decider::Direct(_) => None,
         }
     }
 
+    fn dial(&mut self, now: f64, host: usize) {
+        self.conns_made += self.stride;
+        let conn = self.conns_made;
+        self.conns.insert(conn, Conn { host, doing: Doing::Paced(now) });
+        *self.under_way.entry(host).or_default() += 1;
+        if let Some(dials) = &mut self.dials {
+            dials.began(now, host);
+        }
+        self.acts.push(Act::Dial { conn, host, until: self.dial_limit });
+    }
+
+    /// Begins what dials the jobs of a host need and may have now.
+    fn want(&mut self, now: f64, host: usize) {
+        while self.under_way.get(&host).copied().unwrap_or(0)
+            < self.waiting.get(&host).map_or(0, VecDeque::len)
+        {
+            let Some(dials) = &mut self.dials else { return };
+            match dials.wanted(now, host) {
+                When::Now => self.dial(now, host),
+                When::At(at) => {
+                    self.turn_at = self.turn_at.min(at);
+                    return;
+                }
+                When::Ended => return,
+            }
+        }
+    }
+
+    /// A connection has nothing to do: it takes what waits longest, or rests.
+    fn free(&mut self, now: f64, conn: u64) {
+        let host = self.conns[&conn].host;
+        while let Some((_, job)) = self.waiting.get_mut(&host).and_then(VecDeque::pop_front) {
+            if now < job.until && self.wants(job) {
+                return self.say(conn, job);
+            }
+            self.told(now, host, job, Verdict::Moot, Note::default());
+        }
+        self.rest(conn);
+    }
+
+    /// A paced dial has ended.
+    fn dialled(&mut self, now: f64, host: usize, came: Came) {
+        if let Some(n) = self.under_way.get_mut(&host) {
+            *n -= 1;
+        }
+        if let Some(dials) = &mut self.dials {
+            dials.ended(now, host, came);
+        }
+    }
+
+    /// Turns that have come, and patience that is over.
+    fn turns(&mut self, now: f64) {
+        if self.dials.is_none() {
+            return;
+        }
+        let mut over = Vec::new();
+        for (host, waiting) in &mut self.waiting {
+            while waiting.front().is_some_and(|(until, _)| *until <= now) {
+                over.extend(waiting.pop_front().map(|(_, job)| (*host, job)));
+            }
+        }
+        for (host, job) in over {
+            self.told(now, host, job, Verdict::Moot, Note::default());
+        }
+        if self.turn_at <= now {
+            self.turn_at = f64::INFINITY;
+        }
+        let hosts: Vec<usize> = self.waiting.iter().filter(|(_, w)| !w.is_empty()).map(|(h, _)| *h).collect();
+        hosts.into_iter().for_each(|host| self.want(now, host));
+    }
+
     /// The time that it wanted to look again has come.
     pub fn woken(&mut self, now: f64) {
+        self.turns(now);
         self.decide(now);
     }
 
-    fn send(&mut self, host: usize, stmt: u64, until: f64) {
+    fn send(&mut self, now: f64, host: usize, stmt: u64, until: f64) {
         let Some(open) = self.open.get_mut(&stmt) else { return };
         let execution = open.hosts.len();
         open.hosts.push(host);
         self.sent += 1;
-        self.begin(host, Job { which: Some((stmt, execution)), until });
+        self.begin(now, host, Job { which: Some((stmt, execution)), until });
     }
 
-    fn begin(&mut self, host: usize, job: Job) {
+    fn begin(&mut self, now: f64, host: usize, job: Job) {
         if let Some(conn) = self.idle.get_mut(&host).and_then(Vec::pop) {
             return self.say(conn, job);
         }
+        if self.dials.is_some() {
+            // As long as a dial may wait for its turn, and then take.
+            self.waiting.entry(host).or_default().push_back((now + 2.0 * self.dial_limit, job));
+            return self.want(now, host);
+        }
         self.conns_made += self.stride;
         let conn = self.conns_made;
         self.conns.insert(conn, Conn { host, doing: Doing::Rising(job) });
@@ -205,7 +318,12 @@
     /// The host admits it.
     pub fn greeted(&mut self, now: f64, conn: u64) {
         let Some(c) = self.conns.get_mut(&conn) else { return };
-        if let Doing::Rising(job) = c.doing {
+        if let Doing::Paced(since) = c.doing {
+            let host = c.host;
+            self.dialled(now, host, Came::Up(now - since));
+            self.free(now, conn);
+            self.want(now, host);
+        } else if let Doing::Rising(job) = c.doing {
             if now >= job.until || !self.wants(job) {
                 self.rest(conn);
                 self.over(now, conn, job, Verdict::Moot, Note::default());
@@ -237,6 +355,19 @@
                 }
             }
             Doing::Rising(job) => self.told(now, c.host, job, rising, Note::default()),
+            Doing::Paced(since) => {
+                let late = now >= since + self.dial_limit - 1e-9;
+                self.dialled(now, c.host, if late { Came::Late } else { Came::Refused });
+                // One dial less than jobs that wait for one: the job that waits longest ends with it.
+                let left = self.under_way.get(&c.host).copied().unwrap_or(0);
+                let waiting = self.waiting.entry(c.host).or_default();
+                if waiting.len() > left {
+                    if let Some((_, job)) = waiting.pop_front() {
+                        self.told(now, c.host, job, rising, Note::default());
+                    }
+                }
+                self.want(now, c.host);
+            }
             Doing::Busy(job) => self.told(now, c.host, job, busy, Note::default()),
         }
         self.decide(now);
@@ -265,8 +396,12 @@
             self.acts.push(Act::Leave(conn));
             self.told(now, host, job, verdict, note);
         } else {
-            self.rest(conn);
-            self.over(now, conn, job, verdict, note);
+            let host = c.host;
+            match self.dials.is_some() {
+                true => self.free(now, conn),
+                false => self.rest(conn),
+            }
+            self.told(now, host, job, verdict, note);
         }
         self.decide(now);
     }
@@ -301,6 +436,9 @@
         let Some(c) = self.conns.get(&conn) else { return };
         let (rising, busy) = match c.doing {
             Doing::Rising(_) => (Verdict::ConnectFailed, Verdict::Moot),
+            Doing::Paced(since) if since + self.dial_limit <= at + 1e-9 => {
+                (Verdict::ConnectFailed, Verdict::Moot)
+            }
             Doing::Busy(job) if job.until <= at => (Verdict::Moot, Verdict::TimedOut),
             // The alarm of a job that was answered long ago.
             _ => return,
@@ -325,13 +463,13 @@
         }
         for decision in decisions {
             match decision {
-                Decision::Send { stmt, host, time_out } => self.send(host, stmt, now + time_out),
+                Decision::Send { stmt, host, time_out } => self.send(now, host, stmt, now + time_out),
                 Decision::Reject { stmt, return_after } => self.give(stmt, Final::Rejected(return_after)),
                 Decision::Abort { stmt } => self.give(stmt, Final::Aborted),
                 Decision::Recall { stmt, execution } => self.recall(now, (stmt, execution)),
                 Decision::Probe { host } => {
                     self.probes += 1;
-                    self.begin(host, Job { which: None, until: now + self.dial_limit });
+                    self.begin(now, host, Job { which: None, until: now + self.dial_limit });
                 }
                 Decision::Log(_) | Decision::Subscribe => {}
             }
@@ -351,13 +489,25 @@
         let under = self.conns.iter().find(
             |(_, c)| matches!(c.doing, Doing::Rising(job) | Doing::Busy(job) if job.which == Some(which)),
         );
-        let Some((&conn, _)) = under else { return };
+        let Some((&conn, _)) = under else {
+            let mut found = None;
+            for (host, waiting) in &mut self.waiting {
+                if let Some(at) = waiting.iter().position(|(_, job)| job.which == Some(which)) {
+                    found = waiting.remove(at).map(|(_, job)| (*host, job));
+                    break;
+                }
+            }
+            if let Some((host, job)) = found {
+                self.told(now, host, job, Verdict::Moot, Note::default());
+            }
+            return;
+        };
         self.acts.push(Act::Leave(conn));
         let c = self.conns.remove(&conn).expect("found just now");
         let (job, verdict) = match c.doing {
             Doing::Rising(job) => (job, Verdict::Moot),
             Doing::Busy(job) => (job, Verdict::Cancelled),
-            Doing::Idle => return,
+            Doing::Idle | Doing::Paced(_) => return,
         };
         self.told(now, c.host, job, verdict, Note::default());
     }
--- a/crates/sandstile-virtual/src/world.rs
+++ b/crates/sandstile-virtual/src/world.rs
@@ -37,6 +37,8 @@
     /// Hosts that refuse new connections, and those that say nothing.
     down: BTreeSet<usize>,
     silent: BTreeSet<usize>,
+    /// Routers that are not there: who asks them is told to come again.
+    away: BTreeSet<usize>,
     /// Seconds until a change of the list is told.
     list_late: f64,
     /// Looks at all that happens inside the model.
@@ -54,6 +56,7 @@
             by_host: BTreeMap::new(),
             down: BTreeSet::new(),
             silent: BTreeSet::new(),
+            away: BTreeSet::new(),
             list_late,
             watch: None,
         };
@@ -91,10 +94,32 @@
             .collect()
     }
 
+    /// A router's process ends in this instant, with all that it knew and held; who waits for its answers gets none.
+    pub fn kill(&mut self, router: usize) {
+        self.away.insert(router);
+        let held: Vec<u64> =
+            self.owners.iter().filter(|(_, r)| **r == router).map(|(conn, _)| *conn).collect();
+        for conn in held {
+            self.fleet.input(self.now, conn, Input::Closed);
+            self.forget(conn);
+        }
+    }
+
+    /// Another process in its place, which knows the list and no more.
+    pub fn start(&mut self, router: usize, mind: Mind) {
+        self.away.remove(&router);
+        let former = std::mem::replace(&mut self.minds[router], mind);
+        self.minds[router].goes_on_from(&former);
+        let (now, list) = (self.now, self.list());
+        self.minds[router].listed(now, &list);
+        self.act(router);
+    }
+
     /// Plays until this time of the world's clock.
     pub fn play(&mut self, clients: &mut dyn Clients, until: f64) {
         loop {
-            let wake = self.minds.iter().filter_map(Mind::wake).fold(f64::INFINITY, f64::min);
+            let there = self.minds.iter().enumerate().filter(|(n, _)| !self.away.contains(n));
+            let wake = there.filter_map(|(_, mind)| mind.wake()).fold(f64::INFINITY, f64::min);
             let model = self.fleet.next_wake().unwrap_or(f64::INFINITY);
             let alarm = self.alarms.earliest().unwrap_or(f64::INFINITY);
             // The decisions look no more often than behind sockets.
@@ -109,15 +134,22 @@
             self.heard(clients);
             while let Some((at, alarm)) = self.alarms.pop(now) {
                 match alarm {
-                    Alarm::Conn { router, conn } => self.minds[router].timed_out(now, conn, at),
+                    Alarm::Conn { router, conn } => {
+                        if !self.away.contains(&router) {
+                            self.minds[router].timed_out(now, conn, at);
+                        }
+                    }
                     Alarm::Told(list) => self.minds.iter_mut().for_each(|mind| mind.listed(now, &list)),
                 }
             }
             for (router, wanted) in clients.due(now) {
-                self.minds[router].arrived(now, wanted);
+                match self.away.contains(&router) {
+                    true => clients.answered(now, wanted.key, Final::Rejected(0.0)),
+                    false => self.minds[router].arrived(now, wanted),
+                }
             }
-            for mind in &mut self.minds {
-                if mind.wake().is_some_and(|at| at <= now) {
+            for (router, mind) in self.minds.iter_mut().enumerate() {
+                if !self.away.contains(&router) && mind.wake().is_some_and(|at| at <= now) {
                     mind.woken(now);
                 }
             }
@@ -146,7 +178,7 @@
         let (now, mut answers) = (self.now, Vec::new());
         loop {
             let acts = self.minds[router].acts();
-            if acts.is_empty() {
+            if acts.is_empty() || self.away.contains(&router) {
                 return answers;
             }
             for act in acts {
