--- a/crates/sandstile-audit/tests/returns.rs
+++ b/crates/sandstile-audit/tests/returns.rs
@@ -131,6 +131,13 @@
     };
     assert_eq!(answer(&(link("clients") + closed)), ran);
     assert_eq!(answer(&(link("hosts") + closed)), ran + 1);
+    let late = r#"{"t":121.0,"what":"asked","id":"z","first":"z","intended":121.0,"workload":"look","group":"1","session":"s","router":1,"wait":0.8}
+{"t":122.0,"what":"answered","id":"z","how":"rejected","code":"53300"}
+"#;
+    let still = "{\"t\":120.5,\"what\":\"router\",\"number\":1,\"state\":\"stopped\"}\n{\"t\":121.9,\"what\":\"router\",\"number\":1,\"state\":\"continued\"}\n";
+    assert_eq!(answer(late), ran + 1);
+    assert_eq!(answer(&(still.to_string() + late)), ran);
+    assert_eq!(answer(&(still.replace("\"number\":1", "\"number\":0") + late)), ran + 1);
     let drained = r#"{"t":115.0,"what":"told","router":1,"host":"d","readiness":"leaving","primary":false}
 {"t":118.0,"what":"asked","id":"y","first":"y","intended":118.0,"workload":"look","group":"1","session":"s","router":1,"wait":0.8}
 {"t":118.1,"what":"taken","host":"d","id":"y","workload":"look"}
