--- a/crates/sandstile-router/src/hosts.rs
+++ b/crates/sandstile-router/src/hosts.rs
@@ -56,6 +56,8 @@
     idle: Option<Rest>,
     /// When its dial began, while that is under way and somebody counts.
     began: Option<f64>,
+    /// It has waited for its turn, and was counted for that.
+    held: bool,
 }
 
 pub struct Hosts {
@@ -168,8 +170,8 @@
     fn want(&mut self, host: usize, address: SocketAddr, tools: &Tools) {
         self.counters.dialled.add();
         let line = Link::wanted(tools.clock.now() + self.dial_limit, self.dial_limit);
-        let (armed, idle, began) = (f64::INFINITY, None, None);
-        let key = self.seats.insert(Seat { host, line, wire: None, queued: false, armed, idle, began });
+        let (armed, idle, began, held) = (f64::INFINITY, None, None, false);
+        let key = self.seats.insert(Seat { host, line, wire: None, queued: false, armed, idle, began, held });
         self.host(host).pool.dialled(key);
         self.wanted.push_back((key, address));
     }
@@ -250,11 +252,15 @@
             }
             return false;
         };
-        let seats = &self.seats;
+        let seats = &mut self.seats;
         self.wanted.retain(|(key, _)| seats.get(*key).is_some_and(stands));
         for at in 0..self.wanted.len() {
-            let Some(seat) = seats.get(self.wanted[at].0) else { continue };
-            match dials.wanted(now, seat.host) {
+            let Some(seat) = seats.get_mut(self.wanted[at].0) else { continue };
+            let when = dials.wanted(now, seat.host);
+            if when != When::Now && !std::mem::replace(&mut seat.held, true) {
+                self.counters.dials_held.add();
+            }
+            match when {
                 When::Now => {
                     self.wanted.swap(0, at);
                     return true;
--- a/crates/sandstile-router/tests/returns.rs
+++ b/crates/sandstile-router/tests/returns.rs
@@ -104,6 +104,8 @@
     assert_eq!(starts, 8, "{}", played.text);
     let whole = played.back.whole_after().expect("a cue");
     assert!(whole < 6.0, "{whole}\n{}", played.text);
+    let log = std::fs::read_to_string(played.out.join("router-0.log")).expect("its log");
+    assert!(log.contains(" dials_held=") && !log.contains(" dials_held=0 "), "no dial waited: {log}");
     let dials = played.back.worst("dials").expect("dials").most;
     assert!(dials <= 16.0, "{dials} dials at a host in 100 ms\n{}", played.text);
 }
@@ -177,6 +179,32 @@
     assert!(agent.contains("discovery:"), "its agent's link was cut: {agent}");
 }
 
+/// What our own file says wrong of a return is told with its place, and nothing starts.
+#[test]
+fn a_wrong_pace_is_told_with_its_place() {
+    let file = std::env::temp_dir().join(format!("sandstile-pace-{}.hcl", std::process::id()));
+    let check = |text: &str| {
+        std::fs::write(&file, text).expect("a place for files");
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_sandstile"));
+        let out = command
+            .arg("check")
+            .arg("--config")
+            .arg(&file)
+            .env_remove("LB_CONFIG")
+            .output()
+            .expect("it runs");
+        let text = String::from_utf8_lossy(&out.stdout).into_owned() + &String::from_utf8_lossy(&out.stderr);
+        (out.status.success(), text)
+    };
+    let (good, text) = check("return {\n  pace = \"answers\"\n}\n");
+    assert!(good && text.contains("return answers"), "{text}");
+    let (good, text) = check("return {\n  pace = \"answer\"\n  haste = 1\n}\n");
+    assert!(!good && text.contains(":2:") && text.contains("answers") && text.contains("haste"), "{text}");
+    let (good, text) = check("");
+    assert!(good && text.contains("return off"), "{text}");
+    std::fs::remove_file(file).expect("our own file");
+}
+
 const OUT: &str = "SANDSTILE_TEST_OUT";
 
 /// Not a test of its own: a rehearsal in a process that the next one kills.
--- a/deploy/sessions.hcl
+++ b/deploy/sessions.hcl
@@ -44,3 +44,9 @@
 #   false_alarms_a_day = 0.1
 #   returning          = 0.5
 # }
+
+# A router that has just started beside many others: how it dials, and when it takes itself to have stood still.
+# return {
+#   pace     = "answers"
+#   stall_ms = 1000
+# }
