--- a/crates/sandstile-lab/src/returns.rs
+++ b/crates/sandstile-lab/src/returns.rs
@@ -16,6 +16,7 @@
 use std::fmt::Write as _;
 use std::path::Path;
 use std::rc::Rc;
+use std::sync::Mutex;
 use tracing::info;
 
 const GROUPS: usize = 8;
@@ -336,13 +337,35 @@
         SETUP * 1e3,
         DIAL * 1e3
     );
-    for (story, name) in [(Story::MostRestart, "most-restart"), (Story::PowerCut, "power-cut")] {
+    let stories = [(Story::MostRestart, "most-restart"), (Story::PowerCut, "power-cut")];
+    // Each run has a world of its own; the largest first, for they take the longest.
+    let mut jobs: Vec<(usize, usize, usize)> = Vec::new();
+    for count in (0..counts.len()).rev() {
+        jobs.extend(
+            (0..stories.len()).flat_map(|story| (0..paces.len()).map(move |pace| (story, pace, count))),
+        );
+    }
+    let jobs = Mutex::new(jobs.into_iter());
+    let runs: Mutex<BTreeMap<(usize, usize, usize), Run>> = Mutex::default();
+    let workers = std::thread::available_parallelism().map_or(1, usize::from);
+    std::thread::scope(|scope| {
+        for _ in 0..workers {
+            scope.spawn(|| loop {
+                let job = jobs.lock().expect("no thread panics under the lock").next();
+                let Some((story, pace, count)) = job else { return };
+                let done = run(stories[story].0, paces[pace].1, counts[count], 1);
+                info!(story = stories[story].1, pace = paces[pace].0, routers = counts[count], "played");
+                runs.lock().expect("no thread panics under the lock").insert((story, pace, count), done);
+            });
+        }
+    });
+    let runs = runs.into_inner().expect("no thread panics under the lock");
+    for (story, (_, name)) in stories.iter().enumerate() {
         let mut curves = Vec::new();
-        for (word, pace) in paces {
+        for (pace, (word, _)) in paces.iter().enumerate() {
             let mut points = Vec::new();
-            for routers in counts {
-                let run = run(story, pace, *routers, 1);
-                info!(name, word, routers, "played");
+            for (count, routers) in counts.iter().enumerate() {
+                let run = &runs[&(story, pace, count)];
                 let whole = run.whole.map_or("not before the end".to_string(), |s| format!("{s:.2}"));
                 let _ = writeln!(
                     text,
