--- a/crates/sandstile-lab/src/processes.rs
+++ b/crates/sandstile-lab/src/processes.rs
@@ -78,7 +78,10 @@
     let wanted = script.sessions;
     let mut beside = String::new();
     if let Some(pace) = &script.routers.pace {
-        beside += &format!("return {{\n  pace = {pace:?}\n}}\n");
+        // `answers+ramp`: with the crowd let in as answers come.
+        let (pace, ramp) =
+            pace.split_once('+').map_or((pace.as_str(), false), |(pace, more)| (pace, more == "ramp"));
+        beside += &format!("return {{\n  pace = {pace:?}\n  ramp = {ramp}\n}}\n");
     }
     if script.routers.limits {
         beside += "limits {\n}\n";
--- a/crates/sandstile-membership/src/swim.rs
+++ b/crates/sandstile-membership/src/swim.rs
@@ -5,6 +5,28 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+/// Whether one word on a member takes the place of another: life before incarnation before state.
+pub fn overrides(new: &Rumour, held: &Rumour) -> bool {
+    if new.of.life != held.of.life {
+        return new.of.life > held.of.life;
+    }
+    match (new.state, held.state) {
+        // A farewell is final for its life.
+        (_, State::Left) => false,
+        (State::Left, State::Dead) => true,
+        (State::Alive, _) => new.incarnation > held.incarnation,
+        (State::Suspect, State::Alive) => new.incarnation >= held.incarnation,
+        (State::Suspect, _) | (State::Dead, State::Dead) => new.incarnation > held.incarnation,
+        (State::Dead | State::Left, _) => new.incarnation >= held.incarnation,
+    }
+}
+
+/// The incarnation under which a member speaks for itself once it has heard this of itself; `None` where it need not.
+pub fn refutes(heard: &Rumour, life: u64, incarnation: u32) -> Option<u32> {
+    let about_us = heard.of.life == life && heard.state != State::Alive && heard.incarnation >= incarnation;
+    about_us.then(|| heard.incarnation.saturating_add(1))
+}
+
 /// How watchful members are. Seconds.
 #[derive(Clone, Debug)]
 pub struct Terms {
@@ -325,10 +347,10 @@
     /// Somebody's word on somebody.
     fn hear(&mut self, now: f64, r: &Rumour, by: &str) {
         if r.of.name == self.terms.name {
-            let ours = r.of.life == self.terms.life;
-            if ours && r.state != State::Alive && r.incarnation >= self.incarnation && !self.leaving {
+            let louder = refutes(r, self.terms.life, self.incarnation).filter(|_| !self.leaving);
+            if let Some(incarnation) = louder {
                 // Only we say that we are there, and louder than those who say we are not.
-                self.incarnation = r.incarnation.saturating_add(1);
+                self.incarnation = incarnation;
                 self.health = (self.health + 1).min(WORST_HEALTH);
                 let me = self.me();
                 self.rumours.add(me);
@@ -350,35 +372,18 @@
         };
         let held = &member.rumour;
         let newer_life = r.of.life > held.of.life;
-        if r.of.life < held.of.life {
-            return;
-        }
-        if !newer_life {
-            if held.state == State::Left {
-                return;
-            }
-            if r.state == State::Suspect && held.state == State::Suspect && r.incarnation == held.incarnation
-            {
-                // One more who says the same.
-                if let Some(s) = &mut member.suspicion {
-                    if (s.by.len() as f64) < CONFIRMATIONS + 1.0 && s.by.insert(by.to_string()) {
-                        self.rumours.add(r.clone());
-                    }
+        let same = r.of.life == held.of.life && r.incarnation == held.incarnation;
+        if same && r.state == State::Suspect && held.state == State::Suspect {
+            // One more who says the same.
+            if let Some(s) = &mut member.suspicion {
+                if (s.by.len() as f64) < CONFIRMATIONS + 1.0 && s.by.insert(by.to_string()) {
+                    self.rumours.add(r.clone());
                 }
-                return;
-            }
-            let wins = match (r.state, held.state) {
-                (State::Alive, _) => r.incarnation > held.incarnation,
-                (State::Suspect, State::Alive) => r.incarnation >= held.incarnation,
-                (State::Suspect, _) => r.incarnation > held.incarnation,
-                (State::Dead | State::Left, State::Dead) => {
-                    r.incarnation > held.incarnation || r.state == State::Left
-                }
-                (State::Dead | State::Left, _) => r.incarnation >= held.incarnation,
-            };
-            if !wins {
-                return;
             }
+            return;
+        }
+        if !overrides(r, held) {
+            return;
         }
         let was = held.state;
         let was_there = matches!(was, State::Alive | State::Suspect);
--- a/experiments/returns-paces.hcl
+++ b/experiments/returns-paces.hcl
@@ -1,4 +1,4 @@
-# The paces that were weighed, on the return that no pace survives without backing off.
+# The paces that were weighed, and the ramp, on the return that nothing without backing off survives.
 title       = "Paces of a return: power cut"
 script      = "rehearsals/power-cut.hcl"
 pairs       = 5
@@ -10,3 +10,4 @@
 arm "jitter" { pace = "jitter" }
 arm "tokens" { pace = "tokens" }
 arm "slots" { pace = "slots" }
+arm "ramp" { pace = "answers+ramp" }
