--- a/crates/sandstile-membership/src/swim.rs
+++ b/crates/sandstile-membership/src/swim.rs
@@ -54,10 +54,10 @@
             life,
             at,
             seeds,
-            period: 0.5,
-            patience: 0.15,
-            suspicion: 1.0,
-            slack: 3.0,
+            period: 0.25,
+            patience: 0.1,
+            suspicion: 3.0,
+            slack: 2.0,
             most: 1024,
         }
     }
