Clippy clean; a test of keys no longer races with its own signal

Seen: keys_are_read_again_on_sighup failed once in a loaded run: assertion decode(&same). Cause: reload() wrote a good file before it took the mode away, and the signal before it could have it read in between (sessions.rs). Change: the mode first. Clippy's words elsewhere.

--- a/crates/sandstile-audit/src/trace.rs
+++ b/crates/sandstile-audit/src/trace.rs
@@ -349,10 +349,10 @@
         for (t, _, state) in self.routers.iter().filter(|(_, n, _)| *n == router) {
             match state {
                 RouterState::Stopped => stopped = Some(*t),
-                RouterState::Continued => {
-                    if stopped.take().is_some_and(|since| since <= to && from <= *t + SETTLES) {
-                        return true;
-                    }
+                RouterState::Continued
+                    if stopped.take().is_some_and(|since| since <= to && from <= *t + SETTLES) =>
+                {
+                    return true;
                 }
                 _ => {}
             }
--- a/crates/sandstile-membership/src/sim.rs
+++ b/crates/sandstile-membership/src/sim.rs
@@ -6,6 +6,9 @@
 use std::collections::BinaryHeap;
 use std::net::SocketAddr;
 
+/// When it arrives, in which order it was sent, at whom, and its bytes.
+type Sent = (u64, u64, usize, Vec<u8>);
+
 struct Node {
     swim: Option<Swim>,
     /// Stands still: what comes waits.
@@ -16,7 +19,7 @@
 
 pub struct Sim {
     nodes: Vec<Node>,
-    way: BinaryHeap<Reverse<(u64, u64, usize, Vec<u8>)>>,
+    way: BinaryHeap<Reverse<Sent>>,
     wakes: BinaryHeap<Reverse<(u64, usize)>>,
     chance: Rand64,
     pub now: f64,
--- a/crates/sandstile-membership/tests/members.rs
+++ b/crates/sandstile-membership/tests/members.rs
@@ -65,7 +65,8 @@
 
 #[test]
 fn a_split_heals_whichever_way_it_goes() {
-    let halves: [(&str, fn(usize) -> u32, fn(u32, u32) -> bool); 4] = [
+    type Split = (&'static str, fn(usize) -> u32, fn(u32, u32) -> bool);
+    let halves: [Split; 4] = [
         ("halves", |n| (n % 2) as u32, |a, b| a != b),
         ("one and many", |n| u32::from(n == 4), |a, b| a != b),
         ("three", |n| (n % 3) as u32, |a, b| a != b),
--- a/crates/sandstile-router/src/router.rs
+++ b/crates/sandstile-router/src/router.rs
@@ -60,7 +60,7 @@
         counters: counters.clone(),
         log: log.clone(),
         told: BTreeSet::new(),
-        lists: charter.back.as_ref().map(|_| Lists::new(launch.seed.into())),
+        lists: charter.back.as_ref().map(|_| Lists::new(launch.seed)),
     };
     let policy = Instance::new(&launch.terms, launch.seed, clock.now());
     let seen = match &charter.sessions {
@@ -78,8 +78,8 @@
     desk.stall = back.filter(|b| b.stall_s > 0.0).map(|b| Stall::new(b.stall_s, clock.now()));
     desk.longest_return = policy_returns;
     let dials = back.map(|b| {
-        let number = numbered(&launch.name).unwrap_or(launch.seed.into());
-        Dials::new(b.pace, launch.terms.routers, number, launch.seed.into(), clock.now())
+        let number = numbered(&launch.name).unwrap_or(launch.seed);
+        Dials::new(b.pace, launch.terms.routers, number, launch.seed, clock.now())
     });
     let mut recording = None;
     if let Some(plan) = &charter.recording {
--- a/crates/sandstile-router/tests/sessions.rs
+++ b/crates/sandstile-router/tests/sessions.rs
@@ -319,8 +319,9 @@
         out.status.success()
     };
     let reload = |text: &str, mode: u32| {
-        fs::write(&keys, text).expect("our own file");
+        // The mode first: the signal before this one may have it read at any time, and what others may read is no key.
         fs::set_permissions(&keys, fs::Permissions::from_mode(mode)).expect("our own file");
+        fs::write(&keys, text).expect("our own file");
         let kill = format!("kill -HUP {}", router.child.id());
         assert!(Command::new("/bin/sh").args(["-c", &kill]).status().expect("a shell").success());
     };
