--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -143,9 +143,8 @@
             (host.group, host.zone, host.listed) = (m.group, m.zone, m.readiness);
             if m.since > host.fresh_since {
                 // A machine that replaces another is behind by seconds and cold, whatever it answers first.
-                // Credit begins as it would stand had it been earned and spent for long: of hundreds of routers
-                // each earns one in the whole cold time, and none knows who is primary. The rest is for two
-                // probes.
+                // Credit begins where it would stand in the long run: of hundreds of routers each earns one in the
+                // whole cold time, and none knows who is primary. The rest is for two probes.
                 let lucky = f64::from(self.chance.0.rand_float()) < self.cold_ease * self.terms.cold_from;
                 let credit = if lucky { 1.0 } else { 0.2 };
                 (host.fresh_since, host.credit, host.seen_draining, host.mute) =
@@ -467,8 +466,8 @@
         let k = &self.kinds[s.workload];
         // What cannot come in time any more would only take the place of what can; but an execution that runs
         // goes on past the SLO time, for its client would ask again and have all of the work done anew.
-        // One that has just come is tried whatever is usual, or what the first slow answers after a start have
-        // taught would end each statement unsent, and nothing would ever teach better.
+        // One that has just come is tried whatever is usual, or what slow first answers after a start taught
+        // would end each statement unsent, and nothing would ever teach better.
         let worth_until = s.slo_at - 1.1 * k.usual.min(0.8 * k.slo);
         let spent = k.late_share == 0.0 && !open && k.effect == Effect::Idempotent;
         let ran = s.executions.iter().any(|e| e.may_have_run);
