--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -143,8 +143,8 @@
             (host.group, host.zone, host.listed) = (m.group, m.zone, m.readiness);
             if m.since > host.fresh_since {
                 // A machine that replaces another is behind by seconds and cold, whatever it answers first.
-                // Credit begins where it would stand in the long run: of hundreds of routers each earns one in the
-                // whole cold time, and none knows who is primary. The rest is for two probes.
+                // Credit begins where it would stand in the long run: of hundreds of routers each earns one
+                // in the whole cold time, and none knows who is primary. The rest is for two probes.
                 let lucky = f64::from(self.chance.0.rand_float()) < self.cold_ease * self.terms.cold_from;
                 let credit = if lucky { 1.0 } else { 0.2 };
                 (host.fresh_since, host.credit, host.seen_draining, host.mute) =
