Virtual returns: only routers that something happened to are asked for their next look

Change: wakes are kept in order, routers that something happened to are marked, a connection knows its host.

--- a/crates/sandstile-virtual/src/world.rs
+++ b/crates/sandstile-virtual/src/world.rs
@@ -31,8 +31,8 @@
     pub minds: Vec<Mind>,
     alarms: Heap<Alarm>,
     now: f64,
-    /// Whose connection it is.
-    owners: BTreeMap<u64, usize>,
+    /// Whose connection it is, and at which host.
+    owners: BTreeMap<u64, (usize, usize)>,
     by_host: BTreeMap<usize, BTreeSet<u64>>,
     /// Hosts that refuse new connections, and those that say nothing.
     down: BTreeSet<usize>,
@@ -41,6 +41,12 @@
     away: BTreeSet<usize>,
     /// Seconds until a change of the list is told.
     list_late: f64,
+    /// When each router wants to look again, in the order of that, and each one's own place in it: hundreds of routers sleep
+    /// while one acts.
+    wakes: BTreeSet<(u64, usize)>,
+    wake_of: Vec<Option<u64>>,
+    /// Routers that something has happened to: they may want to act, and to look at another time.
+    touched: BTreeSet<usize>,
     /// Looks at all that happens inside the model.
     pub watch: Option<Watch>,
 }
@@ -48,6 +54,9 @@
 impl World {
     pub fn new(fleet: Fleet, minds: Vec<Mind>, list_late: f64) -> Self {
         let mut world = World {
+            wakes: BTreeSet::new(),
+            wake_of: vec![None; minds.len()],
+            touched: BTreeSet::new(),
             fleet,
             minds,
             alarms: Heap::default(),
@@ -62,12 +71,31 @@
         };
         let list = world.list();
         for router in 0..world.minds.len() {
-            world.minds[router].listed(EPOCH, &list);
+            world.mind(router).listed(EPOCH, &list);
             world.act(router);
         }
+        world.wind();
         world
     }
 
+    /// A router that something is about to happen to.
+    fn mind(&mut self, router: usize) -> &mut Mind {
+        self.touched.insert(router);
+        &mut self.minds[router]
+    }
+
+    /// Sets the alarms of those that something has happened to. Times are positive, and bits of such floats sort as they do.
+    fn wind(&mut self) {
+        for router in std::mem::take(&mut self.touched) {
+            let there = !self.away.contains(&router);
+            let wake = self.minds[router].wake().filter(|_| there).map(f64::to_bits);
+            if let Some(former) = std::mem::replace(&mut self.wake_of[router], wake) {
+                self.wakes.remove(&(former, router));
+            }
+            self.wakes.extend(wake.map(|at| (at, router)));
+        }
+    }
+
     pub fn now(&self) -> f64 {
         self.now
     }
@@ -97,8 +125,10 @@
     /// A router's process ends in this instant, with all that it knew and held; who waits for its answers gets none.
     pub fn kill(&mut self, router: usize) {
         self.away.insert(router);
+        self.touched.insert(router);
+        self.wind();
         let held: Vec<u64> =
-            self.owners.iter().filter(|(_, r)| **r == router).map(|(conn, _)| *conn).collect();
+            self.owners.iter().filter(|(_, (r, _))| *r == router).map(|(conn, _)| *conn).collect();
         for conn in held {
             self.fleet.input(self.now, conn, Input::Closed);
             self.forget(conn);
@@ -111,15 +141,15 @@
         let former = std::mem::replace(&mut self.minds[router], mind);
         self.minds[router].goes_on_from(&former);
         let (now, list) = (self.now, self.list());
-        self.minds[router].listed(now, &list);
+        self.mind(router).listed(now, &list);
         self.act(router);
+        self.wind();
     }
 
     /// Plays until this time of the world's clock.
     pub fn play(&mut self, clients: &mut dyn Clients, until: f64) {
         loop {
-            let there = self.minds.iter().enumerate().filter(|(n, _)| !self.away.contains(n));
-            let wake = there.filter_map(|(_, mind)| mind.wake()).fold(f64::INFINITY, f64::min);
+            let wake = self.wakes.first().map_or(f64::INFINITY, |(at, _)| f64::from_bits(*at));
             let model = self.fleet.next_wake().unwrap_or(f64::INFINITY);
             let alarm = self.alarms.earliest().unwrap_or(f64::INFINITY);
             // The decisions look no more often than behind sockets.
@@ -136,24 +166,30 @@
                 match alarm {
                     Alarm::Conn { router, conn } => {
                         if !self.away.contains(&router) {
-                            self.minds[router].timed_out(now, conn, at);
+                            self.mind(router).timed_out(now, conn, at);
                         }
                     }
-                    Alarm::Told(list) => self.minds.iter_mut().for_each(|mind| mind.listed(now, &list)),
+                    Alarm::Told(list) => {
+                        (0..self.minds.len()).for_each(|router| self.mind(router).listed(now, &list));
+                    }
                 }
             }
             for (router, wanted) in clients.due(now) {
                 match self.away.contains(&router) {
                     true => clients.answered(now, wanted.key, Final::Rejected(0.0)),
-                    false => self.minds[router].arrived(now, wanted),
+                    false => self.mind(router).arrived(now, wanted),
                 }
             }
-            for (router, mind) in self.minds.iter_mut().enumerate() {
-                if !self.away.contains(&router) && mind.wake().is_some_and(|at| at <= now) {
-                    mind.woken(now);
+            // What has just happened to a router may have moved the time at which it wants to look.
+            let mut waking: BTreeSet<usize> = self.touched.clone();
+            waking.extend(self.wakes.range(..=(now.to_bits(), usize::MAX)).map(|(_, router)| *router));
+            for router in waking {
+                if !self.away.contains(&router) && self.minds[router].wake().is_some_and(|at| at <= now) {
+                    self.mind(router).woken(now);
                 }
             }
             self.settle(clients);
+            self.wind();
         }
     }
 
@@ -161,7 +197,7 @@
     fn settle(&mut self, clients: &mut dyn Clients) {
         loop {
             let mut acted = false;
-            for router in 0..self.minds.len() {
+            for router in self.touched.clone() {
                 for (key, answer) in self.act(router) {
                     clients.answered(self.now, key, answer);
                     acted = true;
@@ -186,12 +222,12 @@
                     Act::Dial { conn, host, until } => {
                         if self.down.contains(&host) {
                             let refused = Verdict::ConnectFailed;
-                            self.minds[router].lost(now, conn, refused, refused);
+                            self.mind(router).lost(now, conn, refused, refused);
                             continue;
                         }
                         self.alarms.push(now + until, Alarm::Conn { router, conn });
                         if !self.silent.contains(&host) {
-                            self.owners.insert(conn, router);
+                            self.owners.insert(conn, (router, host));
                             self.by_host.entry(host).or_default().insert(conn);
                             self.fleet.input(now, conn, Input::Connect { host });
                         }
@@ -211,10 +247,11 @@
     }
 
     fn forget(&mut self, conn: u64) {
-        self.owners.remove(&conn);
-        self.by_host.values_mut().for_each(|conns| {
-            conns.remove(&conn);
-        });
+        if let Some((_, host)) = self.owners.remove(&conn) {
+            if let Some(conns) = self.by_host.get_mut(&host) {
+                conns.remove(&conn);
+            }
+        }
     }
 
     /// Tells the routers what came out of the model; `false` where nothing did.
@@ -230,14 +267,14 @@
             let now = self.now;
             match output {
                 Output::Greet { conn } => {
-                    if let Some(&router) = self.owners.get(&conn) {
-                        self.minds[router].greeted(now, conn);
+                    if let Some(&(router, _)) = self.owners.get(&conn) {
+                        self.mind(router).greeted(now, conn);
                     }
                 }
                 Output::TurnAway { conn, .. } => self.drop_conn(conn, Verdict::Full, Verdict::Full),
                 Output::Answer { conn, answer } => {
-                    if let Some(&router) = self.owners.get(&conn) {
-                        self.minds[router].answered(now, conn, &answer);
+                    if let Some(&(router, _)) = self.owners.get(&conn) {
+                        self.mind(router).answered(now, conn, &answer);
                     }
                 }
                 Output::Close { conn } => self.drop_conn(conn, Verdict::ConnectFailed, Verdict::Spoilt),
@@ -267,7 +304,7 @@
                     self.alarms.push(now + self.list_late, Alarm::Told(list));
                 }
             }
-            for router in 0..self.minds.len() {
+            for router in self.touched.clone() {
                 for (key, answer) in self.act(router) {
                     clients.answered(self.now, key, answer);
                 }
@@ -277,9 +314,10 @@
     }
 
     fn drop_conn(&mut self, conn: u64, rising: Verdict, busy: Verdict) {
-        let Some(&router) = self.owners.get(&conn) else { return };
+        let Some(&(router, _)) = self.owners.get(&conn) else { return };
         self.forget(conn);
-        self.minds[router].lost(self.now, conn, rising, busy);
+        let now = self.now;
+        self.mind(router).lost(now, conn, rising, busy);
     }
 
     fn reset(&mut self, host: usize) {
--- a/experiments/returns-stopped-and-back.hcl
+++ b/experiments/returns-stopped-and-back.hcl
@@ -2,7 +2,7 @@
 title       = "Returns: stopped-and-back"
 script      = "rehearsals/stopped-and-back.hcl"
 pairs       = 5
-quick_pairs = 2
+quick_pairs = 5
 seed        = 700
 matters     = 0.005
 
