--- a/crates/sandstile-router/src/desk.rs
+++ b/crates/sandstile-desk/src/desk.rs
@@ -1,109 +1,43 @@
-//! The module's actor, the only caller of the decisions. It takes all that waits in its mailbox, lets the
-//! decisions say what follows, and says when they want to look again. It never touches a socket and knows
-//! no protocol: facts of a statement come in with an opaque parcel and a one-use reply.
-use crate::clock::Clock;
-use crate::counters::Counters;
-use crate::discovery::Update;
-use crate::ending::{Ending, Outcome};
-use crate::hosts::Order;
+//! Takes mail and facts, lets the decisions say what follows, and says when they want to look again. It never touches a socket and
+//! knows no protocol.
+use crate::counts::Counts;
+use crate::ending::Ending;
 use crate::job::{Answer, Errand, Job, Parcel};
-use crate::mailbox::{Mailbox, Post};
-use crate::recorder::{Seen, Tape};
-use crate::sessions::{Sessions, Wish, Word};
+use crate::mail::{Asked, Given, Mail, Order, Said, Update};
+use crate::source::{Fact, Source};
 use sandstile_intake::list::List;
 use sandstile_intake::names::Names;
 use sandstile_limits::{Entry, Limits};
 use sandstile_policy::policy::Instance;
-use sandstile_policy::terms::{Arrival, Decision};
+use sandstile_policy::terms::{Arrival, Decision, Reach};
 use sandstile_return::{Door, Ramp, Stall};
-use slog::{info, warn, Logger};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
-/// Where a final answer goes. A client that has left no longer reads it.
-pub struct Reply {
-    pub post: Post<Given>,
-    /// The client's line.
-    pub line: usize,
-    pub stmt: u64,
-}
-
-/// The one final answer of a statement, on its way to the line that asked.
-pub struct Given {
-    pub line: usize,
-    pub stmt: u64,
-    pub answer: Answer,
-}
-
-impl Reply {
-    pub fn give(self, answer: Answer) {
-        self.post.send(Given { line: self.line, stmt: self.stmt, answer });
-    }
-}
-
-pub struct Asked {
-    pub stmt: u64,
-    /// As the client names it.
-    pub id: String,
-    pub workload: usize,
-    pub group: String,
-    pub session: Option<String>,
-    pub writes: bool,
-    /// When the client's time is up.
-    pub until: f64,
-    /// When the session last wrote, where the client says so.
-    pub after: Option<f64>,
-    pub retry: bool,
-    /// The mark that the session carries.
-    pub mark: Option<String>,
-    pub parcel: Arc<dyn Parcel>,
-    pub reply: Reply,
-}
-
-pub enum Mail {
-    Asked(Asked),
-    ClientGone(u64),
-    Ended {
-        stmt: u64,
-        execution: usize,
-        outcome: Outcome,
-    },
-    Probed {
-        host: usize,
-        outcome: Outcome,
-    },
-    Listed(Update),
-    /// Word on sessions, from other instances or from operators.
-    Sessions(Word),
-}
-
 /// A statement until the decisions let go of it.
 struct Open {
     id: String,
     group: usize,
     parcel: Arc<dyn Parcel>,
-    reply: Option<Reply>,
+    /// Whom to answer; `None` once that is done, or its client has left.
+    line: Option<usize>,
     /// The database host of each execution.
     hosts: Vec<usize>,
-    wish: Option<Wish>,
     workload: usize,
     retry: bool,
 }
 
 pub struct Desk {
     policy: Instance,
-    clock: Clock,
-    counters: Arc<Counters>,
-    log: Logger,
+    pub counts: Arc<Counts>,
     hosts: Names,
     groups: Names,
     sessions: Names,
     list: List,
-    orders: Post<Order>,
-    /// What sessions have seen beyond this instance's own life, where our own file turns that on.
-    seen: Option<Sessions>,
-    /// Where arrivals are written down, where our own file turns that on.
-    pub tape: Option<Tape>,
+    sources: Vec<Box<dyn Source>>,
+    orders: VecDeque<Order>,
+    answers: VecDeque<Given>,
+    said: Vec<Said>,
     /// Storms and what is done in them, where our own file turns that on; with the longest time to return.
     pub limits: Option<(Limits, f64)>,
     /// What comes in right after the start, and whether this process stood still, where our own file turns that on.
@@ -116,7 +50,7 @@
     ids: BTreeSet<String>,
     /// Final answers of this round. They go out behind its withdrawals, or a dial that comes up just then
     /// could still write a statement that has been answered.
-    answers: Vec<(Reply, Answer)>,
+    given_up: Vec<Given>,
     /// Probes out at each database host that has any.
     probes: BTreeMap<usize, usize>,
     /// Statements that may be over once the decisions of this round are out.
@@ -134,128 +68,143 @@
 const MOST_SESSIONS: usize = 1 << 12;
 
 impl Desk {
-    pub fn new(
-        policy: Instance,
-        clock: Clock,
-        counters: Arc<Counters>,
-        log: Logger,
-        orders: Post<Order>,
-        seen: Option<Sessions>,
-    ) -> Self {
+    pub fn new(policy: Instance, counts: Arc<Counts>) -> Self {
         Desk {
-            seen,
-            tape: None,
+            policy,
+            counts,
             limits: None,
             ramp: None,
             stall: None,
             longest_return: 0.0,
-            policy,
-            clock,
-            counters,
-            log,
-            orders,
             decided: f64::NEG_INFINITY,
             hosts: Names::default(),
             groups: Names::default(),
             sessions: Names::bounded(MOST_SESSIONS),
             list: List::default(),
+            sources: Vec::new(),
+            orders: VecDeque::new(),
+            answers: VecDeque::new(),
+            said: Vec::new(),
             open: BTreeMap::new(),
             ids: BTreeSet::new(),
-            answers: Vec::new(),
+            given_up: Vec::new(),
             probes: BTreeMap::new(),
             ending: Vec::new(),
         }
     }
 
-    /// Takes all that waits and lets the decisions say what follows, or where nothing waits looks whether they want
-    /// to look again. `false` where there was nothing to do.
-    pub fn turn(&mut self, mailbox: &Mailbox<Mail>) -> bool {
-        let mut took = false;
-        while let Some(mail) = mailbox.try_recv() {
-            self.take(mail);
-            took = true;
+    /// Sources are asked in the order in which they came.
+    pub fn add(&mut self, source: Box<dyn Source>) {
+        self.sources.push(source);
+    }
+
+    /// Whether a source has something to tell.
+    pub fn pending(&self) -> bool {
+        self.sources.iter().any(|s| s.pending())
+    }
+
+    /// What the sources have to tell; `false` where nothing.
+    pub fn ask(&mut self, now: f64) -> bool {
+        let facts: Vec<Fact> = self.sources.iter_mut().flat_map(|s| s.facts(now)).collect();
+        let any = !facts.is_empty();
+        for fact in facts {
+            match fact {
+                Fact::List(update) => self.listed(now, update),
+                Fact::Sharers(n) => {
+                    self.policy.shared_by(n);
+                    self.orders.push_back(Order::Sharers(n));
+                    self.said.push(Said::Sharers(n));
+                }
+            }
         }
-        let now = self.clock.now();
+        any
+    }
+
+    /// Lets the decisions say what follows of what was taken, or where nothing was (`took` is `false`) looks whether they want to
+    /// look again. `false` where there was nothing to do.
+    pub fn turn(&mut self, now: f64, took: bool) -> bool {
         if self.stall.as_ref().is_some_and(|s| s.holds(now)) {
             // What is known is of before a stop: the list is to come in first.
             return took;
         }
-        if took || self.due() <= now {
-            self.decide();
+        if took || self.due(now) <= now {
+            self.decide(now);
             return true;
         }
         false
     }
 
     /// When the decisions want to look again; infinite where never.
-    pub fn due(&self) -> f64 {
+    pub fn due(&self, now: f64) -> f64 {
         let decides = self.policy.wake_at().map_or(f64::INFINITY, |at| at.max(self.decided + SHORTEST_SLEEP));
         match &self.stall {
-            Some(stall) if stall.holds(self.clock.now()) => stall.due(),
+            Some(stall) if stall.holds(now) => stall.due(),
             Some(stall) => decides.min(stall.due()),
             None => decides,
         }
     }
 
-    /// The loop looks at the time: one that comes much too late tells that this process stood still.
-    pub fn look(&mut self) {
-        let now = self.clock.now();
+    /// Who drives it looks at the time: a look that comes much too late tells that this process stood still.
+    pub fn look(&mut self, now: f64) {
         if let Some(stood) = self.stall.as_mut().and_then(|s| s.look(now)) {
-            warn!(self.log, "stood still for {stood:.1} s: what is known is of before that");
-            self.counters.stalls.add();
+            self.said.push(Said::StoodStill(stood));
+            self.counts.stalls.add();
         }
     }
 
-    fn take(&mut self, mail: Mail) {
-        let now = self.clock.now();
+    /// What is to be done next. Orders go before answers.
+    pub fn next_order(&mut self) -> Option<Order> {
+        self.orders.pop_front()
+    }
+
+    pub fn next_answer(&mut self) -> Option<Given> {
+        self.answers.pop_front()
+    }
+
+    pub fn take_said(&mut self) -> Vec<Said> {
+        std::mem::take(&mut self.said)
+    }
+
+    /// Statements that are not over.
+    pub fn open(&self) -> usize {
+        self.open.len()
+    }
+
+    pub fn take(&mut self, now: f64, mail: Mail) {
         match mail {
             Mail::Asked(asked) => {
                 if !self.ids.insert(asked.id.clone()) {
-                    return asked.reply.give(Answer::Unusable);
-                }
-                self.counters.taken.add();
-                if let Some(tape) = &self.tape {
-                    tape.note(Seen {
-                        at: now,
-                        workload: asked.workload,
-                        group: asked.group.clone(),
-                        session: asked.session.clone(),
-                        wait: asked.until - now,
-                        again: asked.retry,
-                    });
+                    return self.give(&asked, Answer::Unusable);
                 }
+                self.counts.taken.add();
+                self.sources.iter_mut().for_each(|s| s.arrives(now, &asked));
                 // Groups that no list has named share one that has no members, or clients could fill the
                 // memory with names.
                 let group = self.groups.find(&asked.group).unwrap_or_else(|| self.groups.of(""));
                 if let Some((limits, most)) = &mut self.limits {
                     if limits.asked(now, asked.workload, group, asked.retry) == Entry::Later {
                         // It never reaches the decisions: nothing was sent, so trying again is harmless.
-                        self.ids.remove(&asked.id);
-                        self.counters.turned_away.add();
-                        self.counters.rejected.add();
                         let after = limits.return_after(now, *most);
-                        return asked.reply.give(Answer::Rejected(after));
+                        self.counts.turned_away.add();
+                        return self.turn_away(&asked, after);
                     }
                 }
                 // Came while this process stood still, nobody knows when: its time may be over, and nothing was sent.
                 let lost = self.stall.as_ref().map_or(0.0, |s| s.lost(now));
                 if lost > 0.0 && asked.until - lost <= now {
-                    self.ids.remove(&asked.id);
-                    self.counters.rejected.add();
-                    return asked.reply.give(Answer::Rejected(self.longest_return));
+                    return self.turn_away(&asked, self.longest_return);
                 }
                 if let Some((ramp, most)) = &mut self.ramp {
                     if ramp.asked(asked.stmt) == Door::Later {
-                        self.ids.remove(&asked.id);
-                        self.counters.ramped.add();
-                        self.counters.rejected.add();
-                        let after =
-                            self.limits.as_mut().map_or(*most, |(l, most)| l.return_after(now, *most));
-                        return asked.reply.give(Answer::Rejected(after));
+                        let most = *most;
+                        let after = self.limits.as_mut().map_or(most, |(l, most)| l.return_after(now, *most));
+                        self.counts.ramped.add();
+                        return self.turn_away(&asked, after);
                     }
                 }
                 let term = self.policy.term(group);
-                let wish = self.seen.as_mut().and_then(|seen| seen.asked(now, &asked, term));
+                let reach =
+                    self.sources.iter_mut().filter_map(|s| s.reach(now, &asked, term)).reduce(further);
                 let arrival = Arrival {
                     workload: asked.workload,
                     group,
@@ -267,15 +216,14 @@
                     time_left: asked.until - now,
                     token_age: asked.after.map(|at| (now - at).max(0.0)),
                     retry: asked.retry,
-                    reach: wish.as_ref().and_then(Wish::reach),
+                    reach,
                 };
                 let open = Open {
                     id: asked.id,
                     group: arrival.group,
                     parcel: asked.parcel,
-                    reply: Some(asked.reply),
+                    line: Some(asked.line),
                     hosts: Vec::new(),
-                    wish,
                     workload: asked.workload,
                     retry: asked.retry,
                 };
@@ -283,9 +231,9 @@
                 self.policy.arrived(now, asked.stmt, &arrival);
             }
             Mail::ClientGone(stmt) => {
-                if let Some(open) = self.open.get_mut(&stmt).filter(|o| o.reply.is_some()) {
-                    self.counters.clients_gone.add();
-                    open.reply = None;
+                if let Some(open) = self.open.get_mut(&stmt).filter(|o| o.line.is_some()) {
+                    self.counts.clients_gone.add();
+                    open.line = None;
                     self.ending.push(stmt);
                     if let Some((ramp, _)) = &mut self.ramp {
                         ramp.ended(stmt, false);
@@ -301,12 +249,10 @@
                         outcome.note.position = None;
                     }
                 }
-                if let (Some(seen), Some(wish)) = (&mut self.seen, &open.wish) {
-                    seen.verify(wish, &mut outcome);
-                }
+                self.sources.iter_mut().for_each(|s| s.ended(now, stmt, &mut outcome));
                 if outcome.ending == Ending::Completed {
-                    if let Some(reply) = open.reply.take() {
-                        self.counters.completed.add();
+                    if let Some(line) = open.line.take() {
+                        self.counts.completed.add();
                         if let Some((ramp, _)) = &mut self.ramp {
                             ramp.ended(stmt, true);
                         }
@@ -314,15 +260,15 @@
                             limits.answered(now, open.workload, open.group, true, !open.retry);
                         }
                         let rows = std::mem::take(&mut outcome.rows);
-                        match (&mut self.seen, &open.wish) {
-                            (Some(seen), Some(wish)) => seen.completed(now, wish, &outcome, rows, reply),
-                            _ => reply.give(Answer::Completed(rows, None)),
-                        }
-                    } else if let (Some(seen), Some(wish)) = (&mut self.seen, &open.wish) {
-                        seen.unheard(now, wish, &outcome);
+                        let given = Given { line, stmt, answer: Answer::Completed(rows, None) };
+                        let mut sources = self.sources.iter_mut();
+                        let given = sources.try_fold(given, |given, s| s.completed(now, &outcome, given));
+                        self.answers.extend(given);
+                    } else {
+                        self.sources.iter_mut().for_each(|s| s.unheard(now, stmt, &outcome));
                     }
                 }
-                let over = open.reply.is_none();
+                let over = open.line.is_none();
                 self.ending.push(stmt);
                 self.policy.ended(now, stmt, execution, outcome.ending.verdict(), over, outcome.note);
             }
@@ -335,29 +281,36 @@
                 }
                 self.policy.probed(now, host, outcome.ending == Ending::Completed, outcome.note);
             }
-            Mail::Sessions(word) => {
-                if let Some(seen) = &mut self.seen {
-                    seen.heard(now, word);
-                }
-            }
-            Mail::Listed(update) => {
-                if let Some(stall) = &mut self.stall {
-                    stall.heard();
-                }
-                for (name, address) in update.addresses {
-                    let host = self.hosts.of(&name);
-                    self.orders.send(Order::Known { host, name, address });
-                }
-                for entry in &update.entries {
-                    if self.groups.find(&entry.group).is_none() {
-                        info!(self.log, "group {} is {}", self.groups.of(&entry.group), entry.group);
-                    }
-                }
-                let list = self.list.merge(update.whole, &update.entries, &mut self.hosts, &mut self.groups);
-                self.policy.members(now, &list);
-                self.forget();
+        }
+    }
+
+    fn give(&mut self, asked: &Asked, answer: Answer) {
+        self.answers.push_back(Given { line: asked.line, stmt: asked.stmt, answer });
+    }
+
+    /// It never reaches the decisions: nothing was sent, so trying again is harmless.
+    fn turn_away(&mut self, asked: &Asked, after: f64) {
+        self.ids.remove(&asked.id);
+        self.counts.rejected.add();
+        self.give(asked, Answer::Rejected(after));
+    }
+
+    fn listed(&mut self, now: f64, update: Update) {
+        if let Some(stall) = &mut self.stall {
+            stall.heard();
+        }
+        for (name, address) in update.addresses {
+            let host = self.hosts.of(&name);
+            self.orders.push_back(Order::Known { host, name, address });
+        }
+        for entry in &update.entries {
+            if self.groups.find(&entry.group).is_none() {
+                self.said.push(Said::GroupIs(self.groups.of(&entry.group), entry.group.clone()));
             }
         }
+        let list = self.list.merge(update.whole, &update.entries, &mut self.hosts, &mut self.groups);
+        self.policy.members(now, &list);
+        self.forget();
     }
 
     /// Lets go of hosts that have left for good, and of groups that have no host left. A host with a probe out
@@ -366,17 +319,16 @@
         let (policy, probes) = (&mut self.policy, &mut self.probes);
         probes.retain(|_, out| *out > 0);
         for (name, host) in self.list.drop_gone(|host| !probes.contains_key(&host) && policy.forget(host)) {
-            info!(self.log, "host {host} is forgotten"; "host" => &name);
-            self.orders.send(Order::End(host));
+            self.orders.push_back(Order::End(host));
             self.hosts.release(&name);
+            self.said.push(Said::Forgotten(host, name));
         }
         let open: BTreeSet<usize> = self.open.values().map(|open| open.group).collect();
         let left = |group: usize| !self.list.has_group(group) && !open.contains(&group);
         self.groups.release_where(left);
     }
 
-    fn decide(&mut self) {
-        let now = self.clock.now();
+    fn decide(&mut self, now: f64) {
         self.decided = now;
         self.policy.passed(now);
         while let Some(decision) = self.policy.decide() {
@@ -386,10 +338,10 @@
                     let errand =
                         Errand::Statement { stmt, execution: open.hosts.len(), parcel: open.parcel.clone() };
                     open.hosts.push(host);
-                    self.orders.send(Order::Do(host, Job { errand, until: now + time_out }));
+                    self.orders.push_back(Order::Do(host, Job { errand, until: now + time_out }));
                 }
                 Decision::Reject { stmt, return_after } => {
-                    self.counters.rejected.add();
+                    self.counts.rejected.add();
                     let after = match &mut self.limits {
                         Some((limits, _)) => limits.return_after(now, return_after),
                         None => return_after,
@@ -397,39 +349,37 @@
                     self.answer(stmt, Answer::Rejected(after));
                 }
                 Decision::Abort { stmt } => {
-                    self.counters.aborted.add();
+                    self.counts.aborted.add();
                     self.answer(stmt, Answer::Aborted);
                 }
                 Decision::Recall { stmt, execution } => {
                     if let Some(&host) = self.open.get(&stmt).and_then(|o| o.hosts.get(execution)) {
-                        self.orders.send(Order::Recall { host, stmt, execution });
+                        self.orders.push_back(Order::Recall { host, stmt, execution });
                     }
                 }
                 Decision::Probe { host } => {
                     *self.probes.entry(host).or_default() += 1;
-                    self.orders.send(Order::Probe(host));
+                    self.orders.push_back(Order::Probe(host));
                 }
                 // The watch stands from the start and reopens by itself.
                 Decision::Subscribe => {}
-                Decision::Log(line) => info!(self.log, "decisions: {line}"),
+                Decision::Log(line) => self.said.push(Said::Decisions(line)),
             }
         }
         if let Some((limits, _)) = &mut self.limits {
             for change in limits.changes() {
-                let state = if change.begins { "begins" } else { "is over" };
-                info!(self.log, "a storm {state}: {:?}", change.sign);
+                self.said.push(Said::Storm(change.begins, format!("{:?}", change.sign)));
                 if change.begins {
-                    self.counters.storms.add();
+                    self.counts.storms.add();
                 }
             }
         }
-        for (reply, answer) in self.answers.drain(..) {
-            reply.give(answer);
-        }
+        self.answers.extend(self.given_up.drain(..));
         for stmt in self.ending.drain(..) {
             if !self.policy.holds(stmt) {
                 if let Some(open) = self.open.remove(&stmt) {
                     self.ids.remove(&open.id);
+                    self.sources.iter_mut().for_each(|s| s.over(stmt));
                 }
             }
         }
@@ -438,14 +388,22 @@
     fn answer(&mut self, stmt: u64, answer: Answer) {
         self.ending.push(stmt);
         let Some(open) = self.open.get_mut(&stmt) else { return };
-        if let Some(reply) = open.reply.take() {
+        if let Some(line) = open.line.take() {
             if let Some((ramp, _)) = &mut self.ramp {
                 ramp.ended(stmt, false);
             }
             if let Some((limits, _)) = &mut self.limits {
                 limits.answered(self.decided, open.workload, open.group, false, !open.retry);
             }
-            self.answers.push((reply, answer));
+            self.given_up.push(Given { line, stmt, answer });
         }
     }
 }
+
+/// Of two sources the one that asks for more is heard.
+fn further(one: Reach, other: Reach) -> Reach {
+    match (one, other) {
+        (Reach::Position(a), Reach::Position(b)) => Reach::Position(a.max(b)),
+        _ => Reach::Primary,
+    }
+}
--- a/crates/sandstile-lines/src/ending.rs
+++ b/crates/sandstile-desk/src/ending.rs
@@ -100,16 +100,6 @@
         }
     }
 
-    /// The ending that a database host's SQLSTATE stands for, once a statement was written whole.
-    pub fn of_sqlstate(code: &str) -> Ending {
-        match code {
-            "25006" | "72000" => Ending::Missed,
-            "53300" => Ending::TurnedAway,
-            "08P01" => Ending::Unreadable,
-            _ => Ending::Failed,
-        }
-    }
-
     /// Part of a good day, and no cause for a line of log.
     pub fn ordinary(self) -> bool {
         use Ending::*;
--- /dev/null
+++ b/crates/sandstile-desk/src/source.rs
@@ -0,0 +1,48 @@
+//! Where facts come from that no answer tells: discovery, what sessions have seen, the other routers. Each source is asked at the
+//! same few places, and knows nothing of the desk.
+use crate::ending::Outcome;
+use crate::mail::{Asked, Given, Update};
+use sandstile_policy::terms::Reach;
+
+/// What a source has to tell the decisions.
+pub enum Fact {
+    List(Update),
+    /// So many routers share the hosts.
+    Sharers(f64),
+}
+
+/// All methods have a default for sources that have nothing to say there.
+pub trait Source: Send {
+    /// Whether something waits to be told: who drives the desk must not sleep over it.
+    fn pending(&self) -> bool {
+        false
+    }
+
+    /// What has come since this was asked last.
+    fn facts(&mut self, _now: f64) -> Vec<Fact> {
+        Vec::new()
+    }
+
+    /// A statement has come, and may still be turned away.
+    fn arrives(&mut self, _now: f64, _asked: &Asked) {}
+
+    /// It goes to the decisions: what its read has to reach by what is known here. `term` is what its group's hosts have told, 0
+    /// where nothing.
+    fn reach(&mut self, _now: f64, _asked: &Asked, _term: u64) -> Option<Reach> {
+        None
+    }
+
+    /// An execution of it has ended. An answer that holds less than it must is made none here.
+    fn ended(&mut self, _now: f64, _stmt: u64, _outcome: &mut Outcome) {}
+
+    /// It completes. The answer comes back, or is kept until the source gives it by a way of its own.
+    fn completed(&mut self, _now: f64, _outcome: &Outcome, answer: Given) -> Option<Given> {
+        Some(answer)
+    }
+
+    /// It has completed behind its client's back.
+    fn unheard(&mut self, _now: f64, _stmt: u64, _outcome: &Outcome) {}
+
+    /// Nothing more comes of it.
+    fn over(&mut self, _stmt: u64) {}
+}
--- /dev/null
+++ b/crates/sandstile-desk/tests/desk.rs
@@ -0,0 +1,242 @@
+//! The desk alone, with a clock that the test moves: one final answer each, in the order that the links need, on facts of several
+//! sources.
+use oorandom::Rand64;
+use sandstile_desk::*;
+use sandstile_intake::list::Entry;
+use sandstile_policy::policy::Instance;
+use sandstile_policy::terms::{Consistency, DedupScope, Effect, Note, Reach, Readiness, Terms, Workload};
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+
+struct Nothing;
+impl Parcel for Nothing {
+    fn message(&self, _: f64) -> Vec<u8> {
+        Vec::new()
+    }
+}
+
+fn terms() -> Terms {
+    let workload = |consistency, effect| Workload {
+        consistency,
+        bound: 0.0,
+        effect,
+        scope: DedupScope::Zone,
+        window: 0.0,
+        slo: 0.3,
+        timeout: 1.0,
+        importance: 1.0,
+        late_share: 0.0,
+    };
+    Terms {
+        workloads: vec![
+            workload(Consistency::Any, Effect::Idempotent),
+            workload(Consistency::Write, Effect::NonIdempotent),
+            workload(Consistency::Session, Effect::Idempotent),
+        ],
+        routers: 1,
+        checked: true,
+        stamped: true,
+        may_probe: true,
+        may_recall: true,
+        most_executions: 3,
+        max_return: 2.0,
+        idle_close: 3600.0,
+        tick: 0.005,
+        ..Terms::default()
+    }
+}
+
+fn update(index: u64, hosts: &[(&str, bool)]) -> Update {
+    let entry = |(host, primary): &(&str, bool)| Entry {
+        host: host.to_string(),
+        group: "1".to_string(),
+        zone: String::new(),
+        primary: *primary,
+        since: 0.0,
+        readiness: Readiness::Active,
+    };
+    let addresses = hosts.iter().map(|(h, _)| (h.to_string(), "127.0.0.1:5433".parse().ok())).collect();
+    Update { index, whole: true, entries: hosts.iter().map(entry).collect(), addresses }
+}
+
+/// Tells what a test puts there; claims that own reads need so much.
+struct Told {
+    facts: Arc<Mutex<Vec<Fact>>>,
+    reach: Option<Reach>,
+    over: Arc<Mutex<Vec<u64>>>,
+}
+
+impl Source for Told {
+    fn pending(&self) -> bool {
+        !self.facts.lock().unwrap().is_empty()
+    }
+    fn facts(&mut self, _: f64) -> Vec<Fact> {
+        std::mem::take(&mut self.facts.lock().unwrap())
+    }
+    fn reach(&mut self, _: f64, asked: &Asked, _: u64) -> Option<Reach> {
+        self.reach.filter(|_| asked.workload == 2)
+    }
+    fn over(&mut self, stmt: u64) {
+        self.over.lock().unwrap().push(stmt);
+    }
+}
+
+fn asked(stmt: u64, id: &str, workload: usize, now: f64) -> Mail {
+    Mail::Asked(Asked {
+        stmt,
+        line: stmt as usize + 100,
+        id: id.to_string(),
+        workload,
+        group: "1".to_string(),
+        session: Some("u".to_string()),
+        writes: workload == 1,
+        until: now + 1.0,
+        after: None,
+        retry: false,
+        mark: None,
+        parcel: Arc::new(Nothing),
+    })
+}
+
+type Shared<T> = Arc<Mutex<Vec<T>>>;
+
+fn desk(now: f64, reaches: &[Option<Reach>]) -> (Desk, Shared<Fact>, Shared<u64>) {
+    let mut desk = Desk::new(Instance::new(&terms(), 7, now), Arc::default());
+    let (facts, over) = (Shared::default(), Shared::default());
+    for (n, reach) in reaches.iter().enumerate() {
+        let facts = if n == 0 { Arc::clone(&facts) } else { Arc::default() };
+        desk.add(Box::new(Told { facts, reach: *reach, over: Arc::clone(&over) }));
+    }
+    (desk, facts, over)
+}
+
+fn sent(desk: &mut Desk) -> Vec<(usize, u64, usize)> {
+    let mut out = Vec::new();
+    while let Some(order) = desk.next_order() {
+        if let Order::Do(host, job) = order {
+            out.extend(job.which().map(|(stmt, execution)| (host, stmt, execution)));
+        }
+    }
+    out
+}
+
+/// Any order of arrivals, endings, departures and lists: each statement that was taken has one final answer or its client has
+/// gone, and nothing is held for one that is over.
+#[test]
+fn each_statement_has_one_answer_whatever_comes() {
+    for seed in 0..60 {
+        let mut chance = Rand64::new(seed);
+        let mut now = 1000.0;
+        let (mut desk, facts, over) = desk(now, &[None]);
+        facts.lock().unwrap().push(Fact::List(update(1, &[("a", true), ("b", false), ("c", false)])));
+        assert!(desk.pending());
+        desk.ask(now);
+        let (mut answers, mut gone) = (BTreeMap::<u64, usize>::new(), 0);
+        let (mut out, mut asked_for) = (Vec::new(), 0u64);
+        for step in 0..400 {
+            now += chance.rand_float() * 0.02;
+            match chance.rand_range(0..10) {
+                0..=3 if step < 300 => {
+                    asked_for += 1;
+                    desk.take(now, asked(asked_for, &format!("i{asked_for}"), (asked_for % 3) as usize, now));
+                }
+                4 if asked_for > 0 => {
+                    let stmt = chance.rand_range(1..asked_for + 1);
+                    gone += 1;
+                    desk.take(now, Mail::ClientGone(stmt));
+                }
+                5 => {
+                    let hosts = [("a", true), ("b", false), ("c", false)];
+                    let some = &hosts[..chance.rand_range(1..4) as usize];
+                    facts.lock().unwrap().push(Fact::List(update(step, some)));
+                    desk.ask(now);
+                }
+                _ if !out.is_empty() => {
+                    let (host, stmt, execution) =
+                        out.swap_remove(chance.rand_range(0..out.len() as u64) as usize);
+                    let endings = [
+                        Ending::Completed,
+                        Ending::Completed,
+                        Ending::Missed,
+                        Ending::DialRefused,
+                        Ending::Failed,
+                        Ending::TimedOut,
+                    ];
+                    let ending = endings[chance.rand_range(0..6) as usize];
+                    let mut outcome = Outcome::from(ending);
+                    outcome.note = Note { position: Some(now), primary: Some(host == 0) };
+                    desk.take(now, Mail::Ended { stmt, execution, outcome });
+                }
+                _ => {}
+            }
+            desk.turn(now, true);
+            out.extend(sent(&mut desk));
+            while let Some(given) = desk.next_answer() {
+                assert_eq!(given.line, given.stmt as usize + 100);
+                *answers.entry(given.stmt).or_default() += 1;
+            }
+        }
+        // All time is over; what is out ends unanswered.
+        for _ in 0..2000 {
+            now += 0.05;
+            for (_, stmt, execution) in std::mem::take(&mut out) {
+                desk.take(now, Mail::Ended { stmt, execution, outcome: Ending::TimedOut.into() });
+            }
+            desk.turn(now, true);
+            out.extend(sent(&mut desk));
+            while let Some(given) = desk.next_answer() {
+                *answers.entry(given.stmt).or_default() += 1;
+            }
+            if desk.open() == 0 && out.is_empty() {
+                break;
+            }
+        }
+        assert_eq!(desk.open(), 0, "seed {seed}");
+        assert!(answers.values().all(|n| *n == 1), "seed {seed}: {answers:?}");
+        assert!(answers.len() + gone >= asked_for as usize, "seed {seed}");
+        assert_eq!(over.lock().unwrap().len(), asked_for as usize, "sources hear of each end");
+    }
+}
+
+#[test]
+fn an_open_statements_name_is_nobody_elses() {
+    let (mut desk, facts, _) = desk(1000.0, &[None]);
+    facts.lock().unwrap().push(Fact::List(update(1, &[("a", true), ("b", false)])));
+    desk.ask(1000.0);
+    desk.take(1000.0, asked(1, "x", 0, 1000.0));
+    desk.take(1000.0, asked(2, "x", 0, 1000.0));
+    desk.turn(1000.0, true);
+    assert_eq!(desk.next_answer(), Some(Given { line: 102, stmt: 2, answer: Answer::Unusable }));
+    assert_eq!(sent(&mut desk).len(), 1);
+}
+
+/// Two sources that differ on what an own read must reach: the one that asks for more is heard, in either order.
+#[test]
+fn of_two_sources_the_more_careful_is_heard() {
+    let near = Some(Reach::Position(0.0));
+    for reaches in [[near, Some(Reach::Primary)], [Some(Reach::Primary), near]] {
+        let (mut desk, facts, _) = desk(1000.0, &reaches);
+        facts.lock().unwrap().push(Fact::List(update(1, &[("a", true), ("b", false), ("c", false)])));
+        desk.ask(1000.0);
+        let mut primary = None;
+        while let Some(order) = desk.next_order() {
+            if let Order::Known { host, name, .. } = order {
+                primary = primary.or((name == "a").then_some(host));
+            }
+        }
+        // One each round: a host that has not answered holds one or two.
+        desk.take(1000.0, asked(1, "r", 2, 1000.0));
+        desk.turn(1000.0, true);
+        assert_eq!(sent(&mut desk).iter().map(|(h, ..)| Some(*h)).collect::<Vec<_>>(), vec![primary]);
+    }
+}
+
+#[test]
+fn what_peers_share_is_ordered_on_and_said() {
+    let (mut desk, facts, _) = desk(1000.0, &[None]);
+    facts.lock().unwrap().push(Fact::Sharers(5.0));
+    assert!(desk.ask(1000.0));
+    assert!(matches!(desk.next_order(), Some(Order::Sharers(n)) if n == 5.0));
+    assert_eq!(desk.take_said(), vec![Said::Sharers(5.0)]);
+    assert!(!desk.ask(1000.0), "told once");
+}
--- a/crates/sandstile-lines/src/lib.rs
+++ b/crates/sandstile-lines/src/lib.rs
@@ -5,8 +5,9 @@
 //! Times are Unix seconds as f64, handed in by whoever drives the machines.
 pub mod budget;
 pub mod client;
-pub mod ending;
-pub mod job;
 pub mod link;
 pub mod pool;
+pub mod sqlstate;
 pub mod statement;
+
+pub use sandstile_desk::{ending, job};
--- a/crates/sandstile-lines/src/link.rs
+++ b/crates/sandstile-lines/src/link.rs
@@ -360,7 +360,7 @@
             _ if !self.out().is_empty() => Ending::BrokenUnwritten,
             (_, Heard::Nonsense) => Ending::Garbled,
             (Stage::Whole, _) => Ending::Completed,
-            (Stage::Failed(code), _) => Ending::of_sqlstate(code),
+            (Stage::Failed(code), _) => crate::sqlstate::ending(code),
             (_, Heard::Closed) if more_by.is_finite() => Ending::CutShort,
             (_, Heard::Closed) if self.used => Ending::Crossed,
             (_, Heard::Closed) => Ending::Broken,
--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -129,6 +129,11 @@
         }
     }
 
+    /// So many routers share the hosts, as lived; what a host may hold that has yet to be measured follows that.
+    pub fn shared_by(&mut self, routers: f64) {
+        self.share_all = 8.0 / routers.max(1.0);
+    }
+
     /// The whole list as it now stands, sorted by id; hosts that left it are handed as gone.
     pub fn members(&mut self, now: f64, list: &[Member]) {
         self.now = now;
--- a/crates/sandstile-return/src/dials.rs
+++ b/crates/sandstile-return/src/dials.rs
@@ -84,6 +84,11 @@
         Dials { pace, peers, slot, start: now, chance, hosts: BTreeMap::new() }
     }
 
+    /// So many routers share the hosts, as lived: pauses and spreads that follow how many there are follow that.
+    pub fn shared_by(&mut self, routers: f64) {
+        self.peers = routers.max(1.0) as usize;
+    }
+
     /// Links to open to a host that has just become known, beside what statements want.
     pub fn at_once(&self) -> usize {
         match self.pace {
--- a/crates/sandstile-router/src/carrier.rs
+++ b/crates/sandstile-router/src/carrier.rs
@@ -5,14 +5,15 @@
 use crate::clients::Clients;
 use crate::clock::Clock;
 use crate::counters::Counters;
-use crate::desk::{Desk, Given, Mail};
 use crate::ending::Ending;
-use crate::hosts::{self, Hosts, Order};
+use crate::hosts::{self, Hosts};
 use crate::mailbox::{carried, slot, Bell, Mailbox, Post};
 use crate::sessions::Word;
 use crate::statement::Workload;
+use crate::tools::Tools;
 use mio::net::TcpListener;
-use mio::{Events, Interest, Poll, Registry, Token};
+use mio::{Events, Interest, Poll, Token};
+use sandstile_desk::{Desk, Given, Mail, Said};
 use sandstile_return::Dials;
 use sandstile_timers::Wheel;
 use slog::{info, warn, Logger};
@@ -21,8 +22,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Reads or commands for which one line may go on before the others have their turn.
-pub const TURN: usize = 8;
 /// The most that one read takes.
 const MOST_READ: usize = 64 * 1024;
 /// Connections taken in one after another before those that are in have their turn.
@@ -39,19 +38,6 @@
 const BELL: Token = Token(0);
 const DOOR: Token = Token(1);
 
-/// What all lines work with.
-pub struct Tools {
-    pub registry: Registry,
-    pub clock: Clock,
-    pub budget: Budget,
-    pub counters: Arc<Counters>,
-    pub log: Logger,
-    pub timers: Wheel<Token>,
-    /// Lines with something to do, in the order of their turns.
-    pub queue: VecDeque<Token>,
-    pub scratch: Vec<u8>,
-}
-
 /// The listening socket. What is beyond the budget waits there.
 struct Door {
     listener: Option<TcpListener>,
@@ -75,24 +61,22 @@
     hosts: Hosts,
     desk: Desk,
     mail: Mailbox<Mail>,
-    orders: Mailbox<Order>,
+    /// Answers that waited for a disk.
     answers: Mailbox<Given>,
     charges: Mailbox<Charge>,
-    to_desk: Post<Mail>,
     /// When the window after SIGTERM closes.
     ends_at: f64,
-    /// Sessions are kept, and their last word has to be put down.
-    last_word: bool,
+    /// Where sessions are kept, which have a last word to put down.
+    last_word: Option<Post<Word>>,
 }
 
 /// The mailboxes of what is carried, made before the actors that write to them.
 pub struct Posts {
     poll: Poll,
     bell: Arc<Bell>,
-    pub desk: Post<Mail>,
-    mail: Mailbox<Mail>,
-    pub orders: Post<Order>,
-    order_box: Mailbox<Order>,
+    /// For answers that waited for a disk.
+    pub answers: Post<Given>,
+    answer_box: Mailbox<Given>,
     pub charges: Post<Charge>,
     charge_box: Mailbox<Charge>,
 }
@@ -101,10 +85,14 @@
     pub fn open() -> io::Result<Posts> {
         let poll = Poll::new()?;
         let bell = Bell::new(mio::Waker::new(poll.registry(), BELL)?);
-        let (desk, mail) = carried(&bell);
-        let (orders, order_box) = carried(&bell);
+        let (answers, answer_box) = carried(&bell);
         let (charges, charge_box) = carried(&bell);
-        Ok(Posts { poll, bell, desk, mail, orders, order_box, charges, charge_box })
+        Ok(Posts { poll, bell, answers, answer_box, charges, charge_box })
+    }
+
+    /// A mailbox of one of the desk's sources, which whoever writes to it wakes the carrier for.
+    pub fn inlet<T>(&self) -> (Post<T>, Mailbox<T>) {
+        carried(&self.bell)
     }
 }
 
@@ -121,19 +109,19 @@
     pub idle_close: f64,
     /// How dials are paced, where our own file turns that on.
     pub dials: Option<Dials>,
-    pub last_word: bool,
+    pub last_word: Option<Post<Word>>,
 }
 
 impl Carrier {
     pub fn new(posts: Posts, parts: Parts, listener: std::net::TcpListener) -> io::Result<Carrier> {
-        let Posts { poll, bell, desk: to_desk, mail, orders: _, order_box, charge_box, charges: _ } = posts;
+        let Posts { poll, bell, answers: _, answer_box, charge_box, charges: _ } = posts;
         let Parts { clock, budget, counters, log, desk, workloads, dial_limit, idle_close, dials, last_word } =
             parts;
         listener.set_nonblocking(true)?;
         let mut listener = TcpListener::from_std(listener);
         let registry = poll.registry().try_clone()?;
         registry.register(&mut listener, DOOR, Interest::READABLE)?;
-        let (answer, answers) = carried(&bell);
+        let (to_desk, mail) = carried(&bell);
         let (timers, queue) = (Wheel::from(clock.now()), VecDeque::new());
         let mut hosts = Hosts::new(to_desk.clone(), counters.clone(), log.clone(), dial_limit, idle_close);
         hosts.dials = dials;
@@ -148,14 +136,12 @@
                 paused_until: f64::NEG_INFINITY,
                 closing: false,
             },
-            clients: Clients::new(workloads, to_desk.clone(), answer),
+            clients: Clients::new(workloads, to_desk),
             hosts,
             desk,
             mail,
-            orders: order_box,
-            answers,
+            answers: answer_box,
             charges: charge_box,
-            to_desk,
             ends_at: f64::INFINITY,
             last_word,
         })
@@ -167,7 +153,7 @@
         self.settle();
         while !self.over() {
             self.sleep(&mut events)?;
-            self.desk.look();
+            self.desk.look(self.tools.clock.now());
             for event in &events {
                 match event.token() {
                     BELL => {}
@@ -195,7 +181,7 @@
     }
 
     fn busy(&self) -> bool {
-        let mail = !self.mail.is_empty() || !self.orders.is_empty() || !self.answers.is_empty();
+        let mail = !self.mail.is_empty() || self.desk.pending() || !self.answers.is_empty();
         mail || !self.tools.queue.is_empty() || !self.charges.is_empty() || self.accepts()
     }
 
@@ -206,7 +192,7 @@
         } else {
             // Once the window has closed there is nothing left to wake for: a time that has passed would spin.
             let window = if self.door.closing { f64::INFINITY } else { self.ends_at };
-            let mut due = self.desk.due().min(window).min(self.hosts.due());
+            let mut due = self.desk.due(self.tools.clock.now()).min(window).min(self.hosts.due());
             due = due.min(self.tools.timers.earliest().unwrap_or(f64::INFINITY));
             if self.door.ready && self.door.paused_until > self.tools.clock.now() {
                 due = due.min(self.door.paused_until);
@@ -224,12 +210,29 @@
         }
     }
 
+    /// The desk takes all that waits, and lets the decisions say what follows; `false` where there was nothing to do.
+    fn decide(&mut self) -> bool {
+        let mut took = self.desk.ask(self.tools.clock.now());
+        while let Some(mail) = self.mail.try_recv() {
+            self.desk.take(self.tools.clock.now(), mail);
+            took = true;
+        }
+        let worked = self.desk.turn(self.tools.clock.now(), took);
+        for said in self.desk.take_said() {
+            match said {
+                Said::StoodStill(_) => warn!(self.tools.log, "{said}"),
+                _ => info!(self.tools.log, "{said}"),
+            }
+        }
+        worked
+    }
+
     /// Desk, hosts and clients in turn, until nothing follows any more. Orders go before answers, or a dial that
     /// comes up just then could still write a statement that has been answered.
     fn settle(&mut self) {
         for _ in 0..ROUNDS {
-            let mut worked = self.desk.turn(&self.mail);
-            while let Some(order) = self.orders.try_recv() {
+            let mut worked = self.decide();
+            while let Some(order) = self.desk.next_order() {
                 self.hosts.order(order, &mut self.tools);
                 worked = true;
             }
@@ -237,7 +240,7 @@
                 self.hosts.dial(&mut self.tools);
                 worked = true;
             }
-            while let Some(given) = self.answers.try_recv() {
+            while let Some(given) = self.desk.next_answer().or_else(|| self.answers.try_recv()) {
                 self.clients.answer(given, &mut self.tools);
                 worked = true;
             }
@@ -345,8 +348,8 @@
     /// All is answered: what is remembered of sessions is whole, and is put down as that.
     fn end(&mut self) {
         let (done, last) = slot::<()>();
-        if self.last_word && self.to_desk.send(Mail::Sessions(Word::End(done))) {
-            self.desk.turn(&self.mail);
+        if self.last_word.as_ref().is_some_and(|words| words.send(Word::End(done))) {
+            self.decide();
             let _ = last.recv(Some(LAST_WORD));
         }
         info!(self.tools.log, "all answered");
--- a/crates/sandstile-router/src/charter.rs
+++ b/crates/sandstile-router/src/charter.rs
@@ -1,16 +1,74 @@
 //! Our own file, in HCL: what the platform's configuration does not know. Without it all of this is off.
-use crate::exchange::Exchange;
-use crate::recorder;
-use crate::sessions::{Durability, Plan};
+use crate::keys::read_keys;
 use sandstile_hcl::{Section, Source};
 use sandstile_sessions::token::KeyRing;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Durability {
+    /// Given to the platform with the answer; a power cut may take the last seconds.
+    None,
+    /// On the disk before the client hears of its write.
+    BeforeAnswer,
+    /// On the disk every so many seconds, which is what a power cut may take.
+    Every(f64),
+}
+
+/// What our own file says of sessions. Times in seconds.
+#[derive(Clone, Debug)]
+pub struct Sessions {
+    pub keys: Option<PathBuf>,
+    pub token_lasts: f64,
+    /// Clocks differ by no more.
+    pub skew: f64,
+    /// Replicas lag by no more.
+    pub horizon: f64,
+    /// A session's writes come by this instance alone, for as long as it lives.
+    pub stay: bool,
+    pub exact: usize,
+    pub cells: usize,
+    /// Statements that carry no mark at all are served as without our own file: for the time in which clients
+    /// learn to carry them.
+    pub unmarked_as_before: bool,
+    pub journal: Option<PathBuf>,
+    pub exchange: Option<Exchange>,
+    pub durability: Durability,
+}
+
+impl Sessions {
+    pub fn read_keys(&self) -> Result<KeyRing, String> {
+        self.keys.as_ref().map_or_else(|| Ok(KeyRing::default()), |path| read_keys(path))
+    }
+
+    pub fn describe(&self) -> String {
+        let tokens = if self.keys.is_some() { "with tokens" } else { "without tokens" };
+        let journal = match &self.journal {
+            Some(path) => format!("journal {} ({:?})", path.display(), self.durability),
+            None => "no journal".to_string(),
+        };
+        format!("on, {tokens}, {} remembered, {journal}", self.exact)
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Exchange {
+    pub listen: SocketAddr,
+    pub peers: Vec<SocketAddr>,
+}
+
+/// What our own file says of a recording.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Recording {
+    pub file: PathBuf,
+    /// Bytes; the recording ends there.
+    pub most: u64,
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Charter {
-    pub sessions: Option<Plan>,
-    pub recording: Option<recorder::Plan>,
+    pub sessions: Option<Sessions>,
+    pub recording: Option<Recording>,
     pub limits: Option<sandstile_limits::Terms>,
     /// How a router that has just started comes back.
     pub back: Option<sandstile_return::Terms>,
@@ -37,7 +95,7 @@
             let file = Section::of(&source, &body);
             let sessions = file.only("sessions").map(|s| sessions(&s));
             let recording = file.only("recording").and_then(|r| {
-                let plan = recorder::Plan {
+                let plan = Recording {
                     file: PathBuf::from(r.needed_text("file")),
                     most: r.count("most_mb", 1.0..1_000_000.0, 256) as u64 * 1024 * 1024,
                 };
@@ -78,7 +136,7 @@
     }
 }
 
-fn sessions(s: &Section) -> Option<Plan> {
+fn sessions(s: &Section) -> Option<Sessions> {
     let on = s.yes("on", true);
     let exchange = s.only("exchange").map(|e| {
         let address = |key: &str, text: &str| -> Option<SocketAddr> {
@@ -97,7 +155,7 @@
         }
         listen.map(|listen| Exchange { listen, peers })
     });
-    let plan = Plan {
+    let plan = Sessions {
         exchange: exchange.flatten(),
         keys: s.text("keys").map(PathBuf::from),
         token_lasts: s.number("token_lasts_s", 1.0..31_536_000.0, 86_400.0),
@@ -128,18 +186,3 @@
     s.finish();
     on.then_some(plan)
 }
-
-/// Reads a file of keys that nobody but its owner may read. The message never holds what stands in it.
-pub fn read_keys(path: &Path) -> Result<KeyRing, String> {
-    let name = path.display();
-    let told = |e: std::io::Error| format!("{name}: {e}");
-    #[cfg(unix)]
-    {
-        let mode = std::os::unix::fs::MetadataExt::mode(&std::fs::metadata(path).map_err(told)?);
-        if mode & 0o077 != 0 {
-            return Err(format!("{name}: others may read it (mode {:o}); chmod 600 it", mode & 0o777));
-        }
-    }
-    let text = std::fs::read_to_string(path).map_err(told)?;
-    KeyRing::read(&text).map_err(|e| format!("{name}: {e}"))
-}
--- a/crates/sandstile-router/src/clients.rs
+++ b/crates/sandstile-router/src/clients.rs
@@ -1,14 +1,14 @@
 //! The clients' connections: their sockets beside their state machines of `sandstile-lines`.
 use crate::budget::{Holder, Rest};
-use crate::carrier::{Tools, TURN};
 use crate::client::{Around, Client, Remark, Wish};
-use crate::desk::{Asked, Given, Mail, Reply};
 use crate::mailbox::Post;
 use crate::statement::Workload;
+use crate::tools::{Tools, TURN};
 use crate::wire::{Moved, Wire};
 use mio::event::Event;
 use mio::net::TcpStream;
 use mio::Token;
+use sandstile_desk::{Asked, Given, Mail};
 use slab::Slab;
 use slog::debug;
 use std::io;
@@ -31,7 +31,6 @@
     seats: Slab<Seat>,
     workloads: Vec<Workload>,
     desk: Post<Mail>,
-    answers: Post<Given>,
     remarks: Vec<Remark>,
     /// Statements taken so far, which names the next.
     asked: u64,
@@ -45,16 +44,8 @@
 }
 
 impl Clients {
-    pub fn new(workloads: Vec<Workload>, desk: Post<Mail>, answers: Post<Given>) -> Self {
-        Clients {
-            seats: Slab::new(),
-            workloads,
-            desk,
-            answers,
-            remarks: Vec::new(),
-            asked: 0,
-            dismissed: false,
-        }
+    pub fn new(workloads: Vec<Workload>, desk: Post<Mail>) -> Self {
+        Clients { seats: Slab::new(), workloads, desk, remarks: Vec::new(), asked: 0, dismissed: false }
     }
 
     pub fn is_empty(&self) -> bool {
@@ -168,9 +159,9 @@
                 Some(Wish::Ask { statement, time }) => {
                     self.asked += 1;
                     seat.line.asked(self.asked);
-                    let reply = Reply { post: self.answers.clone(), line: key, stmt: self.asked };
                     self.desk.send(Mail::Asked(Asked {
                         stmt: self.asked,
+                        line: key,
                         id: statement.id.clone(),
                         workload: statement.workload,
                         group: statement.group.clone(),
@@ -181,7 +172,6 @@
                         retry: statement.retry,
                         mark: statement.mark.clone(),
                         parcel: Arc::new(*statement),
-                        reply,
                     }));
                     moved = true;
                 }
--- a/crates/sandstile-router/src/discovery.rs
+++ b/crates/sandstile-router/src/discovery.rs
@@ -1,13 +1,10 @@
 //! The list's actor: follows discovery by a watch and hands each change to the desk. Whatever breaks, the
 //! list stands and the watch is opened again from where it was.
 use crate::counters::Counters;
-use crate::desk::Mail;
+use crate::lists;
 use crate::mailbox::Post;
-use crate::pg;
-use sandstile_intake::list::{readiness, Entry};
-use sandstile_policy::terms::Readiness;
+use sandstile_desk::Update;
 use sandstile_return::Lists;
-use serde_json::Value;
 use slog::{info, warn, Logger};
 use std::collections::BTreeSet;
 use std::io::{ErrorKind, Read, Write};
@@ -16,59 +13,6 @@
 use std::thread;
 use std::time::Duration;
 
-/// One change, or the whole list.
-pub struct Update {
-    pub index: u64,
-    pub whole: bool,
-    pub entries: Vec<Entry>,
-    pub addresses: Vec<(String, Option<SocketAddr>)>,
-}
-
-impl Update {
-    /// Reads discovery's form. What can't be read is left out; the message then names the first such thing.
-    pub fn read(json: &Value) -> Result<(Update, Option<String>), String> {
-        let index = json["index"].as_u64().ok_or("a list without an index")?;
-        let whole = json["snapshot"].as_bool().ok_or("a list without snapshot")?;
-        let listed = json["endpoints"].as_array().ok_or("a list without endpoints")?;
-        let mut update = Update { index, whole, entries: Vec::new(), addresses: Vec::new() };
-        let mut wrong = None;
-        for item in listed {
-            match entry(item) {
-                Ok((entry, address)) => {
-                    if address.is_none() && entry.readiness == Readiness::Active {
-                        wrong = wrong.or(Some(format!("{}: no usable address", entry.host)));
-                    }
-                    update.addresses.push((entry.host.clone(), address));
-                    update.entries.push(entry);
-                }
-                Err(what) => wrong = wrong.or(Some(what)),
-            }
-        }
-        Ok((update, wrong))
-    }
-}
-
-fn entry(item: &Value) -> Result<(Entry, Option<SocketAddr>), String> {
-    let host = item["name"].as_str().ok_or("an entry without a name")?.to_string();
-    let word = item["status"].as_str().unwrap_or("");
-    let readiness = readiness(word).ok_or_else(|| format!("{host}: status '{word}'"))?;
-    let address = item["address"].as_str().unwrap_or("").parse().ok();
-    let group = match &item["group"] {
-        Value::Null => return Err(format!("{host}: no group")),
-        Value::String(group) => group.clone(),
-        other => other.to_string(),
-    };
-    let entry = Entry {
-        host,
-        group,
-        zone: item["zone"].as_str().unwrap_or("").to_string(),
-        primary: item["mode"].as_str().and_then(pg::role) == Some(true),
-        since: item["since_ms"].as_f64().unwrap_or(0.0).max(0.0) / 1000.0,
-        readiness,
-    };
-    Ok((entry, address))
-}
-
 /// Where discovery answers, and the watch that is open there. A new configuration can name another address.
 pub struct Agent(Mutex<(SocketAddr, Option<TcpStream>)>);
 
@@ -107,7 +51,7 @@
 pub struct Watcher {
     pub agent: Arc<Agent>,
     pub index: u64,
-    pub desk: Post<Mail>,
+    pub desk: Post<Update>,
     pub counters: Arc<Counters>,
     pub log: Logger,
     pub told: BTreeSet<String>,
@@ -213,7 +157,7 @@
             return Ok(());
         }
         let read =
-            serde_json::from_slice(line).map_err(|e| e.to_string()).and_then(|json| Update::read(&json));
+            serde_json::from_slice(line).map_err(|e| e.to_string()).and_then(|json| lists::read(&json));
         let (update, wrong) = read.inspect_err(|_| self.counters.bad_lists.add())?;
         if let Some(what) = wrong {
             self.counters.bad_lists.add();
@@ -226,7 +170,7 @@
             info!(self.log, "listed as {:?}", entry.readiness; "host" => &entry.host, "since" => entry.since);
         }
         self.index = update.index;
-        self.desk.send(Mail::Listed(update));
+        self.desk.send(update);
         Ok(())
     }
 }
--- a/crates/sandstile-router/src/exchange.rs
+++ b/crates/sandstile-router/src/exchange.rs
@@ -1,9 +1,9 @@
 //! Instances tell each other what sessions have seen: each dials those that our own file names and tells them, and
 //! listens to whoever dials it. Plain threads round the frames of `sandstile-exchange`; off without our own file.
-use crate::desk::Mail;
+use crate::charter::Exchange;
 use crate::mailbox::{narrow, Post};
-use crate::router::STACK;
 use crate::sessions::{Telling, Word};
+use crate::threads;
 use crossbeam_channel::RecvTimeoutError;
 use sandstile_exchange::{greeting, read_greeting, Heard, Listener, Teller, MOST_MARKS};
 use slog::{info, warn, Logger};
@@ -17,12 +17,6 @@
 /// What this use of the keys is called, so that no secret serves two.
 pub const CONTEXT: &str = "sandstile exchange between instances, version 1";
 
-#[derive(Clone, Debug)]
-pub struct Exchange {
-    pub listen: SocketAddr,
-    pub peers: Vec<SocketAddr>,
-}
-
 /// Between tries to reach an instance that is not there.
 const AGAIN: Duration = Duration::from_millis(300);
 /// Instances are near; one that takes longer is not there.
@@ -38,7 +32,7 @@
     plan: &Exchange,
     name: &str,
     secrets: Vec<[u8; 32]>,
-    desk: Post<Mail>,
+    desk: Post<Word>,
     log: &Logger,
 ) -> Result<(), String> {
     // Each life of an instance has a name of its own.
@@ -46,10 +40,10 @@
     let name = &format!("{}#{life}", name.chars().take(40).collect::<String>());
     let listener = TcpListener::bind(plan.listen).map_err(|e| format!("exchange: {}: {e}", plan.listen))?;
     let (own, keys, to_desk, own_log) = (name.to_string(), secrets.clone(), desk.clone(), log.clone());
-    spawn("exchange", move || accept(&listener, &own, &keys, &to_desk, &own_log))?;
+    threads::begin("exchange", move || accept(&listener, &own, &keys, &to_desk, &own_log))?;
     for peer in plan.peers.clone() {
         let (name, secret, desk, log) = (name.to_string(), secrets[0], desk.clone(), log.clone());
-        spawn("tell", move || loop {
+        threads::begin("tell", move || loop {
             // Whatever ends it, the next time begins with a snapshot.
             if let Ok(true) = tell(peer, &name, &secret, &desk, &log) {
                 return;
@@ -60,11 +54,6 @@
     Ok(())
 }
 
-fn spawn(name: &str, body: impl FnOnce() + Send + 'static) -> Result<(), String> {
-    let made = thread::Builder::new().name(name.to_string()).stack_size(STACK).spawn(body);
-    made.map(drop).map_err(|e| format!("thread {name}: {e}"))
-}
-
 /// A listener says nothing after its greeting.
 fn there(stream: &TcpStream) -> bool {
     let look = stream.set_nonblocking(true).and_then(|()| stream.peek(&mut [0]));
@@ -83,7 +72,7 @@
     std::array::from_fn(|n| hash.as_bytes()[n])
 }
 
-fn accept(listener: &TcpListener, name: &str, secrets: &[[u8; 32]], desk: &Post<Mail>, log: &Logger) {
+fn accept(listener: &TcpListener, name: &str, secrets: &[[u8; 32]], desk: &Post<Word>, log: &Logger) {
     let tellers = Arc::new(AtomicUsize::new(0));
     for (number, stream) in listener.incoming().enumerate() {
         let Ok(mut stream) = stream else {
@@ -104,14 +93,14 @@
             }
             here.fetch_sub(1, SeqCst);
         };
-        if spawn("hear", listen).is_err() {
+        if threads::begin("hear", listen).is_err() {
             tellers.fetch_sub(1, SeqCst);
         }
     }
 }
 
 /// Takes in what another instance tells, until it ends or can't be believed.
-fn hear(stream: &mut TcpStream, secrets: &[[u8; 32]], nonce: &[u8; 16], desk: &Post<Mail>) -> io::Result<()> {
+fn hear(stream: &mut TcpStream, secrets: &[[u8; 32]], nonce: &[u8; 16], desk: &Post<Word>) -> io::Result<()> {
     let mut listener = Listener::new(secrets, nonce);
     let mut from = None;
     let mut bytes = [0; 8192];
@@ -130,7 +119,7 @@
                 stream.set_read_timeout(None)?;
             }
             if let Some(from) = &from {
-                desk.send(Mail::Sessions(Word::Heard(from.clone(), heard)));
+                desk.send(Word::Heard(from.clone(), heard));
             }
         }
     }
@@ -141,7 +130,7 @@
     peer: SocketAddr,
     name: &str,
     secret: &[u8; 32],
-    desk: &Post<Mail>,
+    desk: &Post<Word>,
     log: &Logger,
 ) -> io::Result<bool> {
     let mut stream = TcpStream::connect_timeout(&peer, PATIENCE)?;
@@ -163,7 +152,7 @@
     let mut teller = Teller::new(secret, &nonce);
     stream.write_all(&teller.who(name))?;
     let (outlet, tellings) = narrow(MOST_WAITING);
-    desk.send(Mail::Sessions(Word::Tell(to.clone(), outlet)));
+    desk.send(Word::Tell(to.clone(), outlet));
     loop {
         let telling = match tellings.recv(Some(LOOK)) {
             Ok(telling) => telling,
--- a/crates/sandstile-router/src/hosts.rs
+++ b/crates/sandstile-router/src/hosts.rs
@@ -1,16 +1,16 @@
 //! The database hosts: for each the pool of its links, and for each link its socket beside its state machine.
 use crate::budget::{Holder, Rest};
-use crate::carrier::{Tools, TURN};
 use crate::counters::Counters;
-use crate::desk::Mail;
 use crate::ending::{Ending, Outcome};
 use crate::job::{Errand, Job};
 use crate::link::{Event, Link};
 use crate::mailbox::Post;
 use crate::pool::{Found, Free, Pool, Step};
+use crate::tools::{Tools, TURN};
 use crate::wire::{Moved, Wire};
 use mio::net::TcpStream;
 use mio::Token;
+use sandstile_desk::{Mail, Order};
 use sandstile_return::{Came, Dials, When};
 use slab::Slab;
 use slog::{debug, info, o, Logger};
@@ -19,25 +19,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// What the desk has done.
-pub enum Order {
-    /// A database host of the list and its address there. An entry that has left may come without one.
-    Known {
-        host: usize,
-        name: String,
-        address: Option<SocketAddr>,
-    },
-    /// It has left for good, and nothing is under way.
-    End(usize),
-    Do(usize, Job),
-    Probe(usize),
-    Recall {
-        host: usize,
-        stmt: u64,
-        execution: usize,
-    },
-}
-
 struct Host {
     pool: Pool,
     log: Logger,
@@ -139,6 +120,11 @@
                 self.begin(host, Job { errand: Errand::Probe, until }, tools);
             }
             Order::Recall { host, stmt, execution } => self.recall(host, (stmt, execution), tools),
+            Order::Sharers(n) => {
+                if let Some(dials) = &mut self.dials {
+                    dials.shared_by(n);
+                }
+            }
         }
         self.act(tools);
     }
--- /dev/null
+++ b/crates/sandstile-router/src/inlet.rs
@@ -0,0 +1,24 @@
+//! A source of the desk whose facts come by mail: what another thread or another actor of the carrier's has learnt.
+use crate::mailbox::Mailbox;
+use sandstile_desk::{Fact, Source};
+
+pub struct Inlet<T> {
+    mail: Mailbox<T>,
+    fact: fn(T) -> Fact,
+}
+
+impl<T> Inlet<T> {
+    pub fn new(mail: Mailbox<T>, fact: fn(T) -> Fact) -> Self {
+        Inlet { mail, fact }
+    }
+}
+
+impl<T: Send> Source for Inlet<T> {
+    fn pending(&self) -> bool {
+        !self.mail.is_empty()
+    }
+
+    fn facts(&mut self, _: f64) -> Vec<Fact> {
+        std::iter::from_fn(|| self.mail.try_recv()).map(self.fact).collect()
+    }
+}
--- a/crates/sandstile-router/src/launch.rs
+++ b/crates/sandstile-router/src/launch.rs
@@ -1,6 +1,7 @@
 //! What a router is told at its start: `LB_CONFIG`, and the variables beside it.
-use crate::discovery::Update;
+use crate::lists;
 use crate::statement::Workload;
+use sandstile_desk::Update;
 use sandstile_intake::facts;
 use sandstile_policy::terms::{Consistency, Terms};
 use serde_json::Value;
@@ -69,7 +70,7 @@
         if dial <= 0.0 {
             return Err("settings lack a usable allowed.dialTimeoutMs".to_string());
         }
-        let known = Update::read(&json["known"]).map_err(|what| format!("known: {what}"))?;
+        let known = lists::read(&json["known"]).map_err(|what| format!("known: {what}"))?;
         Ok(Launch {
             name: told("LB_NAME", "name")?,
             listen: address("LB_LISTEN", "listen")?,
--- a/crates/sandstile-router/src/lib.rs
+++ b/crates/sandstile-router/src/lib.rs
@@ -1,22 +1,26 @@
 //! The sandstile router: the decisions of `sandstile-policy` behind real sockets. One thread, the `carrier`, carries
-//! the clients' connections (`clients`), the desk of the decisions (`desk`) and the database hosts (`hosts`); what
+//! the clients' connections (`clients`), the desk of the decisions (`sandstile-desk`) and the database hosts (`hosts`); what
 //! happens on a connection is decided by the machines of `sandstile-lines`, which know neither socket nor clock.
 pub mod carrier;
 pub mod charter;
 pub mod clients;
 pub mod clock;
 pub mod counters;
-pub mod desk;
 pub mod discovery;
 pub mod exchange;
 pub mod hosts;
+pub mod inlet;
+pub mod keys;
 pub mod launch;
+pub mod lists;
 pub mod mailbox;
 pub mod recorder;
 pub mod router;
 pub mod sessions;
 pub mod signals;
+pub mod threads;
+pub mod tools;
 pub mod wire;
 
-pub use sandstile_lines::{budget, client, ending, job, link, pool, statement};
+pub use sandstile_lines::{budget, client, ending, job, link, pool, sqlstate, statement};
 pub use sandstile_pgwire as pg;
--- a/crates/sandstile-router/src/main.rs
+++ b/crates/sandstile-router/src/main.rs
@@ -3,7 +3,7 @@
 use sandstile_router::counters::Counters;
 use sandstile_router::launch::Launch;
 use sandstile_router::signals::Wishes;
-use sandstile_router::{charter, router};
+use sandstile_router::{keys, router};
 use slog::{o, Drain, Level, Logger};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -106,7 +106,7 @@
         return Err(format!("unknown: token {verb}"));
     }
     let path = keys.ok_or("no --keys FILE")?;
-    let ring = charter::read_keys(path)?;
+    let ring = keys::read_keys(path)?;
     let token = ring.read_token(text).map_err(|told| format!("not believed: {told:?}"))?;
     println!("session and group {:016x}, term {}", token.key.0, token.mark.term.0);
     println!("position {:.3}, issued {:.0}", token.mark.position, token.issued);
--- a/crates/sandstile-router/src/recorder.rs
+++ b/crates/sandstile-router/src/recorder.rs
@@ -1,25 +1,19 @@
 //! Writes down who asked what kind of thing when, for models and rehearsals: no literal, no name of a session. Off without
 //! our own file. The disk holds up nobody: what it does not keep up with is counted and left out.
+use crate::charter::Recording;
 use crate::counters::Counters;
 use crate::mailbox::{narrow, Mailbox, Post};
+use crate::threads;
 use crossbeam_channel::RecvTimeoutError;
+use sandstile_desk::{Asked, Source};
 use sandstile_recording::{Arrival, Head, Recorder};
 use slog::{info, warn, Logger};
 use std::fs::{File, OpenOptions};
 use std::io::{self, BufWriter, Read, Write};
-use std::path::PathBuf;
 use std::sync::Arc;
-use std::thread::{self, JoinHandle};
+use std::thread::JoinHandle;
 use std::time::Duration;
 
-/// What our own file says of it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Plan {
-    pub file: PathBuf,
-    /// Bytes; the recording ends there.
-    pub most: u64,
-}
-
 /// One arrival, as the desk sees it.
 pub struct Seen {
     /// Unix seconds.
@@ -38,8 +32,16 @@
     counters: Arc<Counters>,
 }
 
-impl Tape {
-    pub fn note(&self, seen: Seen) {
+impl Source for Tape {
+    fn arrives(&mut self, now: f64, asked: &Asked) {
+        let seen = Seen {
+            at: now,
+            workload: asked.workload,
+            group: asked.group.clone(),
+            session: asked.session.clone(),
+            wait: asked.until - now,
+            again: asked.retry,
+        };
         if !self.post.send(seen) {
             self.counters.unrecorded.add();
         }
@@ -53,7 +55,7 @@
 
 /// Begins a recording; the thread ends once the tape is gone.
 pub fn begin(
-    plan: &Plan,
+    plan: &Recording,
     workloads: Vec<String>,
     mut groups: Vec<String>,
     now: f64,
@@ -81,8 +83,7 @@
         }
         Err(e) => warn!(own, "the recording ends: {e}"),
     };
-    let thread = thread::Builder::new().name("recorder".to_string()).stack_size(crate::router::STACK);
-    let thread = thread.spawn(write).map_err(|e| format!("thread recorder: {e}"))?;
+    let thread = threads::joined("recorder", threads::STACK, write)?;
     info!(log, "recording"; "file" => %plan.file.display());
     Ok((Tape { post, counters: counters.clone() }, thread))
 }
--- a/crates/sandstile-router/src/router.rs
+++ b/crates/sandstile-router/src/router.rs
@@ -4,28 +4,28 @@
 use crate::charter::Charter;
 use crate::clock::Clock;
 use crate::counters::Counters;
-use crate::desk::{Desk, Mail};
 use crate::discovery::{Agent, Watcher};
 use crate::exchange;
+use crate::inlet::Inlet;
 use crate::launch::Launch;
 use crate::pg;
 use crate::recorder;
 use crate::sessions::{Sessions, Word};
 use crate::signals::{Wish, Wishes};
+use crate::threads;
+use sandstile_desk::{Desk, Fact, Update};
 use sandstile_policy::policy::Instance;
 use sandstile_return::{Dials, Lists, Ramp, Stall};
 use slog::{info, warn, Logger};
 use std::collections::BTreeSet;
 use std::net::TcpListener;
 use std::sync::Arc;
-use std::thread;
+use std::thread::JoinHandle;
 
 /// Standard streams, the listener, discovery, the signals' pipe, and what the runtime opens for itself.
 const OWN_DESCRIPTORS: usize = 16;
 /// What the carrier's thread may need: lines are heap, and the decisions call few deep.
 const CARRIER_STACK: usize = 512 * 1024;
-/// What a thread that parses a line or two and writes a line of log needs, with room to spare.
-pub const STACK: usize = 128 * 1024;
 
 /// The number that a name ends with: routers of one deployment are named alike.
 fn numbered(name: &str) -> Option<u64> {
@@ -51,23 +51,29 @@
     let listener =
         TcpListener::bind(launch.listen).map_err(|e| format!("listen on {}: {e}", launch.listen))?;
     let posts = Posts::open().map_err(|e| format!("readiness: {e}"))?;
-    let (operators, charges) = (posts.desk.clone(), posts.charges.clone());
+    let charges = posts.charges.clone();
+    let (lists, listed) = posts.inlet::<Update>();
     let agent = Agent::at(launch.discovery);
     let watcher = Watcher {
         agent: agent.clone(),
         index: launch.known.index,
-        desk: operators.clone(),
+        desk: lists.clone(),
         counters: counters.clone(),
         log: log.clone(),
         told: BTreeSet::new(),
         lists: charter.back.as_ref().map(|_| Lists::new(launch.seed)),
     };
     let policy = Instance::new(&launch.terms, launch.seed, clock.now());
-    let seen = match &charter.sessions {
-        Some(sessions) => Some(Sessions::begin(sessions.clone(), &launch.workloads, &clock, &log)?),
-        None => None,
-    };
-    let mut desk = Desk::new(policy, clock, counters.clone(), log.clone(), posts.orders.clone(), seen);
+    let mut desk = Desk::new(policy, counters.desk.clone());
+    desk.add(Box::new(Inlet::new(listed, Fact::List)));
+    let mut words = None;
+    if let Some(plan) = &charter.sessions {
+        let (post, word_box) = posts.inlet::<Word>();
+        let answers = posts.answers.clone();
+        let seen = Sessions::begin(plan.clone(), &launch.workloads, word_box, answers, &clock, &log)?;
+        desk.add(Box::new(seen));
+        words = Some(post);
+    }
     let policy_returns = launch.terms.max_return;
     desk.limits = charter
         .limits
@@ -86,12 +92,15 @@
         let workloads = launch.workloads.iter().map(|w| w.name.clone()).collect();
         let groups = launch.known.entries.iter().map(|e| e.group.clone()).collect();
         let (tape, thread) = recorder::begin(plan, workloads, groups, clock.now(), &counters, &log)?;
-        (desk.tape, recording) = (Some(tape), Some(thread));
+        desk.add(Box::new(tape));
+        recording = Some(thread);
     }
-    operators.send(Mail::Listed(launch.known));
-    if let Some((plan, exchange)) = charter.sessions.as_ref().and_then(|s| Some((s, s.exchange.as_ref()?))) {
-        let secrets = plan.read_keys()?.derived(exchange::CONTEXT);
-        exchange::begin(exchange, &launch.name, secrets, operators.clone(), &log)?;
+    lists.send(launch.known);
+    if let (Some(plan), Some(words)) = (&charter.sessions, &words) {
+        if let Some(exchange) = &plan.exchange {
+            let secrets = plan.read_keys()?.derived(exchange::CONTEXT);
+            exchange::begin(exchange, &launch.name, secrets, words.clone(), &log)?;
+        }
     }
     let parts = Parts {
         clock,
@@ -103,7 +112,7 @@
         dial_limit: launch.dial_limit,
         idle_close: launch.terms.idle_close,
         dials,
-        last_word: charter.sessions.is_some(),
+        last_word: words.clone(),
     };
     let carrier = Carrier::new(posts, parts, listener).map_err(|e| format!("listen: {e}"))?;
     info!(log, "serving"; "name" => launch.name, "listen" => %launch.listen, "clients" => most_clients,
@@ -114,11 +123,8 @@
         drop(enough);
         carried
     };
-    let named = |name: &str| thread::Builder::new().name(name.to_string());
-    let carried = named("carrier").stack_size(CARRIER_STACK).spawn(carry);
-    let carried = carried.map_err(|e| format!("thread carrier: {e}"))?;
-    let watched = named("discovery").stack_size(CARRIER_STACK).spawn(move || watcher.run());
-    watched.map_err(|e| format!("thread discovery: {e}"))?;
+    let carried = threads::joined("carrier", CARRIER_STACK, carry)?;
+    threads::joined("discovery", CARRIER_STACK, move || watcher.run())?;
     let follow_discovery = || match again() {
         Ok(new) => {
             info!(log, "configuration read again"; "discovery" => %new.discovery);
@@ -131,7 +137,9 @@
         match sessions.read_keys() {
             Ok(ring) => {
                 info!(log, "keys read again"; "numbers" => ?ring.numbers());
-                operators.send(Mail::Sessions(Word::Keys(ring)));
+                if let Some(words) = &words {
+                    words.send(Word::Keys(ring));
+                }
             }
             Err(what) => warn!(log, "{what}; the former keys stay"),
         }
@@ -152,7 +160,7 @@
     }
     let ended = carried.join();
     // The desk has gone, and its tape with it: what was recorded is whole.
-    recording.map(thread::JoinHandle::join);
+    recording.map(JoinHandle::join);
     match ended {
         Ok(carried) => carried.map_err(|e| format!("readiness: {e}")),
         Err(_) => Err("the carrier's thread has ended".to_string()),
--- a/crates/sandstile-router/src/sessions.rs
+++ b/crates/sandstile-router/src/sessions.rs
@@ -1,15 +1,12 @@
 //! What sessions have seen, beside the desk: marks are taken from answers and tokens, put down in a journal, and
 //! say what an own read must reach. What is to be decided stands in `sandstile-sessions`; here it meets statements,
 //! keys and the disk.
-use crate::charter;
+use crate::charter::{Durability, Sessions as Plan};
 use crate::clock::Clock;
-use crate::desk::{Asked, Reply};
-use crate::ending::{Ending, Outcome};
-use crate::exchange::Exchange;
-use crate::job::Answer;
 use crate::mailbox::{mailbox, Mailbox, Post};
 use crate::statement::Workload;
 use crossbeam_channel::RecvTimeoutError;
+use sandstile_desk::{Answer, Asked, Ending, Fact, Given, Outcome, Source};
 use sandstile_exchange::Heard;
 use sandstile_journal::pace::Pace;
 use sandstile_journal::Journal;
@@ -24,54 +21,8 @@
 use std::thread;
 use std::time::Duration;
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Durability {
-    /// Given to the platform with the answer; a power cut may take the last seconds.
-    None,
-    /// On the disk before the client hears of its write.
-    BeforeAnswer,
-    /// On the disk every so many seconds, which is what a power cut may take.
-    Every(f64),
-}
-
-/// What our own file says of sessions. Times in seconds.
-#[derive(Clone, Debug)]
-pub struct Plan {
-    pub keys: Option<PathBuf>,
-    pub token_lasts: f64,
-    /// Clocks differ by no more.
-    pub skew: f64,
-    /// Replicas lag by no more.
-    pub horizon: f64,
-    /// A session's writes come by this instance alone, for as long as it lives.
-    pub stay: bool,
-    pub exact: usize,
-    pub cells: usize,
-    /// Statements that carry no mark at all are served as without our own file: for the time in which clients
-    /// learn to carry them.
-    pub unmarked_as_before: bool,
-    pub journal: Option<PathBuf>,
-    pub exchange: Option<Exchange>,
-    pub durability: Durability,
-}
-
-impl Plan {
-    pub fn read_keys(&self) -> Result<KeyRing, String> {
-        self.keys.as_ref().map_or_else(|| Ok(KeyRing::default()), |path| charter::read_keys(path))
-    }
-
-    pub fn describe(&self) -> String {
-        let tokens = if self.keys.is_some() { "with tokens" } else { "without tokens" };
-        let journal = match &self.journal {
-            Some(path) => format!("journal {} ({:?})", path.display(), self.durability),
-            None => "no journal".to_string(),
-        };
-        format!("on, {tokens}, {} remembered, {journal}", self.exact)
-    }
-}
-
 /// What one statement wants of all this.
-pub struct Wish {
+struct Wish {
     key: Key,
     writes: bool,
     /// For an own read: what it must reach.
@@ -79,7 +30,7 @@
 }
 
 impl Wish {
-    pub fn reach(&self) -> Option<Reach> {
+    fn reach(&self) -> Option<Reach> {
         self.floor.map(|floor| match floor {
             Floor::Known(position) => Reach::Position(position),
             Floor::Unknown(_) => Reach::Primary,
@@ -127,6 +78,9 @@
     ring: KeyRing,
     /// Which workloads are own reads.
     own_reads: Vec<bool>,
+    /// What the statements that are open want.
+    wishes: BTreeMap<u64, Wish>,
+    words: Mailbox<Word>,
     journal: Option<Post<Entry>>,
     outlets: Vec<Post<Telling>>,
     /// Instances that ended in order and told all they knew before: when, and the life that is to have it back.
@@ -150,6 +104,8 @@
     pub fn begin(
         plan: Plan,
         workloads: &[Workload],
+        words: Mailbox<Word>,
+        answers: Post<Given>,
         clock: &Clock,
         log: &Logger,
     ) -> Result<Sessions, String> {
@@ -174,7 +130,8 @@
                 "ended" => found.ended, "spoilt" => found.spoilt);
             let (post, entries) = mailbox();
             let (file, durability, log) = (path.clone(), plan.durability, log.clone());
-            let scribe = Scribe { journal: Some(opened), path: file, durability, clock: *clock, log };
+            let scribe =
+                Scribe { journal: Some(opened), answers, path: file, durability, clock: *clock, log };
             thread::Builder::new()
                 .name("journal".to_string())
                 .spawn(move || scribe.run(&entries))
@@ -191,6 +148,8 @@
             store,
             ring,
             own_reads,
+            wishes: BTreeMap::new(),
+            words,
             journal,
             outlets: Vec::new(),
             handed: BTreeMap::new(),
@@ -203,7 +162,7 @@
     }
 
     /// A statement came in; `term` is what its group's hosts have told, 0 where nothing.
-    pub fn asked(&mut self, now: f64, asked: &Asked, term: u64) -> Option<Wish> {
+    fn asked(&mut self, now: f64, asked: &Asked, term: u64) -> Option<Wish> {
         let session = asked.session.as_deref()?;
         if now > self.aged_at + AGE {
             self.aged_at = now;
@@ -244,7 +203,7 @@
 
     /// An answer by a host that turns out to hold less than the read must see is none: another host serves it. That
     /// is no fault of the host's, which may have been demoted on the way.
-    pub fn verify(&mut self, wish: &Wish, outcome: &mut Outcome) {
+    fn verify(&mut self, wish: &Wish, outcome: &mut Outcome) {
         if outcome.ending != Ending::Completed || outcome.note.primary == Some(true) {
             return;
         }
@@ -282,33 +241,14 @@
         Some(seen)
     }
 
-    /// Gives the answer, with the session's mark, once what durability asks for is done.
-    pub fn completed(&mut self, now: f64, wish: &Wish, outcome: &Outcome, rows: Vec<u8>, reply: Reply) {
-        let seen = self.remember(now, wish, outcome);
-        let token = Self::mark(wish, outcome).and_then(|mark| {
-            // All that is known of it, not the last alone: it may have come from elsewhere with more.
-            let known = self.store.seen(wish.key);
-            let same = known.marks().filter(|m| m.term == mark.term).map(|m| m.position);
-            let position = same.fold(mark.position, f64::max);
-            self.ring.issue(&Token { key: wish.key, mark: Mark { position, ..mark }, issued: now })
-        });
-        let answer = Answer::Completed(rows, token);
-        match (&self.journal, seen) {
-            (Some(journal), Some(seen)) => {
-                journal.send(Entry::Seen { key: wish.key, seen, then: Some((reply, answer)) });
-            }
-            _ => reply.give(answer),
-        }
-    }
-
-    /// A write completed whose client has left: nobody was told, and yet it may come again and ask.
-    pub fn unheard(&mut self, now: f64, wish: &Wish, outcome: &Outcome) {
-        if let (Some(seen), Some(journal)) = (self.remember(now, wish, outcome), &self.journal) {
-            journal.send(Entry::Seen { key: wish.key, seen, then: None });
-        }
+    /// What comes of a write that has completed goes on the disk. `answer` waits for that, where somebody is to have it.
+    fn put_down(&mut self, key: Key, seen: Option<Seen>, answer: Option<Given>) -> Option<Given> {
+        let (Some(journal), Some(seen)) = (&self.journal, seen) else { return answer };
+        journal.send(Entry::Seen { key, seen, then: answer });
+        None
     }
 
-    pub fn heard(&mut self, now: f64, word: Word) {
+    fn heard(&mut self, now: f64, word: Word) {
         match word {
             Word::Keys(ring) => self.ring = ring,
             Word::Tell(to, outlet) => {
@@ -364,8 +304,65 @@
     }
 }
 
+impl Source for Sessions {
+    fn pending(&self) -> bool {
+        !self.words.is_empty()
+    }
+
+    fn facts(&mut self, now: f64) -> Vec<Fact> {
+        while let Some(word) = self.words.try_recv() {
+            self.heard(now, word);
+        }
+        Vec::new()
+    }
+
+    fn reach(&mut self, now: f64, asked: &Asked, term: u64) -> Option<Reach> {
+        let wish = self.asked(now, asked, term)?;
+        let reach = wish.reach();
+        self.wishes.insert(asked.stmt, wish);
+        reach
+    }
+
+    fn ended(&mut self, _: f64, stmt: u64, outcome: &mut Outcome) {
+        if let Some(wish) = self.wishes.remove(&stmt) {
+            self.verify(&wish, outcome);
+            self.wishes.insert(stmt, wish);
+        }
+    }
+
+    /// The answer takes the session's mark along, once what durability asks for is done.
+    fn completed(&mut self, now: f64, outcome: &Outcome, mut given: Given) -> Option<Given> {
+        let Some(wish) = self.wishes.remove(&given.stmt) else { return Some(given) };
+        let seen = self.remember(now, &wish, outcome);
+        if let Answer::Completed(_, token) = &mut given.answer {
+            *token = Self::mark(&wish, outcome).and_then(|mark| {
+                // All that is known of it, not the last alone: it may have come from elsewhere with more.
+                let known = self.store.seen(wish.key);
+                let same = known.marks().filter(|m| m.term == mark.term).map(|m| m.position);
+                let position = same.fold(mark.position, f64::max);
+                self.ring.issue(&Token { key: wish.key, mark: Mark { position, ..mark }, issued: now })
+            });
+        }
+        let key = wish.key;
+        self.wishes.insert(given.stmt, wish);
+        self.put_down(key, seen, Some(given))
+    }
+
+    /// A write completed whose client has left: nobody was told, and yet it may come again and ask.
+    fn unheard(&mut self, now: f64, stmt: u64, outcome: &Outcome) {
+        let Some(wish) = self.wishes.remove(&stmt) else { return };
+        let seen = self.remember(now, &wish, outcome);
+        self.put_down(wish.key, seen, None);
+        self.wishes.insert(stmt, wish);
+    }
+
+    fn over(&mut self, stmt: u64) {
+        self.wishes.remove(&stmt);
+    }
+}
+
 enum Entry {
-    Seen { key: Key, seen: Seen, then: Option<(Reply, Answer)> },
+    Seen { key: Key, seen: Seen, then: Option<Given> },
     End(Post<()>),
 }
 
@@ -373,6 +370,7 @@
 struct Scribe {
     /// `None` once the disk has failed.
     journal: Option<Journal>,
+    answers: Post<Given>,
     path: PathBuf,
     durability: Durability,
     clock: Clock,
@@ -409,7 +407,7 @@
                     Entry::End(done) => {
                         self.tried(|journal| journal.end());
                         drop(done);
-                        answers.drain(..).for_each(|(reply, answer): (Reply, Answer)| reply.give(answer));
+                        self.give(&mut answers);
                         return;
                     }
                 }
@@ -422,13 +420,19 @@
                 }
                 _ => self.tried(Journal::flush),
             }
-            answers.into_iter().for_each(|(reply, answer)| reply.give(answer));
+            self.give(&mut answers);
             if self.journal.as_ref().is_some_and(|j| j.bytes() > LONGEST) {
                 self.renew();
             }
         }
     }
 
+    fn give(&self, answers: &mut Vec<Given>) {
+        for given in answers.drain(..) {
+            self.answers.send(given);
+        }
+    }
+
     /// A disk that fails takes the journal with it: one that lacks writes must not be found whole later.
     fn tried(&mut self, act: impl FnOnce(&mut Journal) -> std::io::Result<()>) {
         let Some(journal) = &mut self.journal else { return };
--- a/crates/sandstile-router/tests/codecs.rs
+++ b/crates/sandstile-router/tests/codecs.rs
@@ -4,11 +4,13 @@
 use sandstile_intake::{facts, list, names::Names};
 use sandstile_policy::terms::{Readiness, Verdict};
 use sandstile_router::budget::{Budget, Claim, Holder};
-use sandstile_router::discovery::{Chunks, Update};
+use sandstile_router::discovery::Chunks;
 use sandstile_router::ending::{Ending, ALL};
 use sandstile_router::job::Parcel;
+use sandstile_router::lists;
 use sandstile_router::mailbox;
 use sandstile_router::pg::{self, Answer, Stage};
+use sandstile_router::sqlstate;
 use sandstile_router::statement::{self, Workload, Wrong};
 use std::thread;
 use std::time::Duration;
@@ -132,8 +134,8 @@
     let written = [Completed, Failed, Broken, Crossed, CutShort, Garbled, Unreadable, TimedOut, Withdrawn];
     assert!(ALL.iter().all(|e| never_ran(e) != written.contains(e)));
     assert!(ALL.iter().enumerate().all(|(i, e)| *e as usize == i), "counters are kept by this order");
-    assert_eq!([Ending::of_sqlstate("25006"), Ending::of_sqlstate("72000")], [Missed, Missed]);
-    assert_eq!([Ending::of_sqlstate("53300"), Ending::of_sqlstate("57P03")], [TurnedAway, Failed]);
+    assert_eq!([sqlstate::ending("25006"), sqlstate::ending("72000")], [Missed, Missed]);
+    assert_eq!([sqlstate::ending("53300"), sqlstate::ending("57P03")], [TurnedAway, Failed]);
 }
 
 #[test]
@@ -163,7 +165,7 @@
 
 #[test]
 fn lists_lose_only_what_cannot_be_read() {
-    let read = |text: &str| Update::read(&serde_json::from_str(text).expect("json"));
+    let read = |text: &str| lists::read(&serde_json::from_str(text).expect("json"));
     let text = r#"{"index":7,"snapshot":false,"endpoints":[{"name":"a","group":3,"status":"leaving"},
         {"name":"b","group":"g","status":"dancing"},{"name":"c","address":"127.0.0.1:1","group":4,"status":"active",
         "since_ms":1500,"mode":"read-write"}]}"#;
