--- a/crates/sandstile-audit/src/trace.rs
+++ b/crates/sandstile-audit/src/trace.rs
@@ -1,6 +1,6 @@
 //! The trace, read whole and sorted by what each line is about. Times are Unix seconds.
 use serde_json::Value;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What the run held its parts to.
 #[derive(Clone, Debug)]
@@ -124,10 +124,23 @@
     pub clients: bool,
     pub hosts: bool,
     pub agents: bool,
+    /// From which router to which nothing gets through.
+    pub severs: Vec<(usize, usize)>,
     pub begin: f64,
     pub end: f64,
 }
 
+/// Whom a router held for there, from this time on.
+#[derive(Clone, Debug)]
+pub struct Sight {
+    pub t: f64,
+    pub router: usize,
+    /// In its own words: agreed, settling, cut off from some, alone.
+    pub view: String,
+    pub there: BTreeSet<usize>,
+    pub sharers: Option<f64>,
+}
+
 /// Seconds after a heal in which what a link held back still arrives: a retransmission, and what queues behind it.
 const SETTLES: f64 = 1.0;
 
@@ -151,6 +164,7 @@
     /// Cues that were carried out.
     pub cues: Vec<(f64, String)>,
     pub links: Vec<LinkFault>,
+    pub sights: Vec<Sight>,
     /// Dials, handshakes and probes at hosts.
     pub asked_of_hosts: Vec<(f64, String, &'static str)>,
     /// When routers asked for lists.
@@ -269,6 +283,7 @@
                     clients: touches("clients"),
                     hosts: touches("hosts"),
                     agents: touches("agents"),
+                    severs: pairs(&json["severs"]),
                     begin: t,
                     end: f64::INFINITY,
                 });
@@ -286,6 +301,13 @@
             "listed" if json["readiness"] == "left" => {
                 self.left.insert(text("host")?, t);
             }
+            "sight" => self.sights.push(Sight {
+                t,
+                router: number("number")? as usize,
+                view: text("view")?,
+                there: numbers(&json["there"]).collect(),
+                sharers: json["sharers"].as_f64(),
+            }),
             "held" => self.held.push(Weight {
                 t,
                 router: number("number")? as usize,
@@ -409,3 +431,12 @@
         workloads,
     })
 }
+
+fn numbers(json: &Value) -> impl Iterator<Item = usize> + '_ {
+    json.as_array().into_iter().flatten().filter_map(|n| Some(n.as_u64()? as usize))
+}
+
+fn pairs(json: &Value) -> Vec<(usize, usize)> {
+    let all = json.as_array().into_iter().flatten();
+    all.filter_map(|pair| numbers(pair).next().zip(numbers(pair).nth(1))).collect()
+}
--- a/crates/sandstile-emulator/src/lib.rs
+++ b/crates/sandstile-emulator/src/lib.rs
@@ -8,4 +8,4 @@
 pub mod speech;
 
 pub use clock::Clock;
-pub use run::{router_address, Emulator, Handle, Note, Record, Summary, What};
+pub use run::{members_address, router_address, Emulator, Handle, Note, Record, Summary, What};
--- a/crates/sandstile-emulator/src/run.rs
+++ b/crates/sandstile-emulator/src/run.rs
@@ -10,7 +10,7 @@
 use mio::{Events, Interest, Poll, Token, Waker};
 use sandstile_faults::process::Whom;
 use sandstile_faults::weather::Where;
-use sandstile_faults::{Blow, End};
+use sandstile_faults::{Blow, End, Strike};
 use sandstile_fleet::plan::Consistency;
 use sandstile_fleet::{Answer, Event, Fault, Fleet, Input, Kind, Output, Readiness};
 use sandstile_pgwire as pg;
@@ -68,6 +68,8 @@
     LinkBegins {
         name: String,
         on: Vec<&'static str>,
+        /// From which router to which nothing gets through.
+        severs: Vec<(usize, usize)>,
     },
     LinkEnds {
         name: String,
@@ -238,6 +240,15 @@
     SocketAddr::from(([127, net, 240, number as u8 + 1], 6432))
 }
 
+/// Where a router of a rehearsal takes its peers' letters, and where they find it: at a relay's, where links may fail.
+pub fn members_address(net: u8, number: usize, relayed: bool) -> (SocketAddr, SocketAddr) {
+    let mut at = router_address(net, number);
+    at.set_port(7433);
+    let mut found_at = at;
+    found_at.set_port(if relayed { RELAYS } else { 7433 });
+    (at, found_at)
+}
+
 impl Emulator {
     /// Hosts at 127.A.B.*, agents at 127.A.(B+50+move).*, with A and B as told.
     pub fn new(
@@ -293,6 +304,13 @@
         while emulator.board.come(now).is_some() {}
         emulator.publish();
         emulator.place_agents()?;
+        if let Some(relay) = emulator.relay.as_ref().filter(|_| script.routers.members) {
+            let spot = |n: usize| {
+                let (at, found_at) = members_address(net.0, n, true);
+                sandstile_relay::Spot { end: End::Router(n), found_at, at }
+            };
+            relay.hub((0..script.routers.count).map(spot).collect())?;
+        }
         Ok(emulator)
     }
 
@@ -572,7 +590,8 @@
                     relay.begin(cue, at.clone(), strike);
                 }
                 let on = self.touched(&at);
-                self.record(now, Own::LinkBegins { name: name.clone(), on });
+                let severs = self.severed(&at, strike);
+                self.record(now, Own::LinkBegins { name: name.clone(), on, severs });
                 lasts
             }
             Act::Process { whom, blow, spread } => {
@@ -593,6 +612,16 @@
         Ok(())
     }
 
+    /// From which router to which nothing gets through any more.
+    fn severed(&self, at: &Where, strike: Strike) -> Vec<(usize, usize)> {
+        if !matches!(strike, Strike::Cut | Strike::Reset) {
+            return Vec::new();
+        }
+        let all = 0..self.script.routers.count;
+        let pairs = all.clone().flat_map(|a| all.clone().map(move |b| (a, b)));
+        pairs.filter(|(a, b)| a != b && at.touches(&End::Router(*a), &End::Router(*b))).collect()
+    }
+
     /// Which kinds of ends a strike on links touches, for whoever judges the run.
     fn touched(&self, at: &Where) -> Vec<&'static str> {
         let routers = || (0..self.script.routers.count).map(End::Router);
--- a/crates/sandstile-lab/src/book.rs
+++ b/crates/sandstile-lab/src/book.rs
@@ -52,6 +52,13 @@
         descriptors: u64,
         cpu_ms: u64,
     },
+    /// Whom a router holds for there, as it says itself.
+    Sight {
+        number: usize,
+        view: String,
+        there: Vec<usize>,
+        sharers: Option<f64>,
+    },
     End {
         unsound: Option<String>,
     },
--- a/crates/sandstile-lab/src/lib.rs
+++ b/crates/sandstile-lab/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod report;
 pub mod returns;
 pub mod scale_out;
+pub mod sights;
--- a/crates/sandstile-lab/src/processes.rs
+++ b/crates/sandstile-lab/src/processes.rs
@@ -1,7 +1,7 @@
 //! Router processes: their configuration, start, end, and whether they are ready.
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
-use sandstile_emulator::Clock;
+use sandstile_emulator::{members_address, Clock};
 use sandstile_fleet::plan::{Consistency, Effect, Tokens};
 use sandstile_pgwire as pg;
 use sandstile_scenario::Script;
@@ -74,7 +74,7 @@
 }
 
 /// Our own file for one router, and the keys that all of them share; `None` where the script wants none of it.
-pub fn own_file(script: &Script, dir: &Path, number: usize) -> io::Result<Option<PathBuf>> {
+pub fn own_file(script: &Script, dir: &Path, net: u8, number: usize) -> io::Result<Option<PathBuf>> {
     let wanted = script.sessions;
     let mut beside = String::new();
     if let Some(pace) = &script.routers.pace {
@@ -86,6 +86,9 @@
     if script.routers.limits {
         beside += "limits {\n}\n";
     }
+    if script.routers.members {
+        beside += &members(script, dir, net, number)?;
+    }
     let path = dir.join(format!("router-{number}.hcl"));
     if !wanted.tokens && !wanted.journal {
         if beside.is_empty() {
@@ -94,18 +97,7 @@
         fs::write(&path, beside)?;
         return Ok(Some(path));
     }
-    let keys = dir.join("keys");
-    if !keys.exists() {
-        // A rehearsal's keys guard nothing; they differ from run to run all the same.
-        let digits = |n: u128| {
-            format!(
-                "{:032x}",
-                (u128::from(script.plan.seed) + n).wrapping_mul(0x9e37_79b9_7f4a_7c15_f39c_c060_5ced_c835)
-            )
-        };
-        fs::write(&keys, format!("1 {}{}\n", digits(1), digits(2)))?;
-        fs::set_permissions(&keys, std::os::unix::fs::PermissionsExt::from_mode(0o600))?;
-    }
+    let keys = keys(script, dir)?;
     let lag = 30;
     let mut text = format!("sessions {{\n  replicas_lag_at_most_s = {lag}\n");
     if wanted.tokens {
@@ -122,6 +114,45 @@
     Ok(Some(path))
 }
 
+/// What all routers of a rehearsal share as a secret.
+fn keys(script: &Script, dir: &Path) -> io::Result<PathBuf> {
+    let keys = dir.join("keys");
+    if !keys.exists() {
+        // A rehearsal's keys guard nothing; they differ from run to run all the same.
+        let digits = |n: u128| {
+            format!(
+                "{:032x}",
+                (u128::from(script.plan.seed) + n).wrapping_mul(0x9e37_79b9_7f4a_7c15_f39c_c060_5ced_c835)
+            )
+        };
+        fs::write(&keys, format!("1 {}{}\n", digits(1), digits(2)))?;
+        fs::set_permissions(&keys, std::os::unix::fs::PermissionsExt::from_mode(0o600))?;
+    }
+    Ok(keys)
+}
+
+/// Peers are found over relays where any link may fail; the first three are seeds.
+fn members(script: &Script, dir: &Path, net: u8, number: usize) -> io::Result<String> {
+    let relayed = script.cues.iter().any(|c| matches!(c.act, sandstile_scenario::script::Act::Link { .. }));
+    let (at, found_at) = members_address(net, number, relayed);
+    let seeds = (0..script.routers.count.min(3))
+        .map(|n| format!("{:?}", members_address(net, n, relayed).1.to_string()));
+    Ok(format!(
+        "members {{\n  listen = \"{at}\"\n  advertise = \"{found_at}\"\n  seeds = [{}]\n  keys = {:?}\n  \
+         control = {:?}\n  share = {}\n  zone = \"z{}\"\n}}\n",
+        seeds.collect::<Vec<_>>().join(", "),
+        keys(script, dir)?.display().to_string(),
+        control_socket(net, number).display().to_string(),
+        script.routers.share,
+        number % 3,
+    ))
+}
+
+/// Where a router is asked whom it sees: names of such sockets are short, whatever folder the rehearsal is in.
+pub fn control_socket(net: u8, number: usize) -> PathBuf {
+    std::env::temp_dir().join(format!("sandstile-{}-{net}-{number}.sock", std::process::id()))
+}
+
 /// Where a router keeps what it is to find again.
 pub fn state_file(dir: &Path, number: usize) -> PathBuf {
     dir.join(format!("router-{number}.marks"))
--- a/crates/sandstile-lab/src/rehearse.rs
+++ b/crates/sandstile-lab/src/rehearse.rs
@@ -3,6 +3,7 @@
 use crate::clients::Crew;
 use crate::processes::{self, Nurse, Router};
 use crate::report;
+use crate::sights;
 use crossbeam_channel::{unbounded, Receiver, RecvTimeoutError};
 pub use sandstile_emulator::router_address;
 use sandstile_emulator::{Clock, Emulator, Handle, Note, Record};
@@ -75,6 +76,8 @@
     over: AtomicBool,
 }
 
+/// Seconds between looks at whom a router sees.
+const LOOK: f64 = 0.1;
 /// One turn of a router that is slow: it stands still for its share of this.
 const SLOW_TURN: f64 = 0.05;
 
@@ -87,7 +90,7 @@
         let agent = self.agents.lock().expect("no thread panics under the lock")[number];
         let listen = router_address(self.net, number);
         let config = processes::config(&self.script, number, listen, agent, known);
-        let own = processes::own_file(&self.script, &self.out, number)?;
+        let own = processes::own_file(&self.script, &self.out, self.net, number)?;
         let router = Router::start(&self.wanted, &self.out, number, &config, own.as_deref())?;
         let mut router = router.nursed(&self.nurse);
         self.note(number, "started", None);
@@ -214,6 +217,27 @@
         }
     }
 
+    /// Asks one router again and again whom it sees, and writes down what is new.
+    fn watch(&self, number: usize) {
+        let socket = processes::control_socket(self.net, number);
+        let mut last = None;
+        while !self.over.load(SeqCst) {
+            let asked = self.clock.now();
+            let there = self.routers[number].lock().expect("no thread panics under the lock").is_some();
+            // One that does not run sees nobody, and says so anew when it is back.
+            let sight = there.then(|| sights::of(&socket)).flatten();
+            if let Some(sight) = sight.filter(|s| last.as_ref() != Some(s)) {
+                self.book.line(self.clock.now(), sight.line(number));
+                last = Some(sight);
+            }
+            if !there {
+                last = None;
+            }
+            thread::sleep(self.clock.until(asked + LOOK));
+        }
+        let _ = std::fs::remove_file(socket);
+    }
+
     /// A router that is gone though nobody asked for that.
     fn look_for_crashes(&self) {
         for (number, slot) in self.routers.iter().enumerate() {
@@ -302,6 +326,10 @@
     let traffic = Traffic::new(&script, script.plan.seed);
     thread::scope(|scope| {
         scope.spawn(|| follow(&stage, &notes, &crew, &emulator));
+        if script.routers.members {
+            let stage = &stage;
+            (0..script.routers.count).for_each(|n| drop(scope.spawn(move || stage.watch(n))));
+        }
         let (mut next, mut weighs) = (begin + 5.0, begin);
         crew.play(traffic, begin, || {
             stage.look_for_crashes();
--- a/crates/sandstile-lab/src/report.rs
+++ b/crates/sandstile-lab/src/report.rs
@@ -2,7 +2,7 @@
 //! the rig itself was.
 use hdrhistogram::Histogram;
 use sandstile_audit::judge::RULES;
-use sandstile_audit::{judge, own_reads, returning, service, Finding, Returning, Service, Trace};
+use sandstile_audit::{agreement, judge, own_reads, returning, service, Finding, Returning, Service, Trace};
 use sandstile_emulator::Summary as Emulated;
 use sandstile_scenario::Script;
 use serde_json::{json, Value};
@@ -35,7 +35,19 @@
     let findings = judge(&trace)?;
     let service = service(&trace).ok_or("no terms in the trace")?;
     let back = returning(&trace);
-    let json = as_json(played, &trace, &findings, &service, &back);
+    let mut json = as_json(played, &trace, &findings, &service, &back);
+    let agreed = agreement(&trace);
+    if !agreed.epochs.is_empty() {
+        let measures = &mut json["returning"];
+        if !measures.is_object() {
+            *measures = json!({});
+        }
+        if let Some(slowest) = agreed.slowest() {
+            measures["all agree after s"] = slowest.into();
+        }
+        measures["agreement not reached"] = agreed.never().into();
+        measures["false deaths"] = agreed.false_deaths().into();
+    }
     let text = as_markdown(played, &trace, &findings, &service, &back);
     let put =
         |name: &str, text: &str| std::fs::write(dir.join(name), text).map_err(|e| format!("{name}: {e}"));
@@ -165,6 +177,7 @@
         own.checked, own.missed, own.by_replicas
     );
     let _ = writeln!(out, "\n{back}");
+    let _ = write!(out, "{}", agreement(trace));
     let begin = trace.terms.as_ref().map_or(0.0, |t| t.begin);
     out.push_str("\n| fault | host | from s | to s |\n| --- | --- | --- | --- |\n");
     for (kind, host, from, to) in &trace.faults {
--- a/crates/sandstile-membership/src/lib.rs
+++ b/crates/sandstile-membership/src/lib.rs
@@ -10,4 +10,4 @@
 pub mod wire;
 
 pub use swim::{Change, Swim, Terms};
-pub use wire::{Letter, Life, Message, Rumour, State};
+pub use wire::{Letter, Life, Message, Meta, Rumour, State};
--- a/crates/sandstile-membership/src/swim.rs
+++ b/crates/sandstile-membership/src/swim.rs
@@ -1,7 +1,8 @@
 //! The state machine of one member. A driver hands in what comes and the time, sends what goes out, and wakes it when due.
 use crate::rumours::Rumours;
-use crate::wire::{size, Letter, Life, Message, Rumour, State, MOST};
+use crate::wire::{size, Letter, Life, Message, Meta, Rumour, State, MOST};
 use oorandom::Rand64;
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -34,6 +35,7 @@
     /// Higher than that of any former life under this name.
     pub life: u64,
     pub at: SocketAddr,
+    pub meta: Meta,
     /// Where others may be found to begin with.
     pub seeds: Vec<SocketAddr>,
     /// Between probes of one member after the other.
@@ -53,6 +55,7 @@
             name: name.to_string(),
             life,
             at,
+            meta: Meta::default(),
             seeds,
             period: 0.25,
             patience: 0.1,
@@ -102,6 +105,18 @@
     suspicion: Option<Suspicion>,
     /// What it told last of its view, and when.
     digest: Option<(u64, f64)>,
+    /// Seconds from the last probe of it to its answer.
+    round_trip: Option<f64>,
+}
+
+/// What is known of a member, for operators.
+#[derive(Clone, Debug)]
+pub struct Known {
+    pub rumour: Rumour,
+    pub since: f64,
+    pub round_trip: Option<f64>,
+    /// Whether it told our view last; `None` where it told none of late.
+    pub agrees: Option<bool>,
 }
 
 struct Probe {
@@ -128,6 +143,8 @@
     rumours: Rumours,
     dead_at: f64,
     compared: f64,
+    /// The digest of our view, until that changes.
+    told: Cell<Option<u64>>,
     chance: Rand64,
     out: Vec<(SocketAddr, Vec<u8>)>,
     changes: Vec<Change>,
@@ -154,6 +171,7 @@
             rumours: Rumours::default(),
             dead_at: now + TRIES_DEAD,
             compared: f64::NEG_INFINITY,
+            told: Cell::new(None),
             chance,
             out: Vec::new(),
             changes: Vec::new(),
@@ -170,7 +188,7 @@
     fn me(&self) -> Rumour {
         let of = Life { name: self.terms.name.clone(), life: self.terms.life };
         let state = if self.leaving { State::Left } else { State::Alive };
-        Rumour { of, at: self.terms.at, incarnation: self.incarnation, state }
+        Rumour { of, at: self.terms.at, incarnation: self.incarnation, state, meta: self.terms.meta.clone() }
     }
 
     /// Others that are held for alive, suspects among them.
@@ -183,6 +201,23 @@
         self.members.values().map(|m| (&m.rumour, m.since))
     }
 
+    /// All that is known of the others; views that were told longer than `within` seconds ago say nothing any more.
+    pub fn known(&self, now: f64, within: f64) -> Vec<Known> {
+        let own = self.digest();
+        let known = |m: &Member| Known {
+            rumour: m.rumour.clone(),
+            since: m.since,
+            round_trip: m.round_trip,
+            agrees: m.digest.filter(|(_, at)| now - at <= within).map(|(digest, _)| digest == own),
+        };
+        self.members.values().map(known).collect()
+    }
+
+    /// This one's own life, which may have been raised over a former one's.
+    pub fn life(&self) -> u64 {
+        self.terms.life
+    }
+
     /// Others that are there, and we.
     pub fn count(&self) -> usize {
         1 + self.there().count()
@@ -194,6 +229,15 @@
 
     /// Lives that are there in one number; suspects count, for nothing has come of it yet.
     pub fn digest(&self) -> u64 {
+        if let Some(digest) = self.told.get() {
+            return digest;
+        }
+        let digest = self.reckon();
+        self.told.set(Some(digest));
+        digest
+    }
+
+    fn reckon(&self) -> u64 {
         let mut lives: Vec<(&str, u64)> =
             self.there().map(|(r, _)| (r.of.name.as_str(), r.of.life)).collect();
         lives.push((&self.terms.name, self.terms.life));
@@ -289,9 +333,10 @@
         }
     }
 
-    /// A datagram that the driver has authenticated.
-    pub fn received(&mut self, now: f64, bytes: &[u8]) {
-        let Some(letter) = Letter::read(bytes) else { return };
+    /// A datagram that the driver has authenticated; yields where its sender says that it is to be found, if it is a letter of
+    /// another's.
+    pub fn received(&mut self, now: f64, bytes: &[u8]) -> Option<SocketAddr> {
+        let letter = Letter::read(bytes)?;
         let sender = letter.from.clone();
         let own_name = sender.of.name == self.terms.name;
         if own_name {
@@ -300,7 +345,7 @@
                 self.changes.push(Change::NameTaken(sender.at));
             }
             // Our own words, come back, or another's under our name: nothing to learn from either.
-            return;
+            return None;
         }
         self.hear(now, &sender, &sender.of.name);
         for rumour in &letter.rumours {
@@ -315,6 +360,11 @@
             }
             Message::Ack { number } => {
                 if let Some(probe) = self.probe.as_mut().filter(|p| p.number == number) {
+                    if !probe.acked {
+                        if let Some(m) = self.members.get_mut(&probe.whom) {
+                            m.round_trip = Some(now - probe.began);
+                        }
+                    }
                     probe.acked = true;
                     self.health = self.health.saturating_sub(1);
                 }
@@ -342,6 +392,23 @@
             self.compared = now;
             self.say(sender.at, Message::Join, None);
         }
+        Some(sender.at)
+    }
+
+    /// A life under our name that counts higher than ours: a former one of ours whose clock was ahead of ours, or another process
+    /// that lives. Ours is raised over what is dead, or was where we are now; over one that lives elsewhere neither side could
+    /// ever end raising.
+    fn outlived(&mut self, r: &Rumour) {
+        let gone = matches!(r.state, State::Dead | State::Left);
+        if (gone || r.at == self.terms.at) && r.of.life < u64::MAX {
+            self.terms.life = r.of.life + 1;
+            self.incarnation = 0;
+            self.told.set(None);
+            let me = self.me();
+            self.rumours.add(me);
+        } else if !gone {
+            self.changes.push(Change::NameTaken(r.at));
+        }
     }
 
     /// Somebody's word on somebody.
@@ -351,9 +418,17 @@
             if let Some(incarnation) = louder {
                 // Only we say that we are there, and louder than those who say we are not.
                 self.incarnation = incarnation;
+                if incarnation == u32::MAX {
+                    // Nobody can speak louder than that: a liar would have silenced us. A further life can.
+                    self.terms.life = self.terms.life.saturating_add(1);
+                    self.incarnation = 0;
+                    self.told.set(None);
+                }
                 self.health = (self.health + 1).min(WORST_HEALTH);
                 let me = self.me();
                 self.rumours.add(me);
+            } else if r.of.life > self.terms.life && !self.leaving {
+                self.outlived(r);
             }
             return;
         }
@@ -364,7 +439,8 @@
             }
             let suspicion = (r.state == State::Suspect)
                 .then(|| Suspicion { since: now, by: BTreeSet::from([by.to_string()]) });
-            let member = Member { rumour: r.clone(), since: now, suspicion, digest: None };
+            let member = Member { rumour: r.clone(), since: now, suspicion, digest: None, round_trip: None };
+            self.told.set(None);
             self.members.insert(r.of.name.clone(), member);
             self.rumours.add(r.clone());
             self.changes.push(Change::Joined(r.of.clone()));
@@ -385,6 +461,7 @@
         if !overrides(r, held) {
             return;
         }
+        self.told.set(None);
         let was = held.state;
         let was_there = matches!(was, State::Alive | State::Suspect);
         let former = held.of.clone();
@@ -410,6 +487,7 @@
     /// Says farewell to some; it is not to be woken any more afterwards.
     pub fn leave(&mut self) {
         self.leaving = true;
+        self.told.set(None);
         self.incarnation = self.incarnation.saturating_add(1);
         let mut to: Vec<SocketAddr> = self.there().map(|(r, _)| r.at).collect();
         for at in (1..to.len()).rev() {
--- a/crates/sandstile-membership/src/wire.rs
+++ b/crates/sandstile-membership/src/wire.rs
@@ -6,7 +6,12 @@
 pub const MOST: usize = 1200;
 /// Bytes of a name at the most.
 pub const LONGEST_NAME: usize = 64;
-const VERSION: u8 = 1;
+/// Bytes of a zone's name at the most.
+pub const LONGEST_ZONE: usize = 32;
+/// The version of what is written here. Versions run side by side: each letter says which is the least that can read it, what a
+/// later one adds lies behind what an earlier one knows, and is passed over.
+const VERSION: u8 = 2;
+const READ_FROM: u8 = 2;
 
 /// One life of a member: its name, and a number that each start draws higher than the last known to it. Two lives of one
 /// name are never the same member's; incarnations count within a life.
@@ -24,6 +29,16 @@
     Dead,
 }
 
+/// What a member says of itself beside where it is; the same for all of its life.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Meta {
+    /// Of the program, as its makers count.
+    pub version: u16,
+    pub zone: String,
+    /// Where other instances may tell it larger things, if anywhere.
+    pub exchange: Option<SocketAddr>,
+}
+
 /// What is said of one member.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Rumour {
@@ -31,6 +46,7 @@
     pub at: SocketAddr,
     pub incarnation: u32,
     pub state: State,
+    pub meta: Meta,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -88,19 +104,32 @@
         self.address(r.at);
         self.0.extend_from_slice(&r.incarnation.to_be_bytes());
         self.0.push(r.state as u8);
+        let zone = &r.meta.zone.as_bytes()[..r.meta.zone.len().min(LONGEST_ZONE)];
+        // Its length first: what a later version adds is passed over by this one.
+        let place = self.0.len();
+        self.0.push(0);
+        self.0.extend_from_slice(&r.meta.version.to_be_bytes());
+        self.0.push(zone.len() as u8);
+        self.0.extend_from_slice(zone);
+        match r.meta.exchange {
+            Some(at) => self.address(at),
+            None => self.0.push(0),
+        }
+        self.0[place] = (self.0.len() - place - 1) as u8;
     }
 }
 
 /// Bytes that a rumour takes.
 pub fn size(r: &Rumour) -> usize {
-    let address = if r.at.is_ipv4() { 7 } else { 19 };
-    1 + r.of.name.len().min(LONGEST_NAME) + 8 + address + 4 + 1
+    let address = |at: &SocketAddr| if at.is_ipv4() { 7 } else { 19 };
+    let meta = 4 + r.meta.zone.len().min(LONGEST_ZONE) + r.meta.exchange.as_ref().map_or(1, address);
+    1 + r.of.name.len().min(LONGEST_NAME) + 8 + address(&r.at) + 4 + 1 + meta
 }
 
 impl Letter {
     /// Its bytes; rumours that find no room are left out, the later ones first.
     pub fn write(&self) -> Vec<u8> {
-        let mut out = Out(vec![VERSION]);
+        let mut out = Out(vec![VERSION, READ_FROM]);
         out.0.extend_from_slice(&self.digest.to_be_bytes());
         out.rumour(&self.from);
         match &self.message {
@@ -138,7 +167,8 @@
             return None;
         }
         let mut from = In(bytes);
-        if from.byte()? != VERSION {
+        let (version, read_from) = (from.byte()?, from.byte()?);
+        if version < READ_FROM || read_from > VERSION {
             return None;
         }
         let digest = u64::from_be_bytes(from.array()?);
@@ -153,7 +183,9 @@
         };
         let count = from.byte()?;
         let rumours = (0..count).map(|_| from.rumour()).collect::<Option<Vec<_>>>()?;
-        from.0.is_empty().then_some(Letter { from: sender, message, rumours, digest })
+        // Only a later version may have more to say.
+        let whole = from.0.is_empty() || version > VERSION;
+        whole.then_some(Letter { from: sender, message, rumours, digest })
     }
 }
 
@@ -202,6 +234,16 @@
             3 => State::Dead,
             _ => return None,
         };
-        Some(Rumour { of: Life { name, life }, at, incarnation, state })
+        let length = usize::from(self.byte()?);
+        let mut more = In(self.take(length)?);
+        let version = u16::from_be_bytes(more.array()?);
+        let length = usize::from(more.byte()?);
+        if length > LONGEST_ZONE {
+            return None;
+        }
+        let zone = std::str::from_utf8(more.take(length)?).ok()?.to_string();
+        let exchange = if more.0.first() == Some(&0) { None } else { Some(more.address()?) };
+        let meta = Meta { version, zone, exchange };
+        Some(Rumour { of: Life { name, life }, at, incarnation, state, meta })
     }
 }
--- a/crates/sandstile-membership/tests/members.rs
+++ b/crates/sandstile-membership/tests/members.rs
@@ -2,7 +2,7 @@
 use oorandom::Rand64;
 use sandstile_membership::sim::{address, Sim};
 use sandstile_membership::wire::{Letter, MOST};
-use sandstile_membership::{Change, Life, Message, Rumour, State};
+use sandstile_membership::{Change, Life, Message, Meta, Rumour, State};
 
 fn settled(n: usize, seed: u64) -> Sim {
     let mut sim = Sim::new(n, seed);
@@ -142,6 +142,7 @@
             at: address(n),
             incarnation,
             state,
+            meta: Meta::default(),
         };
         Letter {
             from: rumour(from, 0, State::Alive),
@@ -181,6 +182,11 @@
             at: address(chance.rand_range(0..500) as usize),
             incarnation: chance.rand_u64() as u32,
             state: [State::Alive, State::Suspect, State::Left, State::Dead][chance.rand_range(0..4) as usize],
+            meta: Meta {
+                version: chance.rand_u64() as u16,
+                zone: "z".repeat(chance.rand_range(0..32) as usize),
+                exchange: (chance.rand_range(0..2) == 0).then(|| address(chance.rand_range(0..500) as usize)),
+            },
         };
         let letter = Letter {
             from: rumour(&mut chance),
@@ -206,3 +212,69 @@
     }
     quickcheck::QuickCheck::new().tests(20_000).quickcheck(holds as fn(u64) -> bool);
 }
+
+/// A clock set back by an hour between two lives: the new one takes its place all the same, and soon.
+#[test]
+fn a_clock_an_hour_behind_keeps_nobody_out() {
+    let mut sim = settled(6, 9);
+    sim.kill(2);
+    sim.start(2, 1_000_000);
+    assert!(sim.until_agreed(10.0).is_some());
+    sim.kill(2);
+    sim.play(0.2);
+    sim.start(2, 5);
+    let healed = sim.until_agreed(10.0);
+    assert!(healed.is_some_and(|s| s < 5.0), "{healed:?}");
+    assert!(sim.member(2).unwrap().life() > 1_000_000);
+}
+
+/// The loudest word that can be: whoever is said dead by it still comes back, by a further life.
+#[test]
+fn nobody_is_silenced_by_the_loudest_word() {
+    let mut sim = settled(5, 10);
+    let said = Rumour {
+        of: Life { name: "n2".to_string(), life: 1 },
+        at: address(2),
+        incarnation: u32::MAX,
+        state: State::Dead,
+        meta: Meta::default(),
+    };
+    let from = Rumour {
+        of: Life { name: "n4".to_string(), life: 1 },
+        at: address(4),
+        state: State::Alive,
+        incarnation: 0,
+        ..said.clone()
+    };
+    let letter = Letter { from, message: Message::Known, rumours: vec![said], digest: 0 };
+    sim.inject(0, &letter.write());
+    sim.play(3.0);
+    assert!(sim.until_agreed(20.0).is_some());
+    assert!(sim.member(0).unwrap().there().any(|(r, _)| r.of.name == "n2"));
+}
+
+/// A later version says more than this one knows: in each rumour, and behind the last. What it says that is known is read.
+#[test]
+fn a_later_version_is_read_as_far_as_it_is_known() {
+    let meta = Meta { version: 7, zone: "b".to_string(), exchange: Some(address(9)) };
+    let from = Rumour {
+        of: Life { name: "n".to_string(), life: 3 },
+        at: address(1),
+        incarnation: 1,
+        state: State::Alive,
+        meta,
+    };
+    let letter = Letter { from, message: Message::Ping { number: 4 }, rumours: Vec::new(), digest: 9 };
+    let mut bytes = letter.write();
+    // Version, name and life and address and incarnation and state, then the length of what is beside.
+    let place = 2 + 8 + 1 + 1 + 8 + 7 + 4 + 1;
+    assert_eq!(usize::from(bytes[place]), 2 + 1 + 1 + 7);
+    bytes.splice(place + 12..place + 12, [1, 2, 3]);
+    bytes[place] += 3;
+    bytes.extend_from_slice(b"more");
+    assert_eq!(Letter::read(&bytes), None, "of our own version it is no whole letter");
+    bytes[0] += 1;
+    assert_eq!(Letter::read(&bytes), Some(letter));
+    bytes[1] = bytes[0];
+    assert_eq!(Letter::read(&bytes), None, "one that says this version can't read it");
+}
--- a/crates/sandstile-membership/tests/model.rs
+++ b/crates/sandstile-membership/tests/model.rs
@@ -1,7 +1,7 @@
 //! Every order of a few suspicions, deaths, restarts and words between three members: from each state that can be reached, once the
 //! faults have ended and everybody has spoken to everybody, all hold all for there. A cut or a stop is here a word that is not said.
 use sandstile_membership::swim::{overrides, refutes};
-use sandstile_membership::{Life, Rumour, State};
+use sandstile_membership::{Life, Meta, Rumour, State};
 use stateright::{Checker, Model, Property};
 
 const N: usize = 3;
@@ -42,7 +42,7 @@
 fn rumour(n: usize, (life, incarnation, state): Word) -> Rumour {
     let state = [State::Alive, State::Suspect, State::Left, State::Dead][usize::from(state)];
     let at = std::net::SocketAddr::from(([127, 0, 0, n as u8 + 1], 7400));
-    Rumour { of: Life { name: format!("n{n}"), life }, at, incarnation, state }
+    Rumour { of: Life { name: format!("n{n}"), life }, at, incarnation, state, meta: Meta::default() }
 }
 
 impl Three {
--- a/crates/sandstile-relay/src/carry.rs
+++ b/crates/sandstile-relay/src/carry.rs
@@ -1,5 +1,5 @@
 //! The loop that holds all relays.
-use crate::{Side, Summary};
+use crate::{Side, Spot, Summary};
 use crossbeam_channel::Receiver;
 use hdrhistogram::Histogram;
 use mio::net::{TcpListener, TcpStream, UdpSocket};
@@ -16,6 +16,7 @@
 pub(crate) enum Command {
     Stream { from: End, to: End, listener: std::net::TcpListener, target: SocketAddr },
     Datagrams { sides: Box<[Side; 2]>, sockets: [std::net::UdpSocket; 2] },
+    Hub { spots: Vec<Spot>, sockets: Vec<std::net::UdpSocket> },
     Begin(usize, Where, Strike),
     Heal(usize),
     Stop,
@@ -65,8 +66,19 @@
     weather: [Weather; 2],
 }
 
+/// Many that send datagrams to each other.
+struct Hub {
+    spots: Vec<Spot>,
+    sockets: Vec<UdpSocket>,
+    /// Who sends from there.
+    senders: BTreeMap<SocketAddr, usize>,
+    /// From one to another, once something was sent.
+    ways: BTreeMap<(usize, usize), (Datagrams, Weather)>,
+}
+
 #[derive(Clone, Copy)]
 enum Place {
+    Hub(usize, usize),
     Route(usize),
     Half(usize, usize),
     Pair(usize, usize),
@@ -80,14 +92,16 @@
     routes: Vec<Route>,
     streams: BTreeMap<usize, Stream>,
     pairs: Vec<Pair>,
+    hubs: Vec<Hub>,
     places: BTreeMap<usize, Place>,
     next: usize,
-    /// When a stream, or a pair (behind `PAIRS`), has something that arrives; in nanoseconds, some long past.
+    /// When a stream, a pair (behind `PAIRS`) or a hub (behind `HUBS`), has something that arrives; in nanoseconds, some long past.
     due: BinaryHeap<Reverse<(u64, usize)>>,
     summary: Summary,
 }
 
 const PAIRS: usize = usize::MAX / 2;
+const HUBS: usize = usize::MAX / 4 * 3;
 const PIECE: usize = 16 * 1024;
 /// Pieces of one socket before the others have their turn.
 const TURN: usize = 8;
@@ -104,6 +118,7 @@
             routes: Vec::new(),
             streams: BTreeMap::new(),
             pairs: Vec::new(),
+            hubs: Vec::new(),
             places: BTreeMap::new(),
             next: 1,
             due: BinaryHeap::new(),
@@ -132,7 +147,9 @@
         loop {
             while let Ok(command) = commands.try_recv() {
                 if let Command::Stop = command {
-                    self.summary.lost = self.pairs.iter().flat_map(|p| &p.ways).map(|w| w.lost).sum();
+                    let pairs = self.pairs.iter().flat_map(|p| &p.ways);
+                    let hubs = self.hubs.iter().flat_map(|h| h.ways.values().map(|(way, _)| way));
+                    self.summary.lost = pairs.chain(hubs).map(|w| w.lost).sum();
                     return Ok(self.summary);
                 }
                 self.obey(command)?;
@@ -158,6 +175,7 @@
                         self.turn(stream);
                     }
                     Some(Place::Pair(pair, side)) => self.datagrams(pair, side),
+                    Some(Place::Hub(hub, spot)) => self.letters(hub, spot),
                     None => {}
                 }
             }
@@ -185,6 +203,17 @@
                 self.pairs.push(Pair { sides: *sides, sockets, ways, weather });
                 (0..2).for_each(|side| self.datagrams(pair, side));
             }
+            Command::Hub { spots, sockets } => {
+                let hub = self.hubs.len();
+                let mut sockets: Vec<UdpSocket> = sockets.into_iter().map(UdpSocket::from_std).collect();
+                for (spot, socket) in sockets.iter_mut().enumerate() {
+                    let token = self.token(Place::Hub(hub, spot));
+                    self.poll.registry().register(socket, token, Interest::READABLE)?;
+                }
+                let senders = spots.iter().enumerate().map(|(n, s)| (s.at, n)).collect();
+                self.hubs.push(Hub { spots, sockets, senders, ways: BTreeMap::new() });
+                (0..self.hubs[hub].spots.len()).for_each(|spot| self.letters(hub, spot));
+            }
             Command::Begin(number, at, strike) => {
                 self.net.begin(number, at, strike);
                 self.changed();
@@ -232,6 +261,56 @@
             p.weather = weather;
             p.ways.iter_mut().zip(&weather).for_each(|(way, weather)| way.changed(weather));
         }
+        for hub in &mut self.hubs {
+            for ((from, to), (way, weather)) in &mut hub.ways {
+                *weather = self.net.weather(&hub.spots[*from].end, &hub.spots[*to].end);
+                way.changed(weather);
+            }
+        }
+    }
+
+    /// What has come for one of a hub.
+    fn letters(&mut self, hub: usize, to: usize) {
+        let now = self.now();
+        let mut bytes = [0; 65_536];
+        loop {
+            match self.hubs[hub].sockets[to].recv_from(&mut bytes) {
+                Ok((n, source)) => {
+                    // A stranger's go nowhere: nobody could say which link they came over.
+                    let Some(&from) = self.hubs[hub].senders.get(&source) else { continue };
+                    self.summary.datagrams += 1;
+                    self.summary.bytes += n as u64;
+                    if !self.hubs[hub].ways.contains_key(&(from, to)) {
+                        let spots = &self.hubs[hub].spots;
+                        let weather = self.net.weather(&spots[from].end, &spots[to].end);
+                        let way = Datagrams::new(self.chance());
+                        self.hubs[hub].ways.insert((from, to), (way, weather));
+                    }
+                    if let Some((way, weather)) = self.hubs[hub].ways.get_mut(&(from, to)) {
+                        way.push(now, &bytes[..n], weather);
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::ConnectionRefused => {}
+                Err(_) => break,
+            }
+        }
+        self.hand_out(hub);
+    }
+
+    fn hand_out(&mut self, hub: usize) {
+        let now = self.now();
+        let h = &mut self.hubs[hub];
+        let mut next = f64::INFINITY;
+        for ((from, to), (way, _)) in &mut h.ways {
+            while let Some(bytes) = way.pop(now) {
+                let _ = h.sockets[*from].send_to(&bytes, h.spots[*to].at);
+            }
+            next = way.next().map_or(next, |at| at.min(next));
+        }
+        if next.is_finite() {
+            self.due.push(Reverse(((next * 1e9) as u64 + 1, HUBS + hub)));
+        }
     }
 
     fn accept(&mut self, route: usize) -> io::Result<()> {
@@ -324,7 +403,9 @@
                 return;
             }
             self.due.pop();
-            if key >= PAIRS {
+            if key >= HUBS {
+                self.hand_out(key - HUBS);
+            } else if key >= PAIRS {
                 self.deliver(key - PAIRS);
             } else {
                 self.turn(key);
--- a/crates/sandstile-relay/src/lib.rs
+++ b/crates/sandstile-relay/src/lib.rs
@@ -39,6 +39,16 @@
     pub at: SocketAddr,
 }
 
+/// One of many that send datagrams to each other.
+#[derive(Clone, Debug)]
+pub struct Spot {
+    pub end: End,
+    /// Where the others send what is for it, and where what it sends seems to come from.
+    pub found_at: SocketAddr,
+    /// Where it listens, and sends from.
+    pub at: SocketAddr,
+}
+
 pub struct Relay {
     commands: Sender<Command>,
     waker: Arc<Waker>,
@@ -92,6 +102,14 @@
         Ok(())
     }
 
+    /// Datagrams among many, each of whom is found at one address by all: whom one is from is told by where it was sent from.
+    pub fn hub(&self, spots: Vec<Spot>) -> io::Result<()> {
+        let sockets = spots.iter().map(|s| Ok(bind(s.found_at, Type::DGRAM, Protocol::UDP)?.into()));
+        let sockets = sockets.collect::<io::Result<Vec<std::net::UdpSocket>>>()?;
+        self.tell(Command::Hub { spots, sockets });
+        Ok(())
+    }
+
     /// A strike begins, under a number of the caller's, and stands until it is healed.
     pub fn begin(&self, number: usize, at: Where, strike: Strike) {
         self.tell(Command::Begin(number, at, strike));
--- a/crates/sandstile-router/src/carrier.rs
+++ b/crates/sandstile-router/src/carrier.rs
@@ -4,10 +4,12 @@
 use crate::budget::{Budget, Claim, Holder};
 use crate::clients::Clients;
 use crate::clock::Clock;
+use crate::control::Control;
 use crate::counters::Counters;
 use crate::ending::Ending;
 use crate::hosts::{self, Hosts};
 use crate::mailbox::{carried, slot, Bell, Mailbox, Post};
+use crate::members::{self, Members};
 use crate::sessions::Word;
 use crate::statement::Workload;
 use crate::tools::Tools;
@@ -50,6 +52,8 @@
 /// What the main thread has the carrier do.
 pub enum Charge {
     End,
+    /// What members seal their letters with has changed.
+    Keys(Vec<[u8; 32]>),
 }
 
 pub struct Carrier {
@@ -64,6 +68,8 @@
     /// Answers that waited for a disk.
     answers: Mailbox<Given>,
     charges: Mailbox<Charge>,
+    /// Where our own file turns them on.
+    members: Option<Box<Members>>,
     /// When the window after SIGTERM closes.
     ends_at: f64,
     /// Where sessions are kept, which have a last word to put down.
@@ -109,14 +115,26 @@
     pub idle_close: f64,
     /// How dials are paced, where our own file turns that on.
     pub dials: Option<Dials>,
+    pub members: Option<Members>,
     pub last_word: Option<Post<Word>>,
 }
 
 impl Carrier {
     pub fn new(posts: Posts, parts: Parts, listener: std::net::TcpListener) -> io::Result<Carrier> {
         let Posts { poll, bell, answers: _, answer_box, charge_box, charges: _ } = posts;
-        let Parts { clock, budget, counters, log, desk, workloads, dial_limit, idle_close, dials, last_word } =
-            parts;
+        let Parts {
+            clock,
+            budget,
+            counters,
+            log,
+            desk,
+            workloads,
+            dial_limit,
+            idle_close,
+            dials,
+            members,
+            last_word,
+        } = parts;
         listener.set_nonblocking(true)?;
         let mut listener = TcpListener::from_std(listener);
         let registry = poll.registry().try_clone()?;
@@ -125,6 +143,10 @@
         let (timers, queue) = (Wheel::from(clock.now()), VecDeque::new());
         let mut hosts = Hosts::new(to_desk.clone(), counters.clone(), log.clone(), dial_limit, idle_close);
         hosts.dials = dials;
+        let mut members = members.map(Box::new);
+        if let Some(members) = &mut members {
+            members.register(&registry)?;
+        }
         let scratch = vec![0; MOST_READ];
         Ok(Carrier {
             poll,
@@ -142,6 +164,7 @@
             mail,
             answers: answer_box,
             charges: charge_box,
+            members,
             ends_at: f64::INFINITY,
             last_word,
         })
@@ -158,11 +181,18 @@
                 match event.token() {
                     BELL => {}
                     DOOR => self.door.ready = true,
+                    members::LETTERS => self.members.iter_mut().for_each(|m| m.told()),
+                    token if Control::is_its(token) => {
+                        self.members.iter_mut().filter_map(|m| m.control.as_mut()).for_each(Control::told);
+                    }
                     Token(n) if n % 2 == 0 => self.clients.told((n - 2) / 2, event, &mut self.tools),
                     Token(n) => self.hosts.told((n - 3) / 2, event, &mut self.tools),
                 }
             }
             self.charged();
+            if let Some(members) = &mut self.members {
+                members.turn(&self.tools);
+            }
             // Those that have more to do have their next turn behind the others.
             for _ in 0..self.tools.queue.len() {
                 match self.tools.queue.pop_front() {
@@ -182,7 +212,8 @@
 
     fn busy(&self) -> bool {
         let mail = !self.mail.is_empty() || self.desk.pending() || !self.answers.is_empty();
-        mail || !self.tools.queue.is_empty() || !self.charges.is_empty() || self.accepts()
+        let letters = self.members.as_ref().is_some_and(|m| m.busy());
+        mail || letters || !self.tools.queue.is_empty() || !self.charges.is_empty() || self.accepts()
     }
 
     fn sleep(&mut self, events: &mut Events) -> io::Result<()> {
@@ -193,6 +224,7 @@
             // Once the window has closed there is nothing left to wake for: a time that has passed would spin.
             let window = if self.door.closing { f64::INFINITY } else { self.ends_at };
             let mut due = self.desk.due(self.tools.clock.now()).min(window).min(self.hosts.due());
+            due = due.min(self.members.as_ref().map_or(f64::INFINITY, |m| m.due()));
             due = due.min(self.tools.timers.earliest().unwrap_or(f64::INFINITY));
             if self.door.ready && self.door.paused_until > self.tools.clock.now() {
                 due = due.min(self.door.paused_until);
@@ -268,9 +300,10 @@
     }
 
     fn charged(&mut self) {
-        while let Some(Charge::End) = self.charges.try_recv() {
-            if self.ends_at.is_infinite() {
-                self.ends_at = self.tools.clock.now() + WINDOW;
+        while let Some(charge) = self.charges.try_recv() {
+            match charge {
+                Charge::End => self.ends_at = self.ends_at.min(self.tools.clock.now() + WINDOW),
+                Charge::Keys(keys) => self.members.iter_mut().for_each(|m| m.rotate(keys.clone())),
             }
         }
     }
@@ -352,6 +385,9 @@
             self.decide();
             let _ = last.recv(Some(LAST_WORD));
         }
+        if let Some(members) = &mut self.members {
+            members.leave();
+        }
         info!(self.tools.log, "all answered");
     }
 }
--- a/crates/sandstile-router/src/charter.rs
+++ b/crates/sandstile-router/src/charter.rs
@@ -72,6 +72,24 @@
     pub limits: Option<sandstile_limits::Terms>,
     /// How a router that has just started comes back.
     pub back: Option<sandstile_return::Terms>,
+    pub members: Option<Members>,
+}
+
+/// What our own file says of the other routers.
+#[derive(Clone, Debug)]
+pub struct Members {
+    pub listen: SocketAddr,
+    /// Where others find it, which may be another address than where it listens.
+    pub advertise: SocketAddr,
+    pub seeds: Vec<SocketAddr>,
+    pub keys: PathBuf,
+    pub zone: String,
+    /// Where `sandstile members` asks, if anywhere.
+    pub control: Option<PathBuf>,
+    /// Shares at hosts follow how many are there.
+    pub share: bool,
+    /// Seconds.
+    pub period: f64,
 }
 
 impl Charter {
@@ -82,7 +100,8 @@
         let name = path.display().to_string();
         let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))?;
         let charter = Charter::read(&name, &text)?;
-        if let Some(keys) = charter.sessions.as_ref().and_then(|s| s.keys.as_ref()) {
+        let of_sessions = charter.sessions.as_ref().and_then(|s| s.keys.as_ref());
+        for keys in of_sessions.into_iter().chain(charter.members.as_ref().map(|m| &m.keys)) {
             // Before anything starts: a router without its keys would believe nobody.
             read_keys(keys)?;
         }
@@ -125,8 +144,9 @@
                 r.finish();
                 on.then_some(terms)
             });
+            let members = file.only("members").and_then(|m| members(&m));
             file.finish();
-            Charter { sessions: sessions.flatten(), recording, limits, back }
+            Charter { sessions: sessions.flatten(), recording, limits, back, members }
         });
         let problems = source.problems();
         match charter {
@@ -136,16 +156,44 @@
     }
 }
 
+fn address(s: &Section, key: &str, text: &str) -> Option<SocketAddr> {
+    let address = text.parse().ok();
+    if address.is_none() {
+        s.wrong(key, format!("\"{text}\" is no address"), Some("ADDRESS:PORT".to_string()));
+    }
+    address
+}
+
+fn members(m: &Section) -> Option<Members> {
+    let on = m.yes("on", true);
+    let listen = address(m, "listen", &m.needed_text("listen"));
+    let advertise = m.text("advertise").and_then(|text| address(m, "advertise", &text));
+    if advertise.or(listen).is_some_and(|at| at.ip().is_unspecified()) {
+        let hint = Some("advertise = \"ADDRESS:PORT\"".to_string());
+        m.wrong("listen", "nobody can be found at this address", hint);
+    }
+    let seeds = m.texts("seeds").unwrap_or_default();
+    let plan = listen.map(|listen| Members {
+        listen,
+        advertise: advertise.unwrap_or(listen),
+        seeds: seeds.iter().filter_map(|s| address(m, "seeds", s)).collect(),
+        keys: PathBuf::from(m.needed_text("keys")),
+        zone: m.text("zone").unwrap_or_default(),
+        control: m.text("control").map(PathBuf::from),
+        share: m.yes("share", false),
+        period: m.ms("period_ms", 50.0..60_000.0, 0.25),
+    });
+    if plan.as_ref().is_some_and(|p| p.zone.len() > sandstile_membership::wire::LONGEST_ZONE) {
+        m.wrong("zone", "a zone's name has 32 bytes at most", None);
+    }
+    m.finish();
+    plan.filter(|_| on)
+}
+
 fn sessions(s: &Section) -> Option<Sessions> {
     let on = s.yes("on", true);
     let exchange = s.only("exchange").map(|e| {
-        let address = |key: &str, text: &str| -> Option<SocketAddr> {
-            let address = text.parse().ok();
-            if address.is_none() {
-                e.wrong(key, format!("\"{text}\" is no address"), Some("ADDRESS:PORT".to_string()));
-            }
-            address
-        };
+        let address = |key: &str, text: &str| address(&e, key, text);
         let listen = address("listen", &e.needed_text("listen"));
         let peers = e.texts("peers").unwrap_or_default();
         let peers = peers.iter().filter_map(|p| address("peers", p)).collect();
--- /dev/null
+++ b/crates/sandstile-router/src/control.rs
@@ -0,0 +1,105 @@
+//! Operators ask a running router over a UNIX socket: whoever connects is told all at once, and the connection ends. Beside the
+//! carrier's loop; one that reads slowly waits alone, and not for ever.
+use mio::net::{UnixListener, UnixStream};
+use mio::{Interest, Registry, Token};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+
+pub const DOOR: Token = Token(usize::MAX - 3);
+/// Those behind the door, the first of so many.
+const ASKERS: usize = 8;
+const FIRST: usize = usize::MAX - 3 - ASKERS;
+/// Seconds for which an answer may wait to be read.
+const PATIENCE: f64 = 2.0;
+
+struct Asker {
+    stream: UnixStream,
+    left: Vec<u8>,
+    until: f64,
+}
+
+pub struct Control {
+    path: PathBuf,
+    listener: UnixListener,
+    askers: [Option<Asker>; ASKERS],
+    ready: bool,
+}
+
+impl Control {
+    /// A socket that a former process left is taken away; one that somebody listens at is not.
+    pub fn open(path: &Path) -> Result<Control, String> {
+        let told = |e: io::Error| format!("members: {}: {e}", path.display());
+        if let Ok(found) = std::fs::symlink_metadata(path) {
+            if !std::os::unix::fs::FileTypeExt::is_socket(&found.file_type()) {
+                return Err(format!("members: {}: there is something else", path.display()));
+            }
+            if std::os::unix::net::UnixStream::connect(path).is_ok() {
+                return Err(format!("members: {}: another process listens there", path.display()));
+            }
+            std::fs::remove_file(path).map_err(told)?;
+        }
+        let listener = UnixListener::bind(path).map_err(told)?;
+        // Whoever may read our own file may ask; nobody else.
+        let mode = std::os::unix::fs::PermissionsExt::from_mode(0o600);
+        std::fs::set_permissions(path, mode).map_err(told)?;
+        Ok(Control { path: path.to_path_buf(), listener, askers: Default::default(), ready: true })
+    }
+
+    pub fn register(&mut self, registry: &Registry) -> io::Result<()> {
+        registry.register(&mut self.listener, DOOR, Interest::READABLE)
+    }
+
+    /// Whether this is one of its tokens.
+    pub fn is_its(token: Token) -> bool {
+        (FIRST..=DOOR.0).contains(&token.0)
+    }
+
+    pub fn told(&mut self) {
+        self.ready = true;
+    }
+
+    pub fn due(&self) -> f64 {
+        self.askers.iter().flatten().map(|a| a.until).fold(f64::INFINITY, f64::min)
+    }
+
+    /// Takes in who asks, and writes on to those that read slowly.
+    pub fn turn(&mut self, registry: &Registry, now: f64, report: impl Fn() -> String) {
+        while std::mem::take(&mut self.ready) {
+            let Some(place) = self.askers.iter().position(Option::is_none) else { break };
+            let Ok((mut stream, _)) = self.listener.accept() else { break };
+            self.ready = true;
+            if registry.register(&mut stream, Token(FIRST + place), Interest::WRITABLE).is_ok() {
+                let left = (report() + "\n").into_bytes();
+                self.askers[place] = Some(Asker { stream, left, until: now + PATIENCE });
+            }
+        }
+        let mut freed = false;
+        for asker in &mut self.askers {
+            let Some(a) = asker else { continue };
+            let mut over = now >= a.until;
+            while !a.left.is_empty() && !over {
+                match a.stream.write(&a.left) {
+                    Ok(n) => drop(a.left.drain(..n)),
+                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                    Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                    Err(_) => over = true,
+                }
+            }
+            if over || a.left.is_empty() {
+                let _ = registry.deregister(&mut a.stream);
+                *asker = None;
+                freed = true;
+            }
+        }
+        // Who found no place may have one now.
+        self.ready |= freed;
+    }
+
+    pub fn busy(&self) -> bool {
+        self.ready && self.askers.iter().any(Option::is_none)
+    }
+
+    pub fn close(&self) {
+        let _ = std::fs::remove_file(&self.path);
+    }
+}
--- a/crates/sandstile-router/src/counters.rs
+++ b/crates/sandstile-router/src/counters.rs
@@ -22,6 +22,13 @@
     pub dials_held: Count,
     /// Arrivals that a recording has not kept.
     pub unrecorded: Count,
+    /// Routers that are there, this one among them; and of their letters, where our own file turns members on.
+    pub members: Count,
+    pub view_changes: Count,
+    pub member_deaths: Count,
+    pub names_taken: Count,
+    pub letters: Count,
+    pub letters_refused: Count,
     /// Database hosts that are known now.
     pub hosts: Count,
     endings: [Count; ALL.len()],
@@ -60,6 +67,12 @@
             ("dials_held", &self.dials_held),
             ("ramped", &self.desk.ramped),
             ("stalls", &self.desk.stalls),
+            ("members", &self.members),
+            ("view_changes", &self.view_changes),
+            ("member_deaths", &self.member_deaths),
+            ("names_taken", &self.names_taken),
+            ("letters", &self.letters),
+            ("letters_refused", &self.letters_refused),
         ];
         write!(f, "counters")?;
         for (name, count) in plain {
--- a/crates/sandstile-router/src/exchange.rs
+++ b/crates/sandstile-router/src/exchange.rs
@@ -7,9 +7,10 @@
 use crossbeam_channel::RecvTimeoutError;
 use sandstile_exchange::{greeting, read_greeting, Heard, Listener, Teller, MOST_MARKS};
 use slog::{info, warn, Logger};
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -25,33 +26,83 @@
 const LOOK: Duration = Duration::from_millis(100);
 /// Marks that wait for one instance; beyond that it is told all anew.
 const MOST_WAITING: usize = 8192;
+/// Instances that are told at one time, a thread each.
+const MOST_TOLD: usize = 64;
 /// Instances that may tell at one time.
 const MOST_TELLERS: usize = 64;
 
+/// Whom this instance tells: those that our own file names, and the members that are there.
+pub struct Roster {
+    named: BTreeSet<SocketAddr>,
+    /// Who is told now; dropping what stands beside an address ends that.
+    told: BTreeMap<SocketAddr, Arc<AtomicBool>>,
+    name: String,
+    secret: [u8; 32],
+    desk: Post<Word>,
+    log: Logger,
+}
+
+impl Roster {
+    /// Tells just these from now on, and those that our own file names.
+    pub fn follow(&mut self, members: &BTreeSet<SocketAddr>) {
+        let mut wanted: BTreeSet<SocketAddr> = members.union(&self.named).copied().collect();
+        while wanted.len() > MOST_TOLD {
+            warn!(self.log, "exchange: more instances than are told"; "most" => MOST_TOLD);
+            wanted.pop_last();
+        }
+        self.told.retain(|at, ends| {
+            let stays = wanted.contains(at);
+            ends.store(!stays, SeqCst);
+            stays
+        });
+        for peer in wanted {
+            if self.told.contains_key(&peer) {
+                continue;
+            }
+            let ends = Arc::new(AtomicBool::new(false));
+            let (name, secret, desk, log) =
+                (self.name.clone(), self.secret, self.desk.clone(), self.log.clone());
+            let over = ends.clone();
+            let begun = threads::begin("tell", move || {
+                while !over.load(SeqCst) {
+                    // Whatever ends it, the next time begins with a snapshot.
+                    if let Ok(true) = tell(peer, &name, &secret, &desk, &over, &log) {
+                        return;
+                    }
+                    thread::sleep(AGAIN);
+                }
+            });
+            match begun {
+                Ok(()) => drop(self.told.insert(peer, ends)),
+                Err(e) => warn!(self.log, "exchange: {e}"),
+            }
+        }
+    }
+}
+
+/// `life` tells the lives of one name apart.
 pub fn begin(
     plan: &Exchange,
     name: &str,
+    life: u64,
     secrets: Vec<[u8; 32]>,
     desk: Post<Word>,
     log: &Logger,
-) -> Result<(), String> {
-    // Each life of an instance has a name of its own.
-    let life = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros());
+) -> Result<Roster, String> {
     let name = &format!("{}#{life}", name.chars().take(40).collect::<String>());
     let listener = TcpListener::bind(plan.listen).map_err(|e| format!("exchange: {}: {e}", plan.listen))?;
     let (own, keys, to_desk, own_log) = (name.to_string(), secrets.clone(), desk.clone(), log.clone());
     threads::begin("exchange", move || accept(&listener, &own, &keys, &to_desk, &own_log))?;
-    for peer in plan.peers.clone() {
-        let (name, secret, desk, log) = (name.to_string(), secrets[0], desk.clone(), log.clone());
-        threads::begin("tell", move || loop {
-            // Whatever ends it, the next time begins with a snapshot.
-            if let Ok(true) = tell(peer, &name, &secret, &desk, &log) {
-                return;
-            }
-            thread::sleep(AGAIN);
-        })?;
-    }
-    Ok(())
+    let mut roster = Roster {
+        named: plan.peers.iter().copied().collect(),
+        told: BTreeMap::new(),
+        name: name.to_string(),
+        secret: secrets[0],
+        desk,
+        log: log.clone(),
+    };
+    roster.follow(&BTreeSet::new());
+    Ok(roster)
 }
 
 /// A listener says nothing after its greeting.
@@ -131,6 +182,7 @@
     name: &str,
     secret: &[u8; 32],
     desk: &Post<Word>,
+    over: &AtomicBool,
     log: &Logger,
 ) -> io::Result<bool> {
     let mut stream = TcpStream::connect_timeout(&peer, PATIENCE)?;
@@ -157,7 +209,7 @@
         let telling = match tellings.recv(Some(LOOK)) {
             Ok(telling) => telling,
             // While nobody writes, its end is seen by a look alone; the next life is to be told soon.
-            Err(RecvTimeoutError::Timeout) if there(&stream) => continue,
+            Err(RecvTimeoutError::Timeout) if !over.load(SeqCst) && there(&stream) => continue,
             Err(RecvTimeoutError::Timeout) => return Ok(false),
             // One whose outlet was dropped has fallen behind: it is told all anew.
             Err(RecvTimeoutError::Disconnected) => break,
--- a/crates/sandstile-router/src/lib.rs
+++ b/crates/sandstile-router/src/lib.rs
@@ -1,10 +1,12 @@
 //! The sandstile router: the decisions of `sandstile-policy` behind real sockets. One thread, the `carrier`, carries
 //! the clients' connections (`clients`), the desk of the decisions (`sandstile-desk`) and the database hosts (`hosts`); what
 //! happens on a connection is decided by the machines of `sandstile-lines`, which know neither socket nor clock.
+pub mod ask;
 pub mod carrier;
 pub mod charter;
 pub mod clients;
 pub mod clock;
+pub mod control;
 pub mod counters;
 pub mod discovery;
 pub mod exchange;
@@ -14,6 +16,7 @@
 pub mod launch;
 pub mod lists;
 pub mod mailbox;
+pub mod members;
 pub mod recorder;
 pub mod router;
 pub mod sessions;
--- a/crates/sandstile-router/src/main.rs
+++ b/crates/sandstile-router/src/main.rs
@@ -1,9 +1,10 @@
 //! The command line of sandstile.
 use sandstile_router::charter::Charter;
+use sandstile_router::clock::Clock;
 use sandstile_router::counters::Counters;
 use sandstile_router::launch::Launch;
 use sandstile_router::signals::Wishes;
-use sandstile_router::{keys, router};
+use sandstile_router::{ask, keys, router};
 use slog::{o, Drain, Level, Logger};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -17,6 +18,7 @@
   check      read the configuration and say what it holds, or what is wrong
   sessions inspect FILE          say what a journal of sessions holds
   token decode TOKEN --keys FILE say what a session's mark says
+  members --socket PATH [--json]  ask a running router who is there
   version    print the version
 
   --config   our own file (HCL): what LB_CONFIG does not know; off without it
@@ -48,6 +50,8 @@
     };
     let charter = file(&mut arguments, "--config").map_err(|e| e.to_string())?;
     let keys = file(&mut arguments, "--keys").map_err(|e| e.to_string())?;
+    let socket = file(&mut arguments, "--socket").map_err(|e| e.to_string())?;
+    let json = arguments.contains("--json");
     let command = arguments.subcommand().map_err(|e| e.to_string())?;
     let mut words = Vec::new();
     if matches!(command.as_deref(), Some("sessions" | "token")) {
@@ -64,6 +68,7 @@
         Some("check") => check(charter.as_deref()),
         Some("sessions") => inspect(&words),
         Some("token") => decode(&words, keys.as_deref()),
+        Some("members") => members(socket.as_deref(), json),
         Some("version") => {
             println!("sandstile {}", env!("CARGO_PKG_VERSION"));
             Ok(())
@@ -97,6 +102,16 @@
     Ok(())
 }
 
+/// Who is there, as a running router sees it.
+fn members(socket: Option<&Path>, json: bool) -> Result<(), String> {
+    let said = ask::members(socket.ok_or("no --socket PATH")?)?;
+    match json {
+        true => println!("{said}"),
+        false => print!("{}", ask::table(&said, Clock::anchor().now())),
+    }
+    Ok(())
+}
+
 /// What a mark says, for operators who have the keys.
 fn decode(words: &[String], keys: Option<&Path>) -> Result<(), String> {
     let [verb, text] = words else {
@@ -149,7 +164,15 @@
         });
         let back = charter.back.map_or("off".to_string(), |b| format!("{:?}", b.pace).to_lowercase());
         let path = path.display();
-        println!("{path}: sessions {sessions}; recording {recording}; limits {limits}; return {back}");
+        let members = charter.members.map_or("off".to_string(), |m| {
+            format!(
+                "found at {}, {} seeds{}",
+                m.advertise,
+                m.seeds.len(),
+                if m.share { ", shares follow them" } else { "" }
+            )
+        });
+        println!("{path}: sessions {sessions}; recording {recording}; limits {limits}; return {back}; members {members}");
         if std::env::var_os("LB_CONFIG").is_none() {
             return Ok(());
         }
--- /dev/null
+++ b/crates/sandstile-router/src/members.rs
@@ -0,0 +1,214 @@
+//! The peers' letters beside the carrier's loop: one UDP socket, no thread. What is said and believed is `sandstile-peers`; off without
+//! our own file.
+use crate::charter::Members as Plan;
+use crate::control::Control;
+use crate::exchange::Roster;
+use crate::mailbox::Post;
+use crate::tools::Tools;
+use mio::net::UdpSocket;
+use mio::{Interest, Registry, Token};
+use sandstile_membership::wire::LONGEST_NAME;
+use sandstile_membership::{Change, Meta, State};
+use sandstile_peers::{News, Peers, Report, Terms};
+use serde_json::{json, Value};
+use slog::{info, warn, Logger};
+use std::io;
+
+/// What this use of the keys is called, so that no secret serves two.
+pub const CONTEXT: &str = "sandstile members, version 1";
+/// As its makers count; members of several run side by side.
+pub const VERSION: u16 = 1;
+/// Far above those of clients and links.
+pub const LETTERS: Token = Token(usize::MAX - 2);
+/// Letters read before the others have their turn.
+const TURN: usize = 64;
+/// A letter is one datagram of some 1,200 bytes; more is none of ours.
+const LONGEST: usize = 2048;
+
+pub struct Members {
+    socket: UdpSocket,
+    peers: Peers,
+    /// The platform may hold more letters.
+    ready: bool,
+    sharers: Option<Post<f64>>,
+    roster: Option<Roster>,
+    pub control: Option<Control>,
+    counted: sandstile_peers::Counts,
+    log: Logger,
+}
+
+/// What the router that members run beside has told them.
+pub struct Beside {
+    pub name: String,
+    pub life: u64,
+    pub seed: u64,
+    pub routers: usize,
+    pub keys: Vec<[u8; 32]>,
+    pub exchange: Option<std::net::SocketAddr>,
+    /// Where the number of those that share the hosts goes.
+    pub sharers: Option<Post<f64>>,
+    /// Who is to be told what sessions have seen.
+    pub roster: Option<Roster>,
+}
+
+impl Members {
+    /// The message is one line.
+    pub fn open(plan: &Plan, beside: Beside, now: f64, log: &Logger) -> Result<Members, String> {
+        let told = |e: io::Error| format!("members: {}: {e}", plan.listen);
+        if beside.name.is_empty() || beside.name.len() > LONGEST_NAME {
+            return Err(format!("members: a router's name has 1 to {LONGEST_NAME} bytes: '{}'", beside.name));
+        }
+        let socket = UdpSocket::bind(plan.listen).map_err(told)?;
+        let control = plan.control.as_deref().map(Control::open).transpose()?;
+        let terms = Terms {
+            name: beside.name,
+            life: beside.life,
+            at: plan.advertise,
+            seeds: plan.seeds.clone(),
+            meta: Meta { version: VERSION, zone: plan.zone.clone(), exchange: beside.exchange },
+            period: plan.period,
+            share: plan.share.then_some(beside.routers),
+            keys: beside.keys,
+        };
+        info!(log, "members"; "listen" => %plan.listen, "found at" => %plan.advertise, "seeds" => plan.seeds.len());
+        Ok(Members {
+            socket,
+            peers: Peers::new(terms, beside.seed, now),
+            ready: true,
+            sharers: beside.sharers,
+            roster: beside.roster,
+            control,
+            counted: sandstile_peers::Counts::default(),
+            log: log.clone(),
+        })
+    }
+
+    pub fn register(&mut self, registry: &Registry) -> io::Result<()> {
+        registry.register(&mut self.socket, LETTERS, Interest::READABLE)?;
+        self.control.as_mut().map_or(Ok(()), |c| c.register(registry))
+    }
+
+    /// Letters may have come.
+    pub fn told(&mut self) {
+        self.ready = true;
+    }
+
+    /// Whether letters may wait to be read.
+    pub fn busy(&self) -> bool {
+        self.ready
+    }
+
+    pub fn due(&self) -> f64 {
+        let control = self.control.as_ref().map_or(f64::INFINITY, Control::due);
+        self.peers.due().min(control)
+    }
+
+    pub fn rotate(&mut self, keys: Vec<[u8; 32]>) {
+        self.peers.rotate(keys);
+    }
+
+    /// A bounded piece of work: letters that have come, what is due, what is to go out, who asks.
+    pub fn turn(&mut self, tools: &Tools) {
+        // A process that stood still looks at what has come before it holds anybody for dead.
+        let mut bytes = [0; LONGEST];
+        for _ in 0..TURN {
+            if !self.ready {
+                break;
+            }
+            match self.socket.recv_from(&mut bytes) {
+                Ok((n, _)) => self.peers.received(tools.clock.now(), &bytes[..n]),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.ready = false,
+                // What could not be delivered earlier is told here; it is the other's death, which letters tell better.
+                Err(_) => {}
+            }
+        }
+        let now = tools.clock.now();
+        if self.peers.due() <= now && !self.ready {
+            self.peers.woken(now);
+        }
+        self.send();
+        self.heed(tools);
+        if let Some(mut control) = self.control.take() {
+            control.turn(&tools.registry, now, || report(&self.peers.report(now)).to_string());
+            self.control = Some(control);
+        }
+    }
+
+    /// Letters that the platform does not take now are lost, as any may be.
+    fn send(&mut self) {
+        for (to, letter) in self.peers.take_out() {
+            let _ = self.socket.send_to(&letter, to);
+        }
+    }
+
+    fn heed(&mut self, tools: &Tools) {
+        for news in self.peers.take_news() {
+            match news {
+                News::Change(Change::NameTaken(at)) => {
+                    warn!(self.log, "another process runs under this router's name"; "at" => %at);
+                }
+                News::Change(change) => info!(self.log, "member: {change:?}"),
+                News::View(view, look) => {
+                    tools.counters.view_changes.add();
+                    info!(self.log, "view: {}", view.word(); "there" => look.there, "suspects" => look.suspects,
+                        "dead" => look.dead, "differing" => look.differing);
+                }
+                News::Sharers(n) => drop(self.sharers.as_ref().map(|post| post.send(n))),
+                News::Tell(whom) => {
+                    if let Some(roster) = &mut self.roster {
+                        roster.follow(&whom);
+                    }
+                }
+            }
+        }
+        let counts = self.peers.counts();
+        if counts != self.counted {
+            self.counted = counts;
+            let c = &tools.counters;
+            c.letters.set(counts.letters);
+            c.letters_refused.set(counts.unreadable + counts.forged + counts.replayed + counts.flooded);
+            c.names_taken.set(counts.names_taken);
+            c.member_deaths.set(counts.deaths);
+        }
+        tools.counters.members.set(self.peers.count() as u64);
+    }
+
+    /// This process ends: the others need not wonder.
+    pub fn leave(&mut self) {
+        self.peers.leave();
+        self.send();
+        if let Some(control) = &self.control {
+            control.close();
+        }
+    }
+}
+
+fn word(state: State) -> &'static str {
+    match state {
+        State::Alive => "alive",
+        State::Suspect => "suspect",
+        State::Left => "left",
+        State::Dead => "dead",
+    }
+}
+
+/// As `sandstile members` reads it.
+pub fn report(r: &Report) -> Value {
+    let members: Vec<Value> = r
+        .members
+        .iter()
+        .map(|m| {
+            json!({"name": m.rumour.of.name, "life": m.rumour.of.life, "state": word(m.rumour.state),
+                "address": m.rumour.at.to_string(), "since": m.since, "round_trip_ms": m.round_trip.map(|s| s * 1e3),
+                "version": m.rumour.meta.version, "zone": m.rumour.meta.zone, "agrees": m.agrees})
+        })
+        .collect();
+    let c = &r.counts;
+    json!({"name": r.name, "life": r.life, "address": r.at.to_string(), "version": r.meta.version, "zone": r.meta.zone,
+        "view": r.view.word(), "holds_for_s": r.holds_for, "digest": format!("{:016x}", r.digest),
+        "there": r.look.there, "suspects": r.look.suspects, "dead": r.look.dead, "differing": r.look.differing,
+        "health": r.health, "sharers": r.sharers, "members": members,
+        "letters": {"taken": c.letters, "sent": r.sent.1, "bytes_sent": r.sent.0, "unreadable": c.unreadable,
+            "forged": c.forged, "replayed": c.replayed, "flooded": c.flooded},
+        "suspicions": c.suspicions, "deaths": c.deaths, "names_taken": c.names_taken})
+}
--- a/crates/sandstile-router/src/router.rs
+++ b/crates/sandstile-router/src/router.rs
@@ -7,7 +7,9 @@
 use crate::discovery::{Agent, Watcher};
 use crate::exchange;
 use crate::inlet::Inlet;
+use crate::keys;
 use crate::launch::Launch;
+use crate::members::{self, Beside, Members};
 use crate::pg;
 use crate::recorder;
 use crate::sessions::{Sessions, Word};
@@ -96,12 +98,32 @@
         recording = Some(thread);
     }
     lists.send(launch.known);
+    // Each life of an instance has a number of its own, higher than that of the former one as far as its clock goes.
+    let life = (clock.now() * 1e6) as u64;
+    let (mut roster, mut told_at) = (None, None);
     if let (Some(plan), Some(words)) = (&charter.sessions, &words) {
         if let Some(exchange) = &plan.exchange {
             let secrets = plan.read_keys()?.derived(exchange::CONTEXT);
-            exchange::begin(exchange, &launch.name, secrets, words.clone(), &log)?;
+            roster = Some(exchange::begin(exchange, &launch.name, life, secrets, words.clone(), &log)?);
+            told_at = Some(exchange.listen);
         }
     }
+    let mut members = None;
+    if let Some(plan) = &charter.members {
+        let (sharers, shared) = posts.inlet::<f64>();
+        desk.add(Box::new(Inlet::new(shared, Fact::Sharers)));
+        let beside = Beside {
+            name: launch.name.clone(),
+            life,
+            seed: launch.seed,
+            routers: launch.terms.routers,
+            keys: keys::read_keys(&plan.keys)?.derived(members::CONTEXT),
+            exchange: told_at,
+            sharers: Some(sharers),
+            roster,
+        };
+        members = Some(Members::open(plan, beside, clock.now(), &log)?);
+    }
     let parts = Parts {
         clock,
         budget,
@@ -112,6 +134,7 @@
         dial_limit: launch.dial_limit,
         idle_close: launch.terms.idle_close,
         dials,
+        members,
         last_word: words.clone(),
     };
     let carrier = Carrier::new(posts, parts, listener).map_err(|e| format!("listen: {e}"))?;
@@ -144,9 +167,17 @@
             Err(what) => warn!(log, "{what}; the former keys stay"),
         }
     };
+    let read_member_keys = || {
+        let Some(plan) = &charter.members else { return };
+        match keys::read_keys(&plan.keys) {
+            Ok(ring) => drop(charges.send(Charge::Keys(ring.derived(members::CONTEXT)))),
+            Err(what) => warn!(log, "{what}; the former keys of members stay"),
+        }
+    };
     let reload = || {
         follow_discovery();
         read_keys();
+        read_member_keys();
     };
     // A reload that comes beside the end still counts: for a while, statements are taken.
     while let Some(wish) = wishes.await_one() {
--- a/crates/sandstile-scenario/src/script.rs
+++ b/crates/sandstile-scenario/src/script.rs
@@ -70,6 +70,9 @@
     pub pace: Option<String>,
     /// Storms are watched and later tries held to a budget, by our own file.
     pub limits: bool,
+    /// They know each other, and shares at hosts follow how many are there.
+    pub members: bool,
+    pub share: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -353,6 +356,8 @@
             apart: s.ms("apart_ms", 0.0..60_000.0, 0.0),
             pace: s.text("pace"),
             limits: s.yes("limits", false),
+            members: s.yes("members", false),
+            share: s.yes("share", false),
         };
         s.finish();
         routers
@@ -416,7 +421,16 @@
 
 impl Routers {
     fn usual() -> Self {
-        Routers { count: 2, memory_mb: 192, sockets: 1024, apart: 0.0, pace: None, limits: false }
+        Routers {
+            count: 2,
+            memory_mb: 192,
+            sockets: 1024,
+            apart: 0.0,
+            pace: None,
+            limits: false,
+            members: false,
+            share: false,
+        }
     }
 }
 
