--- a/crates/sandstile-membership/src/swim.rs
+++ b/crates/sandstile-membership/src/swim.rs
@@ -143,6 +143,9 @@
     rumours: Rumours,
     dead_at: f64,
     compared: f64,
+    /// When any other was heard last, and when we heard last that we are dead.
+    heard: f64,
+    buried: f64,
     /// The digest of our view, until that changes.
     told: Cell<Option<u64>>,
     chance: Rand64,
@@ -171,6 +174,8 @@
             rumours: Rumours::default(),
             dead_at: now + TRIES_DEAD,
             compared: f64::NEG_INFINITY,
+            heard: now,
+            buried: f64::NEG_INFINITY,
             told: Cell::new(None),
             chance,
             out: Vec::new(),
@@ -213,6 +218,16 @@
         self.members.values().map(known).collect()
     }
 
+    /// When any other was heard last; the start where none was.
+    pub fn heard(&self) -> f64 {
+        self.heard
+    }
+
+    /// When others said last that this one is dead; before all time where they never did.
+    pub fn buried(&self) -> f64 {
+        self.buried
+    }
+
     /// This one's own life, which may have been raised over a former one's.
     pub fn life(&self) -> u64 {
         self.terms.life
@@ -347,6 +362,7 @@
             // Our own words, come back, or another's under our name: nothing to learn from either.
             return None;
         }
+        self.heard = now;
         self.hear(now, &sender, &sender.of.name);
         for rumour in &letter.rumours {
             self.hear(now, rumour, &sender.of.name);
@@ -414,6 +430,9 @@
     /// Somebody's word on somebody.
     fn hear(&mut self, now: f64, r: &Rumour, by: &str) {
         if r.of.name == self.terms.name {
+            if r.of.life == self.terms.life && r.state == State::Dead {
+                self.buried = now;
+            }
             let louder = refutes(r, self.terms.life, self.incarnation).filter(|_| !self.leaving);
             if let Some(incarnation) = louder {
                 // Only we say that we are there, and louder than those who say we are not.
--- a/crates/sandstile-peers/src/peers.rs
+++ b/crates/sandstile-peers/src/peers.rs
@@ -74,6 +74,10 @@
 /// Views that were told longer ago say nothing.
 const FRESH: f64 = 5.0;
 
+/// Periods without a word of anybody: each member is asked about once a period, and asks as often, so that silence is no chance.
+const SILENT: f64 = 6.0;
+/// Seconds for which it counts that others said this router dead: they say it again while they do not hear it.
+const BURIED: f64 = 3.0;
 /// Seconds between saying that a name is taken twice.
 const TWIN: f64 = 10.0;
 
@@ -185,6 +189,8 @@
             dead: of(State::Dead),
             differing: self.swim.differing(now, FRESH).0,
             seeds: self.terms.seeds.iter().filter(|s| **s != self.terms.at).count(),
+            silent: now - self.swim.heard() > SILENT * self.terms.period,
+            buried: now - self.swim.buried() < BURIED,
         }
     }
 
--- a/crates/sandstile-views/src/view.rs
+++ b/crates/sandstile-views/src/view.rs
@@ -34,6 +34,10 @@
     pub differing: usize,
     /// Where others were to be found by the file.
     pub seeds: usize,
+    /// Nobody was heard for so long that it is no chance: whom this router holds for there says nothing.
+    pub silent: bool,
+    /// Others say that this router is dead, though it is not: they do not hear it.
+    pub buried: bool,
 }
 
 /// This share of those that were there, gone at once, is a cut and no crash.
@@ -66,9 +70,10 @@
 
     fn of(look: &Look) -> View {
         let were = look.there + look.dead;
-        if look.there == 0 && (look.dead > 0 || look.seeds > 0) {
+        let somebody = were > 0 || look.seeds > 0;
+        if somebody && (look.there == 0 || look.silent) {
             View::Alone
-        } else if look.dead > 1 && look.dead as f64 > MANY * were as f64 {
+        } else if look.buried || (look.dead > 1 && look.dead as f64 > MANY * were as f64) {
             View::CutOff
         } else if look.suspects > 0 || look.differing > 0 {
             View::Settling
--- a/crates/sandstile-views/tests/views.rs
+++ b/crates/sandstile-views/tests/views.rs
@@ -42,6 +42,15 @@
     // One crash among many is no cut; two of three are.
     assert_eq!(views.look(t + 1.0, &Look { there: 7, dead: 1, ..calm }), None);
     assert_eq!(views.look(t + 2.0, &Look { there: 1, dead: 2, ..calm }), Some(View::CutOff));
+    // Whoever hears nobody is alone at once, whomever it holds for there; one that is said dead is not heard.
+    assert_eq!(Views::new(0.0).look(0.0, &Look { silent: true, ..calm }), None, "as it was");
+    for _ in 0..6 {
+        t += 1.0;
+        views.look(t + 3.0, &calm);
+    }
+    assert_eq!(views.view(), View::Agreed);
+    assert_eq!(views.look(t + 4.0, &Look { buried: true, ..calm }), Some(View::CutOff));
+    assert_eq!(views.look(t + 4.1, &Look { silent: true, ..calm }), Some(View::Alone));
     assert_eq!(
         Views::new(0.0).look(5.0, &Look::default()),
         None,
