--- a/crates/sandstile-experiment/src/plan.rs
+++ b/crates/sandstile-experiment/src/plan.rs
@@ -19,6 +19,9 @@
     /// How routers come back, in the words of our own file.
     pub pace: Option<String>,
     pub limits: Option<bool>,
+    /// Routers know each other, and shares at hosts follow how many are there.
+    pub members: Option<bool>,
+    pub share: Option<bool>,
     /// All arrivals times this.
     pub load: f64,
 }
@@ -35,6 +38,8 @@
         script.sessions = self.sessions.unwrap_or(script.sessions);
         script.routers.pace = self.pace.clone().or(script.routers.pace);
         script.routers.limits = self.limits.unwrap_or(script.routers.limits);
+        script.routers.members = self.members.unwrap_or(script.routers.members);
+        script.routers.share = self.share.unwrap_or(script.routers.share);
         script.streams.iter_mut().for_each(|s| s.rate *= self.load);
         script
     }
@@ -111,6 +116,8 @@
             sessions: s.has("sessions").then(|| s.word("sessions", &words, Some(off))),
             pace: s.text("pace"),
             limits: s.has("limits").then(|| s.yes("limits", false)),
+            members: s.has("members").then(|| s.yes("members", false)),
+            share: s.has("share").then(|| s.yes("share", false)),
             load: s.number("load", 0.01..100.0, 1.0),
         });
         s.finish();
--- a/crates/sandstile-faults/src/draw.rs
+++ b/crates/sandstile-faults/src/draw.rs
@@ -49,6 +49,8 @@
     /// Faults fall between these.
     pub from: f64,
     pub to: f64,
+    /// Routers talk to each other, and links between them are struck as well.
+    pub members: bool,
 }
 
 fn of<'a, T>(all: &'a [T], chance: &mut Rand64) -> &'a T {
@@ -68,11 +70,39 @@
     all
 }
 
+/// Trouble between routers.
+fn among(field: &Field, lasts: f64, chance: &mut Rand64) -> What {
+    let last = field.routers - 1;
+    let one = chance.rand_range(0..field.routers as u64) as usize;
+    let middle = chance.rand_range(0..last.max(1) as u64) as usize;
+    let halves = vec![format!("router:0-{middle}"), format!("router:{}-{last}", middle + 1)];
+    let by = tenths(0.1 + 0.4 * chance.rand_float());
+    let strike = match chance.rand_range(0..6) {
+        0 | 1 => return What::Partition { sides: halves, lasts: 2.0 * lasts },
+        2 => Strike::Cut,
+        3 => Strike::Loss(tenths(0.1 + 0.4 * chance.rand_float())),
+        4 => Strike::Delay { by, jitter: by },
+        _ => Strike::Spoil(0.2),
+    };
+    let from = if chance.rand_range(0..2) == 0 { "router:*".to_string() } else { format!("router:{one}") };
+    // Cut from all others at once it would be no link between two.
+    let to = if strike == Strike::Cut {
+        format!("router:{}", (one + 1) % field.routers)
+    } else {
+        "router:*".to_string()
+    };
+    let from = if strike == Strike::Cut { format!("router:{one}") } else { from };
+    What::Link { from, to, strike, one_way: chance.rand_range(0..3) == 0, lasts: 2.0 * lasts }
+}
+
 fn fault(field: &Field, chance: &mut Rand64) -> Fault {
     let at = tenths(field.from + (field.to - field.from) * chance.rand_float());
     let lasts = tenths(0.3 + 2.7 * chance.rand_float());
     let router = chance.rand_range(0..field.routers as u64);
     let group = of(&field.groups, chance).clone();
+    if field.members && chance.rand_range(0..2) == 0 {
+        return Fault { at, what: among(field, lasts, chance) };
+    }
     let what = match chance.rand_range(0..11) {
         0..=3 => {
             let by = tenths(0.1 + 0.4 * chance.rand_float());
--- a/crates/sandstile-faults/tests/faults.rs
+++ b/crates/sandstile-faults/tests/faults.rs
@@ -147,18 +147,20 @@
 
 #[test]
 fn draws_are_the_seeds_own() {
-    let field = Field {
+    let mut field = Field {
         routers: 5,
         groups: vec!["1".to_string(), "2".to_string()],
         zones: vec!["a".to_string(), "b".to_string()],
         from: 2.0,
         to: 8.0,
+        members: false,
     };
     let one = draw::draw(&field, 6, 1);
     assert_eq!(one, draw::draw(&field, 6, 1));
     assert_ne!(one, draw::draw(&field, 6, 2));
     assert!(one.windows(2).all(|w| w[0].at <= w[1].at));
-    for seed in 0..300 {
+    for seed in 0..600 {
+        field.members = seed >= 300;
         for fault in draw::draw(&field, 6, seed) {
             assert!((2.0..=8.0).contains(&fault.at));
             let link = matches!(fault.what, draw::What::Link { .. } | draw::What::Partition { .. });
--- a/crates/sandstile-lab/src/hunt.rs
+++ b/crates/sandstile-lab/src/hunt.rs
@@ -27,13 +27,14 @@
     pub plant: bool,
 }
 
-/// Plays that one shrinking may cost.
 /// Processes and sockets are real: what failed once is tried so often before it counts as no failure.
 const TRIES: usize = 2;
 /// Below this share in the last seconds, behind all faults, service counts as lost for good.
 const LOST: f64 = 0.5;
 /// Seconds at the end in which no fault is drawn.
 const TAIL: f64 = 4.0;
+/// And where routers know each other: they are to agree again by then.
+const AGREES: f64 = 12.0;
 
 /// What one schedule came to.
 struct Played {
@@ -92,6 +93,12 @@
             wrong.push(format!("lost: {good} of {all} in time in the last seconds"));
         }
     }
+    // Whoever is there when the last fault is over: all of them are to see just each other, soon.
+    if let Some(last) = sandstile_audit::agreement(&trace).epochs.last() {
+        if last.agreed_after.is_none() && last.to - last.from > AGREES - 4.0 {
+            wrong.push(format!("members: no agreement {:.1} s after {}", last.to - last.from, last.why));
+        }
+    }
     Ok(Played { wrong, service: summary.service, whole_after: back.whole_after(), unsound: summary.unsound })
 }
 
@@ -117,7 +124,8 @@
         groups: plain.plan.groups.iter().map(|g| g.name.clone()).collect(),
         zones,
         from: plain.settle,
-        to: (plain.seconds - TAIL).max(plain.settle),
+        to: (plain.seconds - if plain.routers.members { AGREES } else { TAIL }).max(plain.settle),
+        members: plain.routers.members,
     };
     field.zones.sort();
     field.zones.dedup();
--- a/crates/sandstile-lab/src/main.rs
+++ b/crates/sandstile-lab/src/main.rs
@@ -116,6 +116,9 @@
         /// Pairs, in place of the file's
         #[arg(long)]
         pairs: Option<usize>,
+        /// A script, in place of the file's
+        #[arg(long)]
+        script: Option<PathBuf>,
     },
     /// Draw fault schedules by seed, play them short, judge, and shrink what fails; exits with 1 where one does
     Hunt {
@@ -268,12 +271,22 @@
         Command::List { dir } => list(&dir),
         Command::Emulate { file, cues } => emulate(&file, cues),
         Command::Rehearse { file, seed, router, out, quick } => play(&file, seed, router, out, quick),
-        Command::Experiment { file, out, router, quick, pairs } => beside(router).and_then(|router| {
-            let text = std::fs::read_to_string(&file).map_err(|e| format!("{}: {e}", file.display()))?;
-            let wanted = experiment::Wanted { file, text, out, router, quick, pairs };
-            println!("{}", experiment::run(&wanted)?);
-            Ok(ExitCode::SUCCESS)
-        }),
+        Command::Experiment { file, out, router, quick, pairs, script } => {
+            beside(router).and_then(|router| {
+                let mut text =
+                    std::fs::read_to_string(&file).map_err(|e| format!("{}: {e}", file.display()))?;
+                if let Some(script) = script {
+                    // Rows are this experiment's by the hash of its text, so another script makes it another.
+                    let name = format!("script = {:?}\n", script.display().to_string());
+                    let other = |line: &&str| !line.trim_start().starts_with("script ");
+                    text = text.lines().filter(other).map(|line| format!("{line}\n")).collect::<String>()
+                        + &name;
+                }
+                let wanted = experiment::Wanted { file, text, out, router, quick, pairs };
+                println!("{}", experiment::run(&wanted)?);
+                Ok(ExitCode::SUCCESS)
+            })
+        }
         Command::Hunt { base, seed, runs, size, router, out, quick, plant } => {
             beside(router).and_then(|router| {
                 let (runs, shrinks) = if quick { (6, 3) } else { (runs, 24) };
--- a/crates/sandstile-peers/src/gate.rs
+++ b/crates/sandstile-peers/src/gate.rs
@@ -8,6 +8,9 @@
 /// leaves this router alone and careful.
 const MARKS: (f64, f64) = (20_000.0, 20_000.0);
 
+/// Bytes that go out a second and at once: all that is known of a thousand members, told to one, is 80 kB.
+const OUT: (f64, f64) = (200_000.0, 400_000.0);
+
 /// Tokens that come back at a rate, up to a most.
 #[derive(Clone, Debug)]
 pub struct Bucket {
@@ -34,12 +37,20 @@
         Bucket::new(MARKS, now)
     }
 
+    pub fn out(now: f64) -> Bucket {
+        Bucket::new(OUT, now)
+    }
+
     /// Whether one more is taken in.
     pub fn takes(&mut self, now: f64) -> bool {
+        self.takes_all(now, 1.0)
+    }
+
+    pub fn takes_all(&mut self, now: f64, tokens: f64) -> bool {
         self.held = (self.held + self.rate * (now - self.at).max(0.0)).min(self.most);
         self.at = self.at.max(now);
-        let takes = self.held >= 1.0;
-        self.held -= f64::from(u8::from(takes));
+        let takes = self.held >= tokens;
+        self.held -= if takes { tokens } else { 0.0 };
         takes
     }
 }
--- a/crates/sandstile-peers/src/peers.rs
+++ b/crates/sandstile-peers/src/peers.rs
@@ -1,4 +1,5 @@
 //! Who is there, which view holds, and what follows for the rest of the router.
+use crate::gate::Bucket;
 use crate::seal::{Opener, Refused, Sealer, Secret};
 use sandstile_membership::swim::Known;
 use sandstile_membership::{Change, Meta, State, Swim};
@@ -43,6 +44,8 @@
     pub forged: u64,
     pub replayed: u64,
     pub flooded: u64,
+    /// Letters that were not sent, for there were too many.
+    pub held_back: u64,
     pub names_taken: u64,
     pub deaths: u64,
     pub suspicions: u64,
@@ -87,6 +90,7 @@
     opener: Opener,
     views: Views,
     sharers: Option<Sharers>,
+    out: Bucket,
     terms: Terms,
     look_at: f64,
     twin_said: f64,
@@ -109,6 +113,7 @@
             opener: Opener::new(terms.keys.clone(), now),
             views: Views::new(now),
             sharers: terms.share.map(Sharers::new),
+            out: Bucket::out(now),
             terms,
             look_at: now,
             twin_said: f64::NEG_INFINITY,
@@ -224,9 +229,18 @@
         self.opener.rotate(keys);
     }
 
-    pub fn take_out(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
-        let out = self.swim.take_out();
-        out.into_iter().map(|(to, letter)| (to, self.sealer.seal(to, &letter))).collect()
+    /// What is to go out. Beyond so many bytes a second letters are left out, as a net may lose any: whoever asks a thousand
+    /// times for all that is known does not make this router a gun.
+    pub fn take_out(&mut self, now: f64) -> Vec<(SocketAddr, Vec<u8>)> {
+        let mut out = Vec::new();
+        for (to, letter) in self.swim.take_out() {
+            if self.out.takes_all(now, letter.len() as f64) {
+                out.push((to, self.sealer.seal(to, &letter)));
+            } else {
+                self.counts.held_back += 1;
+            }
+        }
+        out
     }
 
     pub fn take_news(&mut self) -> Vec<News> {
--- a/crates/sandstile-peers/tests/peers.rs
+++ b/crates/sandstile-peers/tests/peers.rs
@@ -106,7 +106,7 @@
             }
             for _ in 0..4 {
                 for from in 0..self.peers.len() {
-                    for (to, letter) in self.peers[from].take_out() {
+                    for (to, letter) in self.peers[from].take_out(self.now) {
                         let Some(to) = (0..self.peers.len()).find(|n| at(*n) == to) else { continue };
                         if !(self.cut)(from, to) {
                             self.peers[to].received(self.now, &letter);
@@ -115,9 +115,7 @@
                 }
             }
             for n in 0..self.peers.len() {
-                let now = self.now;
                 self.news.extend(self.peers[n].take_news().into_iter().map(|news| (n, news)));
-                let _ = now;
             }
         }
     }
@@ -219,3 +217,34 @@
     let counts = net.peers[0].counts();
     assert!(counts.forged >= 4000 && counts.deaths == 0, "{counts:?}");
 }
+
+/// A member that asks again and again for all that is known is answered as far as the bound on bytes goes.
+#[test]
+fn nobody_makes_a_peer_a_gun() {
+    let mut net = Net::new(3, None, |_| vec![OLD]);
+    net.play(6.0);
+    let mut liar = Sealer::new(vec![OLD], 1);
+    let rumour = |n: usize, life| sandstile_membership::Rumour {
+        of: sandstile_membership::Life { name: format!("x{n}"), life },
+        at: at(50),
+        incarnation: 0,
+        state: sandstile_membership::State::Alive,
+        by: 0,
+        meta: Meta::default(),
+    };
+    let letter =
+        |message, rumours| sandstile_membership::Letter { from: rumour(0, 1), message, rumours, digest: 0 };
+    use sandstile_membership::Message::{Join, Known};
+    for n in 0..50 {
+        let names = (0..20).map(|m| rumour(n * 20 + m, 1)).collect();
+        net.peers[0].received(net.now, &liar.seal(at(0), &letter(Known, names).write()));
+    }
+    net.peers[0].take_out(net.now);
+    let mut bytes = 0;
+    for _ in 0..300 {
+        net.peers[0].received(net.now, &liar.seal(at(0), &letter(Join, Vec::new()).write()));
+        bytes += net.peers[0].take_out(net.now).iter().map(|(_, l)| l.len()).sum::<usize>();
+    }
+    assert!(bytes < 500_000, "{bytes} bytes at once");
+    assert!(net.peers[0].counts().held_back > 0);
+}
--- a/crates/sandstile-router/src/carrier.rs
+++ b/crates/sandstile-router/src/carrier.rs
@@ -386,7 +386,7 @@
             let _ = last.recv(Some(LAST_WORD));
         }
         if let Some(members) = &mut self.members {
-            members.leave();
+            members.leave(self.tools.clock.now());
         }
         info!(self.tools.log, "all answered");
     }
--- a/crates/sandstile-router/src/counters.rs
+++ b/crates/sandstile-router/src/counters.rs
@@ -24,6 +24,8 @@
     pub unrecorded: Count,
     /// Routers that are there, this one among them; and of their letters, where our own file turns members on.
     pub members: Count,
+    /// 0 agreed, 1 settling, 2 cut off from some, 3 alone.
+    pub view: Count,
     pub view_changes: Count,
     pub member_deaths: Count,
     pub names_taken: Count,
@@ -68,6 +70,7 @@
             ("ramped", &self.desk.ramped),
             ("stalls", &self.desk.stalls),
             ("members", &self.members),
+            ("view", &self.view),
             ("view_changes", &self.view_changes),
             ("member_deaths", &self.member_deaths),
             ("names_taken", &self.names_taken),
--- a/crates/sandstile-router/src/members.rs
+++ b/crates/sandstile-router/src/members.rs
@@ -126,7 +126,7 @@
         if self.peers.due() <= now && !self.ready {
             self.peers.woken(now);
         }
-        self.send();
+        self.send(now);
         self.heed(tools);
         if let Some(mut control) = self.control.take() {
             control.turn(&tools.registry, now, || report(&self.peers.report(now)).to_string());
@@ -135,8 +135,8 @@
     }
 
     /// Letters that the platform does not take now are lost, as any may be.
-    fn send(&mut self) {
-        for (to, letter) in self.peers.take_out() {
+    fn send(&mut self, now: f64) {
+        for (to, letter) in self.peers.take_out(now) {
             let _ = self.socket.send_to(&letter, to);
         }
     }
@@ -171,12 +171,13 @@
             c.member_deaths.set(counts.deaths);
         }
         tools.counters.members.set(self.peers.count() as u64);
+        tools.counters.view.set(self.peers.view() as u64);
     }
 
     /// This process ends: the others need not wonder.
-    pub fn leave(&mut self) {
+    pub fn leave(&mut self, now: f64) {
         self.peers.leave();
-        self.send();
+        self.send(now);
         if let Some(control) = &self.control {
             control.close();
         }
@@ -209,6 +210,6 @@
         "there": r.look.there, "suspects": r.look.suspects, "dead": r.look.dead, "differing": r.look.differing,
         "health": r.health, "sharers": r.sharers, "members": members,
         "letters": {"taken": c.letters, "sent": r.sent.1, "bytes_sent": r.sent.0, "unreadable": c.unreadable,
-            "forged": c.forged, "replayed": c.replayed, "flooded": c.flooded},
+            "forged": c.forged, "replayed": c.replayed, "flooded": c.flooded, "held_back": c.held_back},
         "suspicions": c.suspicions, "deaths": c.deaths, "names_taken": c.names_taken})
 }
--- a/crates/sandstile-views/src/share.rs
+++ b/crates/sandstile-views/src/share.rs
@@ -1,6 +1,6 @@
 //! How many routers share the hosts. The file says how many there are to be; members as lived can say so better, both ways within
 //! bounds: more of them count at once, for each then has less, fewer only after they have stood for long in an agreed view.
-use crate::View;
+use crate::{may, About, View, Way};
 
 /// Seconds for which fewer have to stand, agreed, before this router takes a larger part.
 const STANDS: f64 = 30.0;
@@ -35,7 +35,8 @@
             (self.counted, self.fewer) = (there, None);
             return self.counted;
         }
-        if view != View::Agreed {
+        // That they are gone is what its own eyes have seen: whom it holds for there is nobody else's word alone.
+        if !may(view, About::Sharers, Way::LessCareful, true) {
             self.fewer = None;
             return self.counted;
         }
--- a/deploy/sessions.hcl
+++ b/deploy/sessions.hcl
@@ -50,3 +50,15 @@
 #   pace     = "answers"
 #   stall_ms = 1000
 # }
+
+# Routers that know each other, where they may talk (docs/membership.md). Off on the platform of deploy/balancer.toml.
+# members {
+#   listen    = "10.0.0.4:7433"
+#   advertise = "10.0.0.4:7433"
+#   seeds     = ["10.0.0.4:7433", "10.0.0.5:7433", "10.0.0.6:7433"]
+#   keys      = "/etc/sandstile/keys"
+#   zone      = "a"
+#   control   = "/run/sandstile/members.sock"
+#   share     = true
+#   period_ms = 250
+# }
