Replicated state begun: facts that merge, what differs found by ranges, deltas, catch-up

Change: sandstile-replica, pure: kinds of facts with one writer or merged by all, joins with their laws tested, ages that travel as seconds, evidence of what no merge explains, bounds that give up towards more careful; a tree of sums over hashed keys and an invertible sketch beside it; talk that comes down from one number to the facts that differ; deltas without a queue for each peer; what a copy from the disk may be believed, model-checked with mutants without a witness and without lives. Nothing drives it yet. Members: counts and suspects are kept, not counted anew for each letter.

--- a/crates/sandstile-membership/src/swim.rs
+++ b/crates/sandstile-membership/src/swim.rs
@@ -75,6 +75,7 @@
 /// Seconds for which the dead are remembered, and tried again now and then: a cut that heals is noticed by that.
 const REMEMBERED: f64 = 60.0;
 const TRIES_DEAD: f64 = 2.0;
+const SWEEPS: f64 = 1.0;
 /// Seconds between asking a member whose view differs for all that it knows.
 const COMPARES: f64 = 1.0;
 /// Probes that others asked for and that are under way, at the most.
@@ -147,8 +148,12 @@
     /// When any other was heard last, and when we heard last that we are dead.
     heard: f64,
     buried: f64,
-    /// The digest of our view, until that changes.
-    told: Cell<Option<u64>>,
+    /// When the dead were looked through for those to forget.
+    swept: f64,
+    /// The digest of our view and how many are in it, until that changes: each letter says the one and is sized by the other.
+    told: Cell<Option<(u64, usize)>>,
+    /// Whoever is suspected.
+    suspects: BTreeSet<String>,
     chance: Rand64,
     out: Vec<(SocketAddr, Vec<u8>)>,
     changes: Vec<Change>,
@@ -176,8 +181,10 @@
             dead_at: now + TRIES_DEAD,
             compared: f64::NEG_INFINITY,
             heard: now,
+            swept: now,
             buried: f64::NEG_INFINITY,
             told: Cell::new(None),
+            suspects: BTreeSet::new(),
             chance,
             out: Vec::new(),
             changes: Vec::new(),
@@ -243,7 +250,7 @@
 
     /// Others that are there, and we.
     pub fn count(&self) -> usize {
-        1 + self.there().count()
+        self.view().1
     }
 
     pub fn health(&self) -> u32 {
@@ -252,12 +259,16 @@
 
     /// Lives that are there in one number; suspects count, for nothing has come of it yet.
     pub fn digest(&self) -> u64 {
-        if let Some(digest) = self.told.get() {
-            return digest;
+        self.view().0
+    }
+
+    fn view(&self) -> (u64, usize) {
+        if let Some(view) = self.told.get() {
+            return view;
         }
-        let digest = self.reckon();
-        self.told.set(Some(digest));
-        digest
+        let view = (self.reckon(), 1 + self.there().count());
+        self.told.set(Some(view));
+        view
     }
 
     fn reckon(&self) -> u64 {
@@ -297,7 +308,8 @@
 
     /// When it wants to be woken.
     pub fn due(&self) -> f64 {
-        let ends = self.members.values().filter_map(|m| m.suspicion.as_ref().map(|s| self.ends(s)));
+        let suspicion = |name: &String| self.members.get(name)?.suspicion.as_ref();
+        let ends = self.suspects.iter().filter_map(suspicion).map(|s| self.ends(s));
         let helps = self.probe.as_ref().filter(|p| !p.asked && !p.acked).map(|p| p.began + self.patience());
         ends.chain(helps).fold(self.probe_at.min(self.dead_at), f64::min)
     }
@@ -466,6 +478,9 @@
             }
             let suspicion =
                 (r.state == State::Suspect).then(|| Suspicion { since: now, by: BTreeSet::from([r.by]) });
+            if r.state == State::Suspect {
+                self.suspects.insert(r.of.name.clone());
+            }
             let member = Member { rumour: r.clone(), since: now, suspicion, digest: None, round_trip: None };
             self.told.set(None);
             self.members.insert(r.of.name.clone(), member);
@@ -492,6 +507,10 @@
         let was = held.state;
         let was_there = matches!(was, State::Alive | State::Suspect);
         let former = held.of.clone();
+        match r.state {
+            State::Suspect => drop(self.suspects.insert(r.of.name.clone())),
+            _ => drop(self.suspects.remove(&r.of.name)),
+        }
         member.rumour = r.clone();
         member.since = now;
         member.suspicion =
@@ -546,17 +565,22 @@
 
     /// Suspicions that nobody refuted in their time, and the dead that are forgotten.
     fn judge(&mut self, now: f64) {
+        let suspicion = |name: &str| self.members.get(name)?.suspicion.as_ref();
         let over: Vec<String> = self
-            .members
+            .suspects
             .iter()
-            .filter(|(_, m)| m.suspicion.as_ref().is_some_and(|s| self.ends(s) <= now))
-            .map(|(name, _)| name.clone())
+            .filter(|name| suspicion(name).is_some_and(|s| self.ends(s) <= now))
+            .cloned()
             .collect();
         for name in over {
             let rumour = Rumour { state: State::Dead, by: 0, ..self.members[&name].rumour.clone() };
             self.hear(now, &rumour);
         }
         let gone = |m: &Member| matches!(m.rumour.state, State::Dead | State::Left);
+        if now < self.swept + SWEEPS {
+            return;
+        }
+        self.swept = now;
         self.members.retain(|_, m| !gone(m) || now < m.since + REMEMBERED);
     }
 
@@ -632,6 +656,6 @@
 
     /// Entries of state, which have a bound whoever speaks.
     pub fn held(&self) -> usize {
-        self.members.len() + self.asked.len() + self.rumours.held() + self.round.len()
+        self.members.len() + self.suspects.len() + self.asked.len() + self.rumours.held() + self.round.len()
     }
 }
--- /dev/null
+++ b/crates/sandstile-replica/src/catchup.rs
@@ -0,0 +1,161 @@
+//! What a router that returns may believe, and whom it asks. It knows all only once two peers, or the one that there is, held the
+//! same as it does; until then whoever is not found in its copy may have written, and its reads go to the primary.
+use std::collections::BTreeSet;
+
+/// What the disk held, as far as it could be read.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Stored {
+    /// Nothing, cut short, or spoilt.
+    Lost,
+    /// Whole in itself: the life that wrote it, its last number, and whether that life said at its end that this is all.
+    Whole { life: u64, number: u64, ended: bool },
+}
+
+/// What is known of this instance's former life from elsewhere: a witness file that is not backed up with the copy, and peers.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Witness {
+    /// The last life that began, and the last number that it put down.
+    pub file: Option<(u64, u64)>,
+    /// The highest life of ours, before this one, that any peer met.
+    pub peers: Option<u64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Belief {
+    /// Its facts are taken up, and what is not found was not written.
+    All,
+    /// Its facts are taken up, for facts bind whoever reads them to more; what is not found may have been written.
+    Some,
+    /// As good as nothing.
+    None,
+}
+
+/// How far a copy from the disk is believed. A copy that is whole and old looks like one that is whole and new: only what was
+/// kept apart from it tells them from each other. Alone and without a witness it says nothing of what it lacks.
+pub fn believe(stored: Stored, witness: Witness) -> Belief {
+    let Stored::Whole { life, number, ended } = stored else { return Belief::None };
+    let later_life =
+        witness.peers.is_some_and(|met| met > life) || witness.file.is_some_and(|(began, _)| began > life);
+    let later_number = witness.file.is_some_and(|(began, put)| began == life && put > number);
+    let vouched = witness.file.is_some_and(|(began, put)| (began, put) == (life, number));
+    if later_life || later_number || !vouched || !ended {
+        return Belief::Some;
+    }
+    Belief::All
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Standing {
+    /// Nobody was asked yet.
+    New,
+    CatchingUp,
+    /// Knows all that those asked know.
+    InStep,
+    /// Knew all at that time; nobody could be asked since.
+    InStepAsOf(f64),
+    /// Nobody is left that knows: all that is not found counts as written.
+    Careful,
+}
+
+/// Peers that are asked: one may have missed what the other heard.
+const ASKED: usize = 2;
+/// Seconds for a comparison to get on before another is asked, and without anybody before that is said.
+const PATIENCE: f64 = 2.0;
+const NOBODY: f64 = 3.0;
+/// Seconds since a comparison found no difference for which it counts.
+const COUNTS: f64 = 5.0;
+
+#[derive(Clone, Debug)]
+struct Ask {
+    peer: String,
+    since: f64,
+    same: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct CatchUp {
+    own: String,
+    life: u64,
+    began: f64,
+    standing: Standing,
+    asked: Vec<Ask>,
+    tried: BTreeSet<String>,
+    same_at: Option<f64>,
+}
+
+/// Spreads those that return over their peers: each has an order of its own, by its name and life.
+fn weight(own: &str, life: u64, peer: &str) -> u64 {
+    let mut hash = blake3::Hasher::new();
+    hash.update(own.as_bytes());
+    hash.update(&life.to_be_bytes());
+    hash.update(peer.as_bytes());
+    crate::fact::eight(&hash)
+}
+
+impl CatchUp {
+    pub fn new(own: &str, life: u64, believed: Belief, now: f64) -> CatchUp {
+        // All that the former life knew is not all that was written since.
+        let standing = if believed == Belief::All { Standing::InStepAsOf(now) } else { Standing::New };
+        let (asked, tried) = (Vec::new(), BTreeSet::new());
+        CatchUp { own: own.to_string(), life, began: now, standing, asked, tried, same_at: None }
+    }
+
+    pub fn standing(&self) -> Standing {
+        self.standing
+    }
+
+    /// Whether what is not found in the copy was not written. A mark that is found binds in every standing.
+    pub fn knows_all(&self) -> bool {
+        self.standing == Standing::InStep
+    }
+
+    /// Peers with whom a comparison is to go on.
+    pub fn asks(&self) -> impl Iterator<Item = &str> {
+        self.asked.iter().map(|a| a.peer.as_str())
+    }
+
+    /// A comparison with this peer found no difference.
+    pub fn same(&mut self, now: f64, peer: &str) {
+        if let Some(ask) = self.asked.iter_mut().find(|a| a.peer == peer) {
+            ask.same = true;
+            ask.since = now;
+        }
+    }
+
+    /// A look: these peers are there, as far as this router sees.
+    pub fn look(&mut self, now: f64, there: &BTreeSet<String>) {
+        self.asked.retain(|a| there.contains(&a.peer) && (a.same || now < a.since + PATIENCE));
+        // A same of long ago says nothing of now: it is asked again.
+        self.asked.iter_mut().filter(|a| a.same && now > a.since + COUNTS).for_each(|a| a.same = false);
+        let mut order: Vec<&String> = there.iter().filter(|p| **p != self.own).collect();
+        order.sort_by_key(|p| (self.tried.contains(*p), weight(&self.own, self.life, p)));
+        for peer in order {
+            if self.asked.len() >= ASKED {
+                break;
+            }
+            if self.asked.iter().all(|a| a.peer != *peer) {
+                self.asked.push(Ask { peer: peer.clone(), since: now, same: false });
+                self.tried.insert(peer.clone());
+            }
+        }
+        if self.tried.len() >= there.len() {
+            self.tried.clear();
+        }
+        let wanted = there.iter().filter(|p| **p != self.own).count().min(ASKED);
+        let whole = wanted > 0 && self.asked.iter().filter(|a| a.same).count() >= wanted;
+        self.standing = match self.standing {
+            _ if whole => {
+                self.same_at = Some(now);
+                Standing::InStep
+            }
+            Standing::InStep => Standing::InStepAsOf(self.same_at.unwrap_or(now)),
+            Standing::InStepAsOf(at) if wanted == 0 || now < at + COUNTS => Standing::InStepAsOf(at),
+            Standing::New | Standing::Careful if wanted == 0 => match now >= self.began + NOBODY {
+                true => Standing::Careful,
+                false => self.standing,
+            },
+            _ if wanted == 0 => Standing::Careful,
+            _ => Standing::CatchingUp,
+        };
+    }
+}
--- /dev/null
+++ b/crates/sandstile-replica/src/lib.rs
@@ -0,0 +1,18 @@
+//! State that matters, kept by all routers: facts that merge whatever order they come in, what differs between two copies found
+//! without sending all, deltas that a slow peer can't lose, and what a router that returns may believe when. Pure: no socket, no
+//! disk, no clock; times are seconds of the caller's, and nothing is ordered by a clock of another.
+pub mod catchup;
+pub mod deltas;
+pub mod fact;
+pub mod sketch;
+pub mod state;
+pub mod talk;
+pub mod tree;
+pub mod wire;
+
+pub use catchup::{CatchUp, Standing};
+pub use deltas::Deltas;
+pub use fact::{Fact, Key, Kind, Value};
+pub use state::{Came, Replica};
+pub use talk::{Message, Talk};
+pub use tree::Tree;
--- /dev/null
+++ b/crates/sandstile-replica/src/state.rs
@@ -0,0 +1,263 @@
+//! One copy of all facts.
+use crate::fact::{Fact, Joined, Key, Kind, Value, KINDS};
+use crate::tree::{leaf, Tree};
+use imbl::{OrdMap, OrdSet};
+use std::collections::BTreeMap;
+
+/// What became of a fact that came in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Came {
+    New,
+    /// It was known, or more was.
+    Known,
+    /// It contradicts what its own writer said: kept as evidence, the more careful stands.
+    Conflict,
+    /// Of no use: over already, of a sort that its kind does not have, or from the future.
+    Refused,
+}
+
+/// A difference that no merge explains.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Evidence {
+    pub key: Key,
+    pub held: Value,
+    pub came: Value,
+    pub at: f64,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub conflicts: u64,
+    pub refused: u64,
+    /// Facts that were given up for want of room.
+    pub given_up: u64,
+    pub forgotten: u64,
+}
+
+/// Evidence that is kept at the most.
+const MOST_EVIDENCE: usize = 64;
+/// Seconds by which a position may be ahead of our clock; hosts' clocks and ours are no better than that.
+const AHEAD: f64 = 3600.0;
+/// A life counts microseconds; one that is ahead by more than a day was drawn by no clock.
+const LIFE_AHEAD: f64 = 86_400.0 * 1e6;
+
+#[derive(Clone)]
+pub struct Replica {
+    facts: OrdMap<Key, Fact>,
+    /// Keys by their hashes, for what is compared.
+    by_hash: OrdMap<u64, Key>,
+    tree: Tree,
+    /// Keys in the order of their last change.
+    log: OrdMap<u64, Key>,
+    changed: OrdMap<Key, u64>,
+    number: u64,
+    /// By kind, what goes first: what is least careful, then what is oldest.
+    order: BTreeMap<Kind, OrdSet<(u8, u64, Key)>>,
+    /// Marks of at most this position were given up: whoever is not found may have been among them.
+    pub lost_to: f64,
+    horizon: f64,
+    evidence: Vec<Evidence>,
+    counts: Counts,
+}
+
+impl Replica {
+    /// `horizon` in seconds: how far replicas may lag.
+    pub fn new(horizon: f64) -> Replica {
+        Replica {
+            facts: OrdMap::new(),
+            by_hash: OrdMap::new(),
+            tree: Tree::default(),
+            log: OrdMap::new(),
+            changed: OrdMap::new(),
+            number: 0,
+            order: KINDS.iter().map(|kind| (*kind, OrdSet::new())).collect(),
+            lost_to: 0.0,
+            horizon,
+            evidence: Vec::new(),
+            counts: Counts::default(),
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.facts.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.facts.is_empty()
+    }
+
+    pub fn get(&self, key: &Key) -> Option<&Fact> {
+        self.facts.get(key)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (&Key, &Fact)> {
+        self.facts.iter()
+    }
+
+    pub fn tree(&self) -> &Tree {
+        &self.tree
+    }
+
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    pub fn evidence(&self) -> &[Evidence] {
+        &self.evidence
+    }
+
+    /// Equal copies have equal ones.
+    pub fn digest(&self) -> u64 {
+        self.tree.root()
+    }
+
+    /// The number of its last change.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    fn rank(fact: &Fact) -> (u8, u64) {
+        let age = match &fact.value {
+            Value::Seen(seen) => seen.latest(),
+            Value::Most(most) => *most,
+            Value::Said(_) => fact.born,
+        };
+        let careful = match &fact.value {
+            Value::Said(said) => said.careful,
+            _ => 0,
+        };
+        // Bits of floats above zero sort as the floats do.
+        (careful, age.max(0.0).to_bits())
+    }
+
+    /// Puts a fact in the place of the one that is there.
+    fn place(&mut self, key: &Key, fact: Option<Fact>) {
+        let hash = key.hash();
+        let former = self.facts.get(key).cloned();
+        let sum = |f: &Option<Fact>| f.as_ref().map_or(0, |f| f.hash(key));
+        self.tree.change(hash, sum(&former), sum(&fact));
+        if let Some(order) = self.order.get_mut(&key.kind) {
+            if let Some(former) = &former {
+                let (careful, age) = Self::rank(former);
+                order.remove(&(careful, age, key.clone()));
+            }
+            if let Some(fact) = &fact {
+                let (careful, age) = Self::rank(fact);
+                order.insert((careful, age, key.clone()));
+            }
+        }
+        let before = self.changed.remove(key);
+        if let Some(before) = before {
+            self.log.remove(&before);
+        }
+        match fact {
+            Some(fact) => {
+                self.number += 1;
+                self.log.insert(self.number, key.clone());
+                self.changed.insert(key.clone(), self.number);
+                self.by_hash.insert(hash, key.clone());
+                self.facts.insert(key.clone(), fact);
+            }
+            None => {
+                self.by_hash.remove(&hash);
+                self.facts.remove(key);
+            }
+        }
+    }
+
+    fn usable(&self, key: &Key, fact: &Fact, now: f64) -> bool {
+        let ahead = match &fact.value {
+            Value::Seen(seen) => seen.latest().is_finite() && seen.latest() > now + AHEAD,
+            Value::Most(most) if key.kind == Kind::Floor => *most > now + AHEAD,
+            Value::Most(life) => *life > now * 1e6 + LIFE_AHEAD,
+            Value::Said(said) => said.life as f64 > now * 1e6 + LIFE_AHEAD,
+        };
+        key.sound()
+            && fact.value.fits(key.kind)
+            && !ahead
+            && fact.born <= now
+            && !fact.over(key.kind, now, self.horizon)
+    }
+
+    /// A fact, ours or another's.
+    pub fn learn(&mut self, now: f64, key: &Key, fact: &Fact) -> Came {
+        if !self.usable(key, fact, now) {
+            self.counts.refused += 1;
+            return Came::Refused;
+        }
+        let Some(held) = self.facts.get(key) else {
+            self.place(key, Some(fact.clone()));
+            self.make_room(key.kind);
+            return Came::New;
+        };
+        let (before, mut joined) = (held.clone(), held.clone());
+        match joined.join(fact) {
+            Joined::Same => {
+                if joined.born < before.born {
+                    // As old as it was first, and no news to anybody.
+                    self.facts.insert(key.clone(), joined);
+                }
+                Came::Known
+            }
+            Joined::More => {
+                self.place(key, Some(joined));
+                Came::New
+            }
+            Joined::Conflict => {
+                self.counts.conflicts += 1;
+                if self.evidence.len() < MOST_EVIDENCE {
+                    let (held, came) = (before.value.clone(), fact.value.clone());
+                    self.evidence.push(Evidence { key: key.clone(), held, came, at: now });
+                }
+                if joined != before {
+                    self.place(key, Some(joined));
+                }
+                Came::Conflict
+            }
+        }
+    }
+
+    fn make_room(&mut self, kind: Kind) {
+        while self.order.get(&kind).is_some_and(|order| order.len() > kind.most()) {
+            let Some((_, _, key)) = self.order.get(&kind).and_then(|o| o.get_min().cloned()) else { return };
+            if let Some(Value::Seen(seen)) = self.facts.get(&key).map(|f| &f.value) {
+                // Unknown goes to the primary: nobody may be taken for one that has written nothing.
+                self.lost_to = self.lost_to.max(seen.latest());
+            }
+            self.counts.given_up += 1;
+            self.place(&key, None);
+        }
+    }
+
+    /// Lets go of what says nothing any more.
+    pub fn forget(&mut self, now: f64) -> usize {
+        let over: Vec<Key> = self
+            .facts
+            .iter()
+            .filter(|(k, f)| f.over(k.kind, now, self.horizon))
+            .map(|(k, _)| k.clone())
+            .collect();
+        over.iter().for_each(|key| self.place(key, None));
+        self.counts.forgotten += over.len() as u64;
+        over.len()
+    }
+
+    /// Hashes of the keys of one leaf, each with that of its fact.
+    pub fn of_leaf(&self, at: usize) -> Vec<(u64, u64)> {
+        let from = (at as u64) << 48;
+        let to = from | (u64::MAX >> 16);
+        let all = self.by_hash.range(from..=to).filter(|(hash, _)| leaf(**hash) == at);
+        all.filter_map(|(hash, key)| Some((*hash, self.facts.get(key)?.hash(key)))).collect()
+    }
+
+    pub fn by_hash(&self, hash: u64) -> Option<(&Key, &Fact)> {
+        let key = self.by_hash.get(&hash)?;
+        Some((key, self.facts.get(key)?))
+    }
+
+    /// What has changed behind this number, the earliest first, with the number of each.
+    pub fn changes(&self, behind: u64) -> impl Iterator<Item = (u64, &Key, &Fact)> {
+        let from = behind.saturating_add(1);
+        self.log.range(from..).filter_map(|(number, key)| Some((*number, key, self.facts.get(key)?)))
+    }
+}
--- /dev/null
+++ b/crates/sandstile-replica/src/talk.rs
@@ -0,0 +1,138 @@
+//! What two copies tell each other. A comparison begins with one number and comes down, sixteen ranges at a time, to the few facts
+//! that differ; either may begin one at any time, and all of it may be lost or said twice: what is left is found by the next.
+use crate::fact::{Fact, Key};
+use crate::state::{Came, Replica};
+use crate::tree::{LEVELS, WIDE};
+use crate::wire::MOST_ENTRIES;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Message {
+    /// All that we hold, in one number.
+    Root(u64),
+    /// We hold the same.
+    Same(u64),
+    /// The sums of a node's children here.
+    Node {
+        level: u8,
+        node: u32,
+        sums: [u64; WIDE],
+    },
+    /// All keys of a leaf here, with their facts, by their hashes.
+    Leaf {
+        at: u32,
+        hashes: Vec<(u64, u64)>,
+    },
+    /// Facts of these keys are to be sent.
+    Want(Vec<u64>),
+    Facts(Vec<(Key, Fact)>),
+    /// Changes up to this number of the sender's, none left out since those that were acknowledged.
+    Deltas {
+        upto: u64,
+        facts: Vec<(Key, Fact)>,
+    },
+    Ack(u64),
+}
+
+/// Facts in one message: some 100 bytes each.
+pub const AT_ONCE: usize = 512;
+
+/// One side of a conversation.
+#[derive(Clone, Debug, Default)]
+pub struct Talk {
+    /// When the other held the same, last; on the caller's clock.
+    pub same_at: Option<f64>,
+    /// Facts that came and were refused, or spoilt.
+    pub refused: u64,
+    pub learnt: u64,
+}
+
+impl Talk {
+    pub fn begin(replica: &Replica) -> Message {
+        Message::Root(replica.digest())
+    }
+
+    /// Takes a message in; yields what is to be said to it.
+    pub fn hear(&mut self, now: f64, replica: &mut Replica, message: Message) -> Vec<Message> {
+        let mut out = Vec::new();
+        match message {
+            Message::Root(sum) if sum == replica.digest() => {
+                self.same_at = Some(now);
+                out.push(Message::Same(sum));
+            }
+            Message::Root(_) => out.extend(Self::node(replica, 0, 0)),
+            Message::Same(sum) => {
+                // It may have been so when it was said.
+                if sum == replica.digest() {
+                    self.same_at = Some(now);
+                }
+            }
+            Message::Node { level, node, sums } => {
+                let (level, node) = (usize::from(level), node as usize);
+                let Some(ours) = replica.tree().children(level, node) else { return out };
+                for (n, (mine, theirs)) in ours.iter().zip(&sums).enumerate() {
+                    if mine != theirs {
+                        let below = node * WIDE + n;
+                        match level + 1 < LEVELS {
+                            true => out.extend(Self::node(replica, level + 1, below)),
+                            false => out.push(Self::leaf(replica, below)),
+                        }
+                    }
+                }
+            }
+            Message::Leaf { at, hashes } => self.compare(replica, at as usize, &hashes, &mut out),
+            Message::Want(hashes) => {
+                let all: Vec<(Key, Fact)> = hashes
+                    .iter()
+                    .filter_map(|h| replica.by_hash(*h))
+                    .map(|(key, fact)| (key.clone(), fact.clone()))
+                    .collect();
+                out.extend(all.chunks(AT_ONCE).map(|some| Message::Facts(some.to_vec())));
+            }
+            Message::Facts(facts) => self.learn(now, replica, &facts),
+            Message::Deltas { upto, facts } => {
+                self.learn(now, replica, &facts);
+                out.push(Message::Ack(upto));
+            }
+            Message::Ack(_) => {}
+        }
+        out
+    }
+
+    fn learn(&mut self, now: f64, replica: &mut Replica, facts: &[(Key, Fact)]) {
+        for (key, fact) in facts {
+            match replica.learn(now, key, fact) {
+                Came::Refused => self.refused += 1,
+                Came::New | Came::Conflict => self.learnt += 1,
+                Came::Known => {}
+            }
+        }
+    }
+
+    fn node(replica: &Replica, level: usize, node: usize) -> Option<Message> {
+        let sums = replica.tree().children(level, node)?;
+        Some(Message::Node { level: level as u8, node: node as u32, sums })
+    }
+
+    fn leaf(replica: &Replica, at: usize) -> Message {
+        let mut hashes = replica.of_leaf(at);
+        hashes.truncate(MOST_ENTRIES / 2);
+        Message::Leaf { at: at as u32, hashes }
+    }
+
+    /// What they lack is sent, what we lack is asked for; what both have and differ on goes both ways.
+    fn compare(&self, replica: &Replica, at: usize, theirs: &[(u64, u64)], out: &mut Vec<Message>) {
+        let ours = replica.of_leaf(at);
+        let has = |all: &[(u64, u64)], one: &(u64, u64)| all.contains(one);
+        let wanted: Vec<u64> = theirs.iter().filter(|one| !has(&ours, one)).map(|(key, _)| *key).collect();
+        let lacking: Vec<(Key, Fact)> = ours
+            .iter()
+            .filter(|one| !has(theirs, one))
+            .filter_map(|(key, _)| replica.by_hash(*key))
+            .map(|(key, fact)| (key.clone(), fact.clone()))
+            .collect();
+        if !wanted.is_empty() {
+            out.push(Message::Want(wanted));
+        }
+        out.extend(lacking.chunks(AT_ONCE).map(|some| Message::Facts(some.to_vec())));
+    }
+}
