--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -129,7 +129,7 @@
         }
     }
 
-    /// So many routers share the hosts, as lived; what a host may hold that has yet to be measured follows that.
+    /// So many routers share the hosts, as lived: what a host may hold unmeasured follows that.
     pub fn shared_by(&mut self, routers: f64) {
         self.share_all = 8.0 / routers.max(1.0);
     }
