--- a/crates/sandstile-audit/src/agreement.rs
+++ b/crates/sandstile-audit/src/agreement.rs
@@ -203,10 +203,13 @@
             just || (side.len() == 1 && held.get(n).is_some_and(knows))
         })
     };
+    // Starts and sights in the order of their times: whatever a former life saw is gone with it.
+    let mut events: Vec<(f64, usize, Option<&Sight>)> = started.iter().map(|(t, n)| (*t, *n, None)).collect();
+    events.extend(sights.iter().map(|s| (s.t - begin, s.router, Some(*s))));
+    events.sort_by(|a, b| a.0.total_cmp(&b.0));
     let (mut agreed, mut since) = (false, epoch.from);
     let mut looked = false;
-    for s in sights {
-        let t = s.t - begin;
+    for (t, router, sight) in events {
         if t >= epoch.to {
             break;
         }
@@ -214,14 +217,21 @@
             looked = true;
             (agreed, since) = (whole(&held), epoch.from);
         }
-        let former = held.insert(s.router, s);
+        let Some(sight) = sight else {
+            held.remove(&router);
+            if t >= epoch.from {
+                agreed = whole(&held);
+            }
+            continue;
+        };
+        let former = held.insert(router, sight);
         if t < epoch.from {
             continue;
         }
-        let fresh = started.iter().any(|(at, n)| *n == s.router && *at > epoch.from);
-        if let (Some(former), Some(side)) = (former.filter(|_| !fresh), side.get(&s.router)) {
-            let lost = former.there.difference(&s.there).filter(|n| side.contains(n) && t > epoch.from + OLD);
-            epoch.false_deaths.extend(lost.map(|n| (t, s.router, *n)));
+        if let (Some(former), Some(side)) = (former, side.get(&router)) {
+            let lost = former.there.difference(&sight.there);
+            let lost = lost.filter(|n| side.contains(n) && t > epoch.from + OLD);
+            epoch.false_deaths.extend(lost.map(|n| (t, router, *n)));
         }
         let now = whole(&held);
         if now && !agreed {
--- a/crates/sandstile-audit/tests/agreement.rs
+++ b/crates/sandstile-audit/tests/agreement.rs
@@ -86,3 +86,20 @@
     assert_eq!(after[1..], [Some(1.4), Some(0.4), None], "{found}");
     assert_eq!((found.never(), found.false_deaths()), (1, 0));
 }
+
+/// One that is back before anybody missed it knows nobody all the same, until it says otherwise.
+#[test]
+fn what_a_former_life_saw_is_gone_with_it() {
+    let lines = calm()
+        + "\n"
+        + &router(110.0, 2, "killed")
+        + "\n"
+        + &router(110.3, 2, "started")
+        + "\n"
+        + &router(110.4, 2, "ready")
+        + &sight(111.2, 2, "settling", &[0, 1]);
+    let found = agreement(&trace(&lines));
+    let last = found.epochs.last().expect("epochs");
+    assert_eq!(last.agreed_after.map(|s| (s * 10.0).round() / 10.0), Some(0.8), "{found}");
+    assert_eq!(found.false_deaths(), 0);
+}
