--- a/crates/sandstile-lab/src/members.rs
+++ b/crates/sandstile-lab/src/members.rs
@@ -134,7 +134,7 @@
         }
     });
     let runs = runs.into_inner().expect("no thread panics under the lock");
-    let mut text = format!(
+    let mut text = String::from(
         "Virtual time, one seed, five kills one after the other (three at 5 members, two at 1,000); letters take 0.5 to 1.5 ms. Means; *by all* the slowest of the kills.\n\n\
          | members | loss | first suspected s | first known s | known by all s | quiet s | false suspicions an hour, of all | false deaths \
          in the quiet time, of all | bytes/s a member |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n"
