--- a/crates/sandstile-audit/src/agreement.rs
+++ b/crates/sandstile-audit/src/agreement.rs
@@ -185,8 +185,6 @@
         epoch.sides.iter().flat_map(|side| side.iter().map(move |n| (*n, side))).collect();
     // What each sees as the epoch goes on; one that has just started knows nobody.
     let mut held: BTreeMap<usize, &Sight> = BTreeMap::new();
-    let mut sights: Vec<_> = trace.sights.iter().collect();
-    sights.sort_by(|a, b| a.t.total_cmp(&b.t));
     let started: Vec<(f64, usize)> = trace
         .routers
         .iter()
@@ -205,7 +203,7 @@
     };
     // Starts and sights in the order of their times: whatever a former life saw is gone with it.
     let mut events: Vec<(f64, usize, Option<&Sight>)> = started.iter().map(|(t, n)| (*t, *n, None)).collect();
-    events.extend(sights.iter().map(|s| (s.t - begin, s.router, Some(*s))));
+    events.extend(trace.sights.iter().map(|s| (s.t - begin, s.router, Some(s))));
     events.sort_by(|a, b| a.0.total_cmp(&b.0));
     let (mut agreed, mut since) = (false, epoch.from);
     let mut looked = false;
--- a/crates/sandstile-membership/src/swim.rs
+++ b/crates/sandstile-membership/src/swim.rs
@@ -328,9 +328,7 @@
         let least = self.terms.suspicion * n.log10().max(1.0) * self.terms.period;
         let most = least * self.terms.slack;
         let said = s.by.len().saturating_sub(1) as f64;
-        // Few members can't be accused by many.
-        let enough = CONFIRMATIONS.min(n - 2.0).max(1.0);
-        let part = ((said + 1.0).ln() / (enough + 1.0).ln()).min(1.0);
+        let part = ((said + 1.0).ln() / (CONFIRMATIONS + 1.0).ln()).min(1.0);
         s.since + (most - (most - least) * part) * f64::from(self.health + 1)
     }
 
--- a/crates/sandstile-peers/tests/peers.rs
+++ b/crates/sandstile-peers/tests/peers.rs
@@ -248,3 +248,35 @@
     assert!(bytes < 500_000, "{bytes} bytes at once");
     assert!(net.peers[0].counts().held_back > 0);
 }
+
+/// Local health makes whoever is cut off slow to hold the others for dead. That it hears nobody it sees at once, and that it is not
+/// heard as soon as it is said dead.
+#[test]
+fn one_that_hears_nobody_or_is_not_heard_knows_it_soon() {
+    let mut net = Net::new(6, None, |_| vec![OLD]);
+    net.play(8.0);
+    net.cut = |a, b| (a == 0) != (b == 0);
+    net.play(2.0);
+    assert_eq!(net.peers[0].view(), View::Alone);
+    assert!(net.peers[0].count() > 1, "it holds some for there yet");
+    net.cut = |_, _| false;
+    net.play(10.0);
+    assert!(net.all(View::Agreed, 6));
+    net.cut = |a, _| a == 0;
+    net.play(7.0);
+    assert!(net.peers[0].view() >= View::CutOff, "{:?}", net.peers[0].report(net.now));
+    assert_eq!(net.peers[0].count(), 6, "it hears all of them");
+}
+
+/// Whoever spoke under the old key is answered under it, and now and then under the new: else both would stay with the old for ever.
+#[test]
+fn the_newest_key_is_tried_now_and_then() {
+    let mut sealer = Sealer::new(vec![NEW, OLD], 1);
+    sealer.heard(at(1), OLD);
+    let letters: Vec<Vec<u8>> = (0..16).map(|_| sealer.seal(at(1), b"x")).collect();
+    let opened = |key| {
+        let mut opener = Opener::new(vec![key], 0.0);
+        letters.iter().filter(|l| opener.open(0.0, l).is_ok()).count()
+    };
+    assert_eq!((opened(OLD), opened(NEW)), (14, 2));
+}
--- a/crates/sandstile-replica/examples/differ.rs
+++ b/crates/sandstile-replica/examples/differ/main.rs
@@ -4,9 +4,12 @@
 //! Bytes both ways, the facts that are sent at last left out of all but *all*: they are the same by any way. Time is that of both
 //! sides on one core, the keeping of sums as facts change not counted for the tree, for it is done by then; sketches are made anew, as
 //! their sizes follow what differs.
+mod sketch;
+
 use oorandom::Rand64;
-use sandstile_replica::sketch::Sketch;
+
 use sandstile_replica::tree::{leaf, Tree, LEVELS, WIDE};
+use sketch::Sketch;
 use std::collections::BTreeMap;
 use std::time::Instant;
 
--- a/crates/sandstile-replica/src/lib.rs
+++ b/crates/sandstile-replica/src/lib.rs
@@ -4,7 +4,6 @@
 pub mod catchup;
 pub mod deltas;
 pub mod fact;
-pub mod sketch;
 pub mod state;
 pub mod talk;
 pub mod tree;
