Relay: what a turn left unread goes on by itself; one planned look for each link

Ruled out: a slow machine (the relay's thread had used no time), ports (connections were up). Lines at fault: carry.rs, Half::read left its loop after TURN pieces or with a full lane and nothing called it again, for the readiness loop tells news once; and each turn of a link pushed another due entry, so that every piece of news began a row of looks of its own while bytes were on their way.

Change: a half remembers that it may hold more and plans its own turn; one planned look for each stream, pair and hub.

--- a/crates/sandstile-relay/src/carry.rs
+++ b/crates/sandstile-relay/src/carry.rs
@@ -42,6 +42,9 @@
     ends: Option<Ends>,
     /// It has no more to say; how it ended.
     heard_end: bool,
+    /// It may hold bytes that were not read yet, for its turn was over or the lane full. The loop tells of news only, never again of
+    /// what it told: without a turn of its own such a rest would lie there for ever.
+    rest: bool,
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -97,6 +100,9 @@
     next: usize,
     /// When a stream, a pair (behind `PAIRS`) or a hub (behind `HUBS`), has something that arrives; in nanoseconds, some long past.
     due: BinaryHeap<Reverse<(u64, usize)>>,
+    /// The one look that is planned for each of them. Every look plans the next: without this each piece of news would start a row of
+    /// looks of its own, and the loop would be busy with looks for as long as something is on its way.
+    planned: BTreeMap<usize, u64>,
     summary: Summary,
 }
 
@@ -122,6 +128,7 @@
             places: BTreeMap::new(),
             next: 1,
             due: BinaryHeap::new(),
+            planned: BTreeMap::new(),
             summary,
         }
     }
@@ -137,6 +144,15 @@
         Token(token)
     }
 
+    /// A look at one of them at that time (seconds), unless one is planned before.
+    fn plan(&mut self, key: usize, at: f64) {
+        let at = (at * 1e9) as u64 + 1;
+        if self.planned.get(&key).is_none_or(|planned| at < *planned) {
+            self.planned.insert(key, at);
+            self.due.push(Reverse((at, key)));
+        }
+    }
+
     fn chance(&mut self) -> u64 {
         self.seed = self.seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
         self.seed
@@ -309,7 +325,7 @@
             next = way.next().map_or(next, |at| at.min(next));
         }
         if next.is_finite() {
-            self.due.push(Reverse(((next * 1e9) as u64 + 1, HUBS + hub)));
+            self.plan(HUBS + hub, next);
         }
     }
 
@@ -375,18 +391,22 @@
         }
         let due = s.halves.iter().filter(|h| h.out.is_empty() && h.up).filter_map(|h| h.lane.next());
         let due = due.reduce(f64::min);
+        let [near, far] = &s.halves;
+        let goes_on = near.unread(far) || far.unread(near);
+        let due = if goes_on { Some(now) } else { due };
         let done = |h: &Half| h.socket.is_none() || (h.heard_end && h.ends.is_none());
         over |= s.halves[1].socket.is_some() && s.halves.iter().all(done);
         if over {
             return self.drop_stream(key, true);
         }
         if let Some(at) = due {
-            self.due.push(Reverse(((at.max(now) * 1e9) as u64 + 1, key)));
+            self.plan(key, at.max(now));
         }
     }
 
     fn drop_stream(&mut self, key: usize, resets: bool) {
         let Some(s) = self.streams.remove(&key) else { return };
+        self.planned.remove(&key);
         self.places.retain(|_, place| !matches!(place, Place::Half(of, _) if *of == key));
         for half in s.halves {
             // One that both have ended in order leaves nothing to reset.
@@ -403,6 +423,10 @@
                 return;
             }
             self.due.pop();
+            if self.planned.get(&key) != Some(&at) {
+                continue;
+            }
+            self.planned.remove(&key);
             if key >= HUBS {
                 self.hand_out(key - HUBS);
             } else if key >= PAIRS {
@@ -444,7 +468,7 @@
             }
         }
         if let Some(at) = p.ways.iter().filter_map(Datagrams::next).reduce(f64::min) {
-            self.due.push(Reverse(((at * 1e9) as u64 + 1, PAIRS + pair)));
+            self.plan(PAIRS + pair, at);
         }
     }
 }
@@ -459,6 +483,7 @@
             sent: 0,
             ends: None,
             heard_end: false,
+            rest: false,
         }
     }
 
@@ -479,10 +504,16 @@
         }
     }
 
+    /// Bytes may wait in its socket, and the way to the other has room for them.
+    fn unread(&self, other: &Half) -> bool {
+        self.rest && self.up && self.socket.is_some() && !self.heard_end && other.lane.room() > 0
+    }
+
     /// Takes what has come and puts it on the way to the other half; yields how much.
     fn read(&mut self, now: f64, other: &mut Half, weather: &Weather) -> u64 {
         let mut bytes = [0; PIECE];
         let mut all = 0;
+        self.rest = true;
         for _ in 0..TURN {
             let room = other.lane.room().min(PIECE);
             let Some(socket) = self.socket.as_mut().filter(|_| self.up && !self.heard_end && room > 0) else {
@@ -497,7 +528,10 @@
                     all += n as u64;
                     other.lane.push(now, &bytes[..n], weather);
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    self.rest = false;
+                    break;
+                }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(_) => {
                     self.heard_end = true;
--- a/crates/sandstile-relay/tests/links.rs
+++ b/crates/sandstile-relay/tests/links.rs
@@ -72,6 +72,29 @@
     assert_eq!((summary.streams, summary.bytes), (1, 6_000_000));
 }
 
+/// More than a turn takes has come before the relay may pass it on, and nothing comes after it: no news tells of the rest.
+#[test]
+fn what_a_turn_left_over_is_read_without_news() {
+    const ALL: usize = 700_000;
+    let relay = Relay::start(1).unwrap();
+    let target = TcpListener::bind("127.0.0.1:0").unwrap();
+    let free = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    relay.stream(End::Router(0), End::Agent(0), free, target.local_addr().unwrap()).unwrap();
+    relay.begin(1, between(false), Strike::Cut);
+    let mut stream = dial(free);
+    // As much as the relay holds during a cut and the sockets beside it: the write does not wait for the heal.
+    stream.write_all(&vec![7; ALL]).unwrap();
+    stream.shutdown(std::net::Shutdown::Write).unwrap();
+    relay.heal(1);
+    // One that says nothing until it has heard all, so that the relay hears no news from there either.
+    let (mut far, _) = target.accept().unwrap();
+    far.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    let mut got = Vec::new();
+    far.read_to_end(&mut got).unwrap();
+    assert_eq!(got.len(), ALL);
+    relay.stop().unwrap();
+}
+
 #[test]
 fn a_cut_holds_back_and_a_heal_lets_go() {
     let relay = Relay::start(1).unwrap();
