--- a/crates/sandstile-audit/src/agreement.rs
+++ b/crates/sandstile-audit/src/agreement.rs
@@ -88,7 +88,7 @@
     Cut(usize, bool),
 }
 
-fn epochs(trace: &Trace, begin: f64, end: f64) -> Vec<Epoch> {
+pub(crate) fn epochs(trace: &Trace, begin: f64, end: f64) -> Vec<Epoch> {
     let mut events: Vec<(f64, String, Event)> = Vec::new();
     for (t, n, state) in &trace.routers {
         let word = match state {
@@ -152,15 +152,19 @@
     out
 }
 
+/// The lab ends its routers one after the other: from the first that does not come back the evening is over.
+pub(crate) fn end_of(trace: &Trace, end: f64) -> f64 {
+    let ready = |t: f64| trace.routers.iter().any(|(at, _, s)| *at > t && matches!(s, RouterState::Ready));
+    let terms_at = trace.routers.iter().filter(|(_, _, s)| matches!(s, RouterState::Term)).map(|(t, ..)| *t);
+    terms_at.filter(|t| !ready(*t)).fold(end, f64::min)
+}
+
 /// Looks at a whole trace; nothing where no router told whom it sees.
 pub fn agreement(trace: &Trace) -> Agreement {
     let Some(terms) = trace.terms.as_ref().filter(|_| !trace.sights.is_empty()) else {
         return Agreement::default();
     };
-    // The lab ends its routers one after the other: from the first that does not come back the evening is over.
-    let ready = |t: f64| trace.routers.iter().any(|(at, _, s)| *at > t && matches!(s, RouterState::Ready));
-    let terms_at = trace.routers.iter().filter(|(_, _, s)| matches!(s, RouterState::Term)).map(|(t, ..)| *t);
-    let end = terms_at.filter(|t| !ready(*t)).fold(terms.end, f64::min);
+    let end = end_of(trace, terms.end);
     let mut out = Agreement { epochs: epochs(trace, terms.begin, end), ..Agreement::default() };
     let mut sights: Vec<_> = trace.sights.iter().collect();
     sights.sort_by(|a, b| a.t.total_cmp(&b.t));
--- a/crates/sandstile-audit/src/trace.rs
+++ b/crates/sandstile-audit/src/trace.rs
@@ -142,6 +142,21 @@
     pub sharers: Option<f64>,
 }
 
+/// How the state stood that a router keeps with others.
+#[derive(Clone, Debug)]
+pub struct Copy {
+    pub t: f64,
+    pub router: usize,
+    pub standing: String,
+    pub facts: f64,
+    /// The sum of what is older than `as_of`.
+    pub digest: String,
+    pub as_of: f64,
+    pub bytes_out: f64,
+    pub contradictions: f64,
+    pub old_copy: bool,
+}
+
 /// Seconds after a heal in which what a link held back still arrives: a retransmission, and what queues behind it.
 const SETTLES: f64 = 1.0;
 
@@ -166,6 +181,7 @@
     pub cues: Vec<(f64, String)>,
     pub links: Vec<LinkFault>,
     pub sights: Vec<Sight>,
+    pub copies: Vec<Copy>,
     /// Dials, handshakes and probes at hosts.
     pub asked_of_hosts: Vec<(f64, String, &'static str)>,
     /// When routers asked for lists.
@@ -309,6 +325,17 @@
                 there: numbers(&json["there"]).collect(),
                 sharers: json["sharers"].as_f64(),
             }),
+            "kept" => self.copies.push(Copy {
+                t,
+                router: number("number")? as usize,
+                standing: text("standing")?,
+                facts: number("facts")?,
+                digest: text("digest")?,
+                as_of: number("as_of")?,
+                bytes_out: number("bytes_out")?,
+                contradictions: number("contradictions")?,
+                old_copy: json["old_copy"].as_bool().unwrap_or(false),
+            }),
             "held" => self.held.push(Weight {
                 t,
                 router: number("number")? as usize,
--- a/crates/sandstile-emulator/src/lib.rs
+++ b/crates/sandstile-emulator/src/lib.rs
@@ -8,4 +8,6 @@
 pub mod speech;
 
 pub use clock::Clock;
-pub use run::{members_address, router_address, Emulator, Handle, Note, Record, Summary, What};
+pub use run::{
+    exchange_address, members_address, router_address, Emulator, Handle, Note, Record, Summary, What,
+};
--- a/crates/sandstile-emulator/src/run.rs
+++ b/crates/sandstile-emulator/src/run.rs
@@ -249,6 +249,16 @@
     (at, found_at)
 }
 
+/// Where a router takes what another tells it of sessions, and where that other finds it: each over a relay of its own, where
+/// links may fail.
+pub fn exchange_address(net: u8, number: usize, by: usize, relayed: bool) -> (SocketAddr, SocketAddr) {
+    let mut at = router_address(net, number);
+    at.set_port(7434);
+    let mut found_at = at;
+    found_at.set_port(if relayed { RELAYS + 100 + by as u16 } else { 7434 });
+    (at, found_at)
+}
+
 impl Emulator {
     /// Hosts at 127.A.B.*, agents at 127.A.(B+50+move).*, with A and B as told.
     pub fn new(
@@ -311,6 +321,15 @@
             };
             relay.hub((0..script.routers.count).map(spot).collect())?;
         }
+        if let Some(relay) = emulator.relay.as_ref().filter(|_| script.sessions.exchange) {
+            let all = 0..script.routers.count;
+            for (by, number) in all.clone().flat_map(|by| all.clone().map(move |n| (by, n))) {
+                if by != number {
+                    let (at, found_at) = exchange_address(net.0, number, by, true);
+                    relay.stream(End::Router(by), End::Router(number), found_at, at)?;
+                }
+            }
+        }
         Ok(emulator)
     }
 
--- a/crates/sandstile-exchange/src/lib.rs
+++ b/crates/sandstile-exchange/src/lib.rs
@@ -18,12 +18,29 @@
 const MARK: usize = 25;
 /// Marks in one frame at the most.
 pub const MOST_MARKS: usize = 2000;
-const MOST_FRAME: usize = 1 + MOST_MARKS * MARK + PROOF;
+const MOST_FRAME: usize = 1 + MOST_STATE + PROOF;
 
 const WHO: u8 = 1;
 const MARKS: u8 = 2;
 const WHOLE: u8 = 3;
 const FAREWELL: u8 = 4;
+const STATE: u8 = 5;
+
+/// Bytes of one message on kept state at the most.
+pub const MOST_STATE: usize = 256 * 1024;
+/// How the name of an instance ends that keeps state with others. Those of the first version take it for part of a life's name and tell
+/// it what they always told; nobody says anything of the second version to one whose name ends otherwise.
+const KEEPS: &str = "~2";
+
+/// The name under which an instance that keeps state is found by others.
+pub fn keeping(name: &str) -> String {
+    format!("{name}{KEEPS}")
+}
+
+/// Whether the instance of this name keeps state with others.
+pub fn keeps(name: &str) -> bool {
+    name.ends_with(KEEPS)
+}
 
 /// What is wrong with what came; the connection is of no further use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -133,6 +150,11 @@
         self.frame(WHOLE, &[u8::from(of_yours)])
     }
 
+    /// A message on kept state.
+    pub fn state(&mut self, message: &[u8]) -> Vec<u8> {
+        self.frame(STATE, message)
+    }
+
     /// The teller ends in order: all that it knew has been told.
     pub fn farewell(&mut self) -> Vec<u8> {
         self.frame(FAREWELL, &[])
@@ -143,7 +165,11 @@
 pub enum Heard {
     Who(String),
     Marks(Vec<(Key, Seen)>),
-    Whole { of_yours: bool },
+    Whole {
+        of_yours: bool,
+    },
+    /// A message on kept state.
+    State(Vec<u8>),
     Farewell,
 }
 
@@ -214,6 +240,7 @@
             Ok(Heard::Marks(marks.chunks_exact(MARK).map(one).collect()))
         }
         (WHOLE, [flag]) => Ok(Heard::Whole { of_yours: *flag == 1 }),
+        (STATE, message) if message.len() <= MOST_STATE => Ok(Heard::State(message.to_vec())),
         (FAREWELL, []) => Ok(Heard::Farewell),
         _ => Err(Wrong::Form),
     }
--- a/crates/sandstile-experiment/src/plan.rs
+++ b/crates/sandstile-experiment/src/plan.rs
@@ -99,12 +99,14 @@
     let mut arms = Vec::new();
     for s in file.blocks("arm", true) {
         let count = |key: &str, most: f64| s.has(key).then(|| s.count(key, 0.0..most, 0));
-        let off = Remembering { tokens: false, journal: false };
+        let off = Remembering::OFF;
         let words = [
             ("off", off),
             ("tokens", Remembering { tokens: true, ..off }),
             ("journal", Remembering { journal: true, ..off }),
-            ("both", Remembering { tokens: true, journal: true }),
+            ("both", Remembering { tokens: true, journal: true, ..off }),
+            ("exchange", Remembering { exchange: true, ..off }),
+            ("state", Remembering { exchange: true, state: true, ..off }),
         ];
         arms.push(Arm {
             name: s.name.clone(),
--- /dev/null
+++ b/crates/sandstile-keeper/src/lib.rs
@@ -0,0 +1,8 @@
+//! One router among those that keep the same: what it tells to whom and when, whom it asks after a start, and what it may believe
+//! until then. Facts, joins and comparisons are `sandstile-replica`; here they meet links that come and go, rates and patience. Pure:
+//! messages go in and out as bytes, times are the caller's.
+mod keeper;
+mod near;
+
+pub use keeper::{Counts, Keeper, News, Terms};
+pub use near::near;
--- a/crates/sandstile-lab/src/book.rs
+++ b/crates/sandstile-lab/src/book.rs
@@ -59,6 +59,17 @@
         there: Vec<usize>,
         sharers: Option<f64>,
     },
+    /// How the state stands that a router keeps with others, as it says itself. `digest` is of what is older than `as_of`.
+    Kept {
+        number: usize,
+        standing: String,
+        facts: u64,
+        digest: String,
+        as_of: f64,
+        bytes_out: u64,
+        contradictions: u64,
+        old_copy: bool,
+    },
     End {
         unsound: Option<String>,
     },
--- a/crates/sandstile-lab/src/clients.rs
+++ b/crates/sandstile-lab/src/clients.rs
@@ -275,6 +275,9 @@
     /// The first open door from home on.
     fn door(&self, home: usize) -> usize {
         let n = self.doors.len();
+        if self.script.clients.pinned {
+            return home;
+        }
         (0..n).map(|k| (home + k) % n).find(|d| self.doors[*d].open.load(SeqCst)).unwrap_or(home)
     }
 
--- a/crates/sandstile-lab/src/main.rs
+++ b/crates/sandstile-lab/src/main.rs
@@ -484,6 +484,7 @@
     println!("within 10 s of a restart: {} checked, {} by replicas", own.soon, own.soon_by_replicas);
     println!("\n{}", sandstile_audit::returning(&trace));
     println!("{}", sandstile_audit::agreement(&trace));
+    print!("{}", sandstile_audit::copies(&trace));
     let broken = findings.iter().filter(|f| strict || f.rule.binds()).count();
     println!("{} statements, {} lines, {broken} broken", trace.statements.len(), trace.lines);
     Ok(ExitCode::from(u8::from(broken > 0)))
--- a/crates/sandstile-lab/src/processes.rs
+++ b/crates/sandstile-lab/src/processes.rs
@@ -1,7 +1,7 @@
 //! Router processes: their configuration, start, end, and whether they are ready.
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
-use sandstile_emulator::{members_address, Clock};
+use sandstile_emulator::{exchange_address, members_address, Clock};
 use sandstile_fleet::plan::{Consistency, Effect, Tokens};
 use sandstile_pgwire as pg;
 use sandstile_scenario::Script;
@@ -90,7 +90,7 @@
         beside += &members(script, dir, net, number)?;
     }
     let path = dir.join(format!("router-{number}.hcl"));
-    if !wanted.tokens && !wanted.journal {
+    if !wanted.tokens && !wanted.journal && !wanted.exchange {
         if beside.is_empty() {
             return Ok(None);
         }
@@ -100,16 +100,35 @@
     let keys = keys(script, dir)?;
     let lag = 30;
     let mut text = format!("sessions {{\n  replicas_lag_at_most_s = {lag}\n");
-    if wanted.tokens {
+    if wanted.tokens || wanted.exchange {
         text += &format!("  keys = {:?}\n", keys.display().to_string());
     }
     if wanted.journal {
-        let path = state_file(dir, number);
+        let path = state_file(script, dir, number);
         text += &format!("  journal = {:?}\n  durability = \"before-answer\"\n", path.display().to_string());
         // Only where nobody roams has one router heard of all that a session wrote.
         let stay = script.streams.iter().all(|s| s.roams == 0.0) && script.routers.count == 1;
         text += &format!("  sessions_stay = {stay}\n");
     }
+    if wanted.exchange {
+        let relayed = relayed(script);
+        let others = (0..script.routers.count).filter(|n| *n != number);
+        let peers = others.map(|n| format!("{:?}", exchange_address(net, n, number, relayed).1.to_string()));
+        text += &format!(
+            "  sessions_stay = true\n  exchange {{\n    listen = \"{}\"\n    peers = [{}]\n  }}\n",
+            exchange_address(net, number, number, relayed).0,
+            peers.collect::<Vec<_>>().join(", ")
+        );
+    }
+    if wanted.state {
+        let file = state_file(script, dir, number);
+        text += &format!(
+            "  state {{\n    dir = {:?}\n    witness = {:?}\n    control = {:?}\n  }}\n",
+            file.parent().unwrap_or(dir).display().to_string(),
+            dir.join(format!("router-{number}.witness")).display().to_string(),
+            state_socket(net, number).display().to_string(),
+        );
+    }
     fs::write(&path, text + "}\n" + &beside)?;
     Ok(Some(path))
 }
@@ -133,7 +152,7 @@
 
 /// Peers are found over relays where any link may fail; the first three are seeds.
 fn members(script: &Script, dir: &Path, net: u8, number: usize) -> io::Result<String> {
-    let relayed = script.cues.iter().any(|c| matches!(c.act, sandstile_scenario::script::Act::Link { .. }));
+    let relayed = relayed(script);
     let (at, found_at) = members_address(net, number, relayed);
     let seeds = (0..script.routers.count.min(3))
         .map(|n| format!("{:?}", members_address(net, n, relayed).1.to_string()));
@@ -153,9 +172,21 @@
     std::env::temp_dir().join(format!("sandstile-{}-{net}-{number}.sock", std::process::id()))
 }
 
+fn relayed(script: &Script) -> bool {
+    script.cues.iter().any(|c| matches!(c.act, sandstile_scenario::script::Act::Link { .. }))
+}
+
+/// Where a router is asked for the state that it keeps with others.
+pub fn state_socket(net: u8, number: usize) -> PathBuf {
+    control_socket(net, number).with_extension("state")
+}
+
 /// Where a router keeps what it is to find again.
-pub fn state_file(dir: &Path, number: usize) -> PathBuf {
-    dir.join(format!("router-{number}.marks"))
+pub fn state_file(script: &Script, dir: &Path, number: usize) -> PathBuf {
+    match script.sessions.state {
+        true => dir.join(format!("router-{number}.state")).join("state"),
+        false => dir.join(format!("router-{number}.marks")),
+    }
 }
 
 /// A process of its own that outlives this one by as long as it takes to end the routers that are left: whoever kills
--- a/crates/sandstile-lab/src/rehearse.rs
+++ b/crates/sandstile-lab/src/rehearse.rs
@@ -78,6 +78,9 @@
 
 /// Seconds between looks at whom a router sees.
 const LOOK: f64 = 0.1;
+/// Seconds between looks at the state that routers keep together, and for what is written to be known by all.
+const COMPARES: f64 = 0.25;
+const HEARD: f64 = 1.0;
 /// One turn of a router that is slow: it stands still for its share of this.
 const SLOW_TURN: f64 = 0.05;
 
@@ -125,7 +128,7 @@
                 Ok(())
             }
             Blow::Copy => {
-                let file = processes::state_file(&self.out, number);
+                let file = processes::state_file(&self.script, &self.out, number);
                 match std::fs::copy(&file, file.with_extension("copy")) {
                     Ok(_) => Ok(()),
                     Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(()),
@@ -151,7 +154,7 @@
 
     /// What a process that starts again finds of its state.
     fn state(&self, number: usize, state: State) -> io::Result<()> {
-        let file = processes::state_file(&self.out, number);
+        let file = processes::state_file(&self.script, &self.out, number);
         let Ok(bytes) = std::fs::read(&file) else { return Ok(()) };
         let copy = std::fs::read(file.with_extension("copy")).ok();
         match state.of(bytes, copy.as_deref(), self.script.plan.seed ^ number as u64) {
@@ -238,6 +241,23 @@
         let _ = std::fs::remove_file(socket);
     }
 
+    /// Asks one router how the state stands that it keeps with others, at times that are the same for all.
+    fn compare(&self, number: usize) {
+        let socket = processes::state_socket(self.net, number);
+        let mut round = (self.clock.now() / COMPARES).ceil();
+        while !self.over.load(SeqCst) {
+            thread::sleep(self.clock.until(round * COMPARES));
+            let there = self.routers[number].lock().expect("no thread panics under the lock").is_some();
+            if let Some(line) =
+                there.then(|| sights::copy(&socket, number, round * COMPARES - HEARD)).flatten()
+            {
+                self.book.line(self.clock.now(), line);
+            }
+            round = (round + 1.0).max((self.clock.now() / COMPARES).ceil());
+        }
+        let _ = std::fs::remove_file(socket);
+    }
+
     /// A router that is gone though nobody asked for that.
     fn look_for_crashes(&self) {
         for (number, slot) in self.routers.iter().enumerate() {
@@ -291,6 +311,8 @@
         for end in ["log", "marks", "copy"] {
             let _ = std::fs::remove_file(wanted.out.join(format!("router-{number}.{end}")));
         }
+        let _ = std::fs::remove_file(wanted.out.join(format!("router-{number}.witness")));
+        let _ = std::fs::remove_dir_all(wanted.out.join(format!("router-{number}.state")));
     }
     let clock = Clock::anchor();
     let (book, records, writer) = book::open(&wanted.out.join("trace.jsonl")).map_err(told("the trace"))?;
@@ -330,6 +352,10 @@
             let stage = &stage;
             (0..script.routers.count).for_each(|n| drop(scope.spawn(move || stage.watch(n))));
         }
+        if script.sessions.state {
+            let stage = &stage;
+            (0..script.routers.count).for_each(|n| drop(scope.spawn(move || stage.compare(n))));
+        }
         let (mut next, mut weighs) = (begin + 5.0, begin);
         crew.play(traffic, begin, || {
             stage.look_for_crashes();
--- a/crates/sandstile-lab/src/report.rs
+++ b/crates/sandstile-lab/src/report.rs
@@ -2,7 +2,9 @@
 //! the rig itself was.
 use hdrhistogram::Histogram;
 use sandstile_audit::judge::RULES;
-use sandstile_audit::{agreement, judge, own_reads, returning, service, Finding, Returning, Service, Trace};
+use sandstile_audit::{
+    agreement, copies, judge, own_reads, returning, service, Finding, Returning, Service, Trace,
+};
 use sandstile_emulator::Summary as Emulated;
 use sandstile_scenario::Script;
 use serde_json::{json, Value};
@@ -48,6 +50,26 @@
         measures["agreement not reached"] = agreed.never().into();
         measures["false deaths"] = agreed.false_deaths().into();
     }
+    let kept = copies(&trace);
+    if !kept.is_empty() {
+        let own = own_reads(&trace);
+        let measures = &mut json["returning"];
+        if !measures.is_object() {
+            *measures = json!({});
+        }
+        if let Some(slowest) = kept.slowest() {
+            measures["copies the same after s"] = slowest.into();
+        }
+        if let Some(slowest) = kept.slowest_start() {
+            measures["in step after s"] = slowest.into();
+        }
+        measures["copies never the same"] = kept.never().into();
+        measures["told bytes a second a router"] = kept.bytes.0.into();
+        measures["own reads checked"] = own.checked.into();
+        measures["own reads missed"] = own.missed.into();
+        measures["own reads soon after a restart"] = own.soon.into();
+        measures["of these by the primary"] = (own.soon - own.soon_by_replicas).into();
+    }
     let text = as_markdown(played, &trace, &findings, &service, &back);
     let put =
         |name: &str, text: &str| std::fs::write(dir.join(name), text).map_err(|e| format!("{name}: {e}"));
@@ -178,6 +200,7 @@
     );
     let _ = writeln!(out, "\n{back}");
     let _ = write!(out, "{}", agreement(trace));
+    let _ = write!(out, "{}", copies(trace));
     let begin = trace.terms.as_ref().map_or(0.0, |t| t.begin);
     out.push_str("\n| fault | host | from s | to s |\n| --- | --- | --- | --- |\n");
     for (kind, host, from, to) in &trace.faults {
--- a/crates/sandstile-replica/src/catchup.rs
+++ b/crates/sandstile-replica/src/catchup.rs
@@ -122,6 +122,20 @@
         }
     }
 
+    /// A comparison with this peer gets on: it need not be asked of another.
+    pub fn gets_on(&mut self, now: f64, peer: &str) {
+        if let Some(ask) = self.asked.iter_mut().find(|a| a.peer == peer && !a.same) {
+            ask.since = now;
+        }
+    }
+
+    /// What was believed of a stored copy is not any more: it was an old one.
+    pub fn doubt(&mut self) {
+        if let Standing::InStepAsOf(_) = self.standing {
+            self.standing = Standing::CatchingUp;
+        }
+    }
+
     /// A look: these peers are there, as far as this router sees.
     pub fn look(&mut self, now: f64, there: &BTreeSet<String>) {
         self.asked.retain(|a| there.contains(&a.peer) && (a.same || now < a.since + PATIENCE));
--- a/crates/sandstile-replica/src/deltas.rs
+++ b/crates/sandstile-replica/src/deltas.rs
@@ -8,8 +8,13 @@
 /// Facts that may be on their way to one peer, unacknowledged.
 const UNDER_WAY: u64 = 4096;
 const AT_ONCE: usize = 256;
+/// Changes that are looked at for one message.
+const LOOKED_AT: usize = 4096;
+/// Whoever told of a fact in a comparison and not as news: all but us most likely know it, so it is told to nobody as news either. One
+/// that returns would else tell all that it was told to all the others.
+pub const COMPARED: u32 = u32::MAX;
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Deltas {
     acked: u64,
     sent: u64,
@@ -41,23 +46,34 @@
         self.sent < replica.number()
     }
 
-    /// What goes out next; `None` where nothing is to, or too much is on its way.
-    pub fn take(&mut self, replica: &Replica) -> Option<Message> {
+    /// What goes out next; `None` where nothing is to, or too much is on its way. What this peer told itself is left out.
+    pub fn take(&mut self, replica: &Replica, peer: u32) -> Option<Message> {
         if self.facts_out >= UNDER_WAY || !self.behind(replica) {
             return None;
         }
-        let mut upto = self.sent;
+        let (mut upto, mut passed) = (self.sent, 0);
         let mut facts: Vec<(Key, Fact)> = Vec::new();
-        for (number, key, fact) in replica.changes(self.sent).take(AT_ONCE) {
-            upto = number;
-            facts.push((key.clone(), fact.clone()));
+        for (number, by, key, fact) in replica.changes(self.sent) {
+            if facts.len() == AT_ONCE || passed == LOOKED_AT {
+                break;
+            }
+            (upto, passed) = (number, passed + 1);
+            if by != COMPARED && (by == 0 || by != peer) {
+                facts.push((key.clone(), fact.clone()));
+            }
         }
-        if facts.is_empty() {
+        if passed == 0 {
             // All that changed has been forgotten since.
-            (self.sent, self.acked) = (replica.number(), replica.number());
-            return None;
+            upto = replica.number();
         }
+        let nothing_out = self.acked == self.sent;
         self.sent = upto;
+        if facts.is_empty() {
+            if nothing_out {
+                self.acked = upto;
+            }
+            return None;
+        }
         self.facts_out += facts.len() as u64;
         Some(Message::Deltas { upto, facts })
     }
--- a/crates/sandstile-replica/src/lib.rs
+++ b/crates/sandstile-replica/src/lib.rs
@@ -3,8 +3,10 @@
 //! disk, no clock; times are seconds of the caller's, and nothing is ordered by a clock of another.
 pub mod catchup;
 pub mod deltas;
+pub mod differ;
 pub mod fact;
 pub mod state;
+pub mod stored;
 pub mod talk;
 pub mod tree;
 pub mod wire;
--- a/crates/sandstile-replica/src/state.rs
+++ b/crates/sandstile-replica/src/state.rs
@@ -34,6 +34,8 @@
     pub forgotten: u64,
 }
 
+/// Seconds before its end for which a fact stands in no comparison as of a time: copies let go of it at times that differ.
+const NEARLY_OVER: f64 = 5.0;
 /// Evidence that is kept at the most.
 const MOST_EVIDENCE: usize = 64;
 /// Seconds by which a position may be ahead of our clock; hosts' clocks and ours are no better than that.
@@ -47,8 +49,8 @@
     /// Keys by their hashes, for what is compared.
     by_hash: OrdMap<u64, Key>,
     tree: Tree,
-    /// Keys in the order of their last change.
-    log: OrdMap<u64, Key>,
+    /// Keys in the order of their last change, with who told of it: 0 for this router itself.
+    log: OrdMap<u64, (Key, u32)>,
     changed: OrdMap<Key, u64>,
     number: u64,
     /// By kind, what goes first: what is least careful, then what is oldest.
@@ -131,7 +133,7 @@
     }
 
     /// Puts a fact in the place of the one that is there.
-    fn place(&mut self, key: &Key, fact: Option<Fact>) {
+    fn place(&mut self, key: &Key, fact: Option<Fact>, by: u32) {
         let hash = key.hash();
         let former = self.facts.get(key).cloned();
         let sum = |f: &Option<Fact>| f.as_ref().map_or(0, |f| f.hash(key));
@@ -153,7 +155,7 @@
         match fact {
             Some(fact) => {
                 self.number += 1;
-                self.log.insert(self.number, key.clone());
+                self.log.insert(self.number, (key.clone(), by));
                 self.changed.insert(key.clone(), self.number);
                 self.by_hash.insert(hash, key.clone());
                 self.facts.insert(key.clone(), fact);
@@ -179,14 +181,19 @@
             && !fact.over(key.kind, now, self.horizon)
     }
 
-    /// A fact, ours or another's.
+    /// A fact of this router's own.
     pub fn learn(&mut self, now: f64, key: &Key, fact: &Fact) -> Came {
+        self.learn_from(now, key, fact, 0)
+    }
+
+    /// A fact, and who told of it, by a number of the caller's: it need not be told of it again.
+    pub fn learn_from(&mut self, now: f64, key: &Key, fact: &Fact, by: u32) -> Came {
         if !self.usable(key, fact, now) {
             self.counts.refused += 1;
             return Came::Refused;
         }
         let Some(held) = self.facts.get(key) else {
-            self.place(key, Some(fact.clone()));
+            self.place(key, Some(fact.clone()), by);
             self.make_room(key.kind);
             return Came::New;
         };
@@ -200,7 +207,7 @@
                 Came::Known
             }
             Joined::More => {
-                self.place(key, Some(joined));
+                self.place(key, Some(joined), by);
                 Came::New
             }
             Joined::Conflict => {
@@ -210,7 +217,7 @@
                     self.evidence.push(Evidence { key: key.clone(), held, came, at: now });
                 }
                 if joined != before {
-                    self.place(key, Some(joined));
+                    self.place(key, Some(joined), by);
                 }
                 Came::Conflict
             }
@@ -225,7 +232,7 @@
                 self.lost_to = self.lost_to.max(seen.latest());
             }
             self.counts.given_up += 1;
-            self.place(&key, None);
+            self.place(&key, None, 0);
         }
     }
 
@@ -237,7 +244,7 @@
             .filter(|(k, f)| f.over(k.kind, now, self.horizon))
             .map(|(k, _)| k.clone())
             .collect();
-        over.iter().for_each(|key| self.place(key, None));
+        over.iter().for_each(|key| self.place(key, None, 0));
         self.counts.forgotten += over.len() as u64;
         over.len()
     }
@@ -255,9 +262,26 @@
         Some((key, self.facts.get(key)?))
     }
 
-    /// What has changed behind this number, the earliest first, with the number of each.
-    pub fn changes(&self, behind: u64) -> impl Iterator<Item = (u64, &Key, &Fact)> {
+    /// What has changed behind this number, the earliest first, with the number of each and who told of it.
+    pub fn changes(&self, behind: u64) -> impl Iterator<Item = (u64, u32, &Key, &Fact)> {
         let from = behind.saturating_add(1);
-        self.log.range(from..).filter_map(|(number, key)| Some((*number, key, self.facts.get(key)?)))
+        self.log
+            .range(from..)
+            .filter_map(|(number, (key, by))| Some((*number, *by, key, self.facts.get(key)?)))
+    }
+
+    /// The sum of all facts that are older than this, by what they say of their own age, and not about to be forgotten: copies that have
+    /// heard of the same up to then have the same, but for what has changed a moment ago.
+    pub fn digest_as_of(&self, at: f64) -> u64 {
+        let counts = |key: &Key, fact: &Fact| {
+            let (age, lasts) = match &fact.value {
+                Value::Seen(seen) => (seen.latest(), self.horizon),
+                Value::Most(most) if key.kind == Kind::Floor => (*most, self.horizon),
+                _ => (fact.born, key.kind.lasts()),
+            };
+            age <= at && age + lasts >= at + NEARLY_OVER
+        };
+        let some = self.facts.iter().filter(|(key, fact)| counts(key, fact));
+        some.fold(0, |sum: u64, (key, fact)| sum.wrapping_add(fact.hash(key)))
     }
 }
--- a/crates/sandstile-replica/src/talk.rs
+++ b/crates/sandstile-replica/src/talk.rs
@@ -31,10 +31,18 @@
         facts: Vec<(Key, Fact)>,
     },
     Ack(u64),
+    /// Said behind the answers to all that came before it. Messages of one connection keep their order, and a comparison ends after
+    /// so many answers at the most: who began it knows by the last of these that it has all that the other held then.
+    Echo {
+        round: u32,
+        hop: u8,
+    },
 }
 
 /// Facts in one message: some 100 bytes each.
-pub const AT_ONCE: usize = 512;
+pub const AT_ONCE: usize = 256;
+/// The hop of the last echo: root, four levels of sums, leaves, wishes, facts.
+pub const LAST_HOP: u8 = LEVELS as u8 + 3;
 
 /// One side of a conversation.
 #[derive(Clone, Debug, Default)]
@@ -93,12 +101,13 @@
                 self.learn(now, replica, &facts);
                 out.push(Message::Ack(upto));
             }
-            Message::Ack(_) => {}
+            Message::Ack(_) | Message::Echo { .. } => {}
         }
         out
     }
 
-    fn learn(&mut self, now: f64, replica: &mut Replica, facts: &[(Key, Fact)]) {
+    /// Takes facts in.
+    pub fn learn(&mut self, now: f64, replica: &mut Replica, facts: &[(Key, Fact)]) {
         for (key, fact) in facts {
             match replica.learn(now, key, fact) {
                 Came::Refused => self.refused += 1,
--- a/crates/sandstile-replica/src/wire.rs
+++ b/crates/sandstile-replica/src/wire.rs
@@ -121,6 +121,13 @@
     (from.0.is_empty() && key.sound() && value.fits(kind)).then_some((key, Fact { value, born }))
 }
 
+/// One fact as `put_fact` has written it, and nothing else.
+pub fn read_fact(bytes: &[u8], now: f64) -> Option<(Key, Fact)> {
+    let mut from = In(bytes);
+    let length = usize::from(u16::from_be_bytes(from.array()?));
+    (from.0.len() == length).then(|| fact(from.0, now)).flatten()
+}
+
 fn put_facts(out: &mut Vec<u8>, now: f64, facts: &[(Key, Fact)]) {
     out.extend_from_slice(&(facts.len().min(MOST_ENTRIES) as u16).to_be_bytes());
     facts.iter().take(MOST_ENTRIES).for_each(|(key, f)| put_fact(out, now, key, f));
@@ -170,6 +177,10 @@
             out.push(7);
             out.extend_from_slice(&upto.to_be_bytes());
         }
+        Message::Echo { round, hop } => {
+            out.extend_from_slice(&[8, *hop]);
+            out.extend_from_slice(&round.to_be_bytes());
+        }
     }
     out
 }
@@ -221,6 +232,10 @@
             Message::Deltas { upto, facts: facts(&mut from)? }
         }
         7 => Message::Ack(from.number()?),
+        8 => {
+            let hop = from.byte()?;
+            Message::Echo { round: u32::from_be_bytes(from.array()?), hop }
+        }
         _ => return None,
     };
     from.0.is_empty().then_some((message, spoilt))
--- a/crates/sandstile-replica/tests/talk.rs
+++ b/crates/sandstile-replica/tests/talk.rs
@@ -85,7 +85,7 @@
         }
     }
     let (mut told, mut talk, mut cut) = (0, Talk::default(), 0);
-    while let Some(message) = deltas.take(&a) {
+    while let Some(message) = deltas.take(&a, 1) {
         let Message::Deltas { upto, facts } = &message else { panic!("{message:?}") };
         told += facts.len();
         let upto = *upto;
@@ -103,7 +103,7 @@
     assert_eq!((told, a.digest()), (1200, b.digest()));
     // Unacknowledged, no more than so much is on its way.
     let (many, mut deltas) = (copy(&floors(4000)), Deltas::from(0));
-    let out = std::iter::from_fn(|| deltas.take(&many)).count();
+    let out = std::iter::from_fn(|| deltas.take(&many, 1)).count();
     assert!((1..=17).contains(&out), "{out}");
 }
 
--- a/crates/sandstile-router/src/ask.rs
+++ b/crates/sandstile-router/src/ask.rs
@@ -1,7 +1,9 @@
 //! Asks a running router over its control socket, and lays out what it says.
+use sandstile_replica::stored::{self, Found};
 use serde_json::Value;
 use std::fmt::Write as _;
-use std::io::Read;
+use std::io::{Read, Write as _};
+use std::os::unix::fs::FileTypeExt;
 use std::os::unix::net::UnixStream;
 use std::path::Path;
 use std::time::Duration;
@@ -64,3 +66,61 @@
     }
     out
 }
+
+/// Copies are no longer than this.
+const MOST_STATE: u64 = 1 << 30;
+
+fn asked(socket: &Path, what: &str) -> Result<Vec<u8>, String> {
+    let told = |e: std::io::Error| format!("{}: {e}", socket.display());
+    let mut stream = UnixStream::connect(socket).map_err(told)?;
+    stream.set_read_timeout(Some(PATIENCE)).map_err(told)?;
+    stream.write_all(format!("{what}\n").as_bytes()).map_err(told)?;
+    let mut bytes = Vec::new();
+    stream.take(MOST_STATE).read_to_end(&mut bytes).map_err(told)?;
+    if bytes.is_empty() {
+        return Err(format!("{}: nobody answers", socket.display()));
+    }
+    Ok(bytes)
+}
+
+fn is_socket(path: &Path) -> Result<bool, String> {
+    let found = std::fs::metadata(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    Ok(found.file_type().is_socket())
+}
+
+/// The facts of a running router, by its socket, or of a file. The message is one line.
+pub fn facts(path: &Path) -> Result<Found, String> {
+    let bytes = match is_socket(path)? {
+        true => asked(path, "facts")?,
+        false => std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?,
+    };
+    let found = stored::read(&bytes);
+    match found.life {
+        Some(_) => Ok(found),
+        None => Err(format!("{}: no copy of kept state", path.display())),
+    }
+}
+
+/// How a router's kept state stands at `now`, as it says itself, or what a file holds.
+pub fn state(path: &Path, now: f64) -> Result<String, String> {
+    if is_socket(path)? {
+        // What is two seconds old has come to all by now, or something is wrong.
+        let bytes = asked(path, &format!("summary {:.3}", now - 2.0))?;
+        return Ok(String::from_utf8_lossy(&bytes).into_owned());
+    }
+    let found = facts(path)?;
+    let mut kinds = std::collections::BTreeMap::<&str, usize>::new();
+    let facts = sandstile_replica::differ::gather(&found.facts);
+    facts.keys().for_each(|key| *kinds.entry(key.kind.word()).or_default() += 1);
+    let kinds: Vec<String> = kinds.iter().map(|(kind, n)| format!("{kind} {n}")).collect();
+    Ok(format!(
+        "{} bytes, life {}, number {}, ended in order: {}, places that can't be read: {}\n{} facts: {}\n",
+        found.bytes,
+        found.life.unwrap_or(0),
+        found.number,
+        found.ended,
+        found.spoilt,
+        facts.len(),
+        kinds.join(", "),
+    ))
+}
--- a/crates/sandstile-router/src/charter.rs
+++ b/crates/sandstile-router/src/charter.rs
@@ -34,6 +34,18 @@
     pub journal: Option<PathBuf>,
     pub exchange: Option<Exchange>,
     pub durability: Durability,
+    pub state: Option<State>,
+}
+
+/// What our own file says of the state that routers keep together.
+#[derive(Clone, Debug)]
+pub struct State {
+    /// Where the copy lies; in memory alone without.
+    pub dir: Option<PathBuf>,
+    /// What tells a copy that was put back from the latest one: a file that no backup of `dir` holds.
+    pub witness: Option<PathBuf>,
+    /// Where `sandstile state` asks, if anywhere.
+    pub control: Option<PathBuf>,
 }
 
 impl Sessions {
@@ -47,7 +59,8 @@
             Some(path) => format!("journal {} ({:?})", path.display(), self.durability),
             None => "no journal".to_string(),
         };
-        format!("on, {tokens}, {} remembered, {journal}", self.exact)
+        let state = if self.state.is_some() { ", state kept with others" } else { "" };
+        format!("on, {tokens}, {} remembered, {journal}{state}", self.exact)
     }
 }
 
@@ -203,7 +216,27 @@
         }
         listen.map(|listen| Exchange { listen, peers })
     });
+    let state = s.only("state").and_then(|t| {
+        let plan = State {
+            dir: t.text("dir").map(PathBuf::from),
+            witness: t.text("witness").map(PathBuf::from),
+            control: t.text("control").map(PathBuf::from),
+        };
+        if plan.witness.is_some() && plan.dir.is_none() {
+            t.wrong("witness", "witness goes with dir", Some("dir = \"FOLDER\"".to_string()));
+        }
+        if exchange.is_none() {
+            s.source().wrong(t.at, "state goes with exchange", Some("exchange { }".to_string()));
+        }
+        if s.has("journal") {
+            s.wrong("journal", "journal and state both keep marks: one of them", None);
+        }
+        let on = t.yes("on", true);
+        t.finish();
+        on.then_some(plan)
+    });
     let plan = Sessions {
+        state,
         exchange: exchange.flatten(),
         keys: s.text("keys").map(PathBuf::from),
         token_lasts: s.number("token_lasts_s", 1.0..31_536_000.0, 86_400.0),
--- a/crates/sandstile-router/src/exchange.rs
+++ b/crates/sandstile-router/src/exchange.rs
@@ -2,10 +2,11 @@
 //! listens to whoever dials it. Plain threads round the frames of `sandstile-exchange`; off without our own file.
 use crate::charter::Exchange;
 use crate::mailbox::{narrow, Post};
-use crate::sessions::{Telling, Word};
 use crate::threads;
+use crate::words::{Telling, Word};
 use crossbeam_channel::RecvTimeoutError;
-use sandstile_exchange::{greeting, read_greeting, Heard, Listener, Teller, MOST_MARKS};
+use sandstile_exchange::{greeting, keeping, read_greeting, Heard, Listener, Teller, MOST_MARKS};
+use sandstile_keeper::near;
 use slog::{info, warn, Logger};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Read, Write};
@@ -37,6 +38,8 @@
     /// Who is told now; dropping what stands beside an address ends that.
     told: BTreeMap<SocketAddr, Arc<AtomicBool>>,
     name: String,
+    /// Where this one is found itself, where state is kept with others: of many members it tells those that are near.
+    near: Option<SocketAddr>,
     secret: [u8; 32],
     desk: Post<Word>,
     log: Logger,
@@ -46,6 +49,13 @@
     /// Tells just these from now on, and those that our own file names.
     pub fn follow(&mut self, members: &BTreeSet<SocketAddr>) {
         let mut wanted: BTreeSet<SocketAddr> = members.union(&self.named).copied().collect();
+        if let Some(own) = self.near {
+            // Named by their addresses, which all others have for them too.
+            let by_name: BTreeMap<String, SocketAddr> =
+                wanted.iter().map(|at| (at.to_string(), *at)).collect();
+            let near = near(&own.to_string(), &by_name.keys().cloned().collect());
+            wanted = near.iter().filter_map(|name| by_name.get(name).copied()).collect();
+        }
         while wanted.len() > MOST_TOLD {
             warn!(self.log, "exchange: more instances than are told"; "most" => MOST_TOLD);
             wanted.pop_last();
@@ -80,16 +90,18 @@
     }
 }
 
-/// `life` tells the lives of one name apart.
+/// `life` tells the lives of one name apart; `keeps` says that state is kept with others.
 pub fn begin(
     plan: &Exchange,
     name: &str,
     life: u64,
+    keeps: bool,
     secrets: Vec<[u8; 32]>,
     desk: Post<Word>,
     log: &Logger,
 ) -> Result<Roster, String> {
-    let name = &format!("{}#{life}", name.chars().take(40).collect::<String>());
+    let name = format!("{}#{life}", name.chars().take(40).collect::<String>());
+    let name = &if keeps { keeping(&name) } else { name };
     let listener = TcpListener::bind(plan.listen).map_err(|e| format!("exchange: {}: {e}", plan.listen))?;
     let (own, keys, to_desk, own_log) = (name.to_string(), secrets.clone(), desk.clone(), log.clone());
     threads::begin("exchange", move || accept(&listener, &own, &keys, &to_desk, &own_log))?;
@@ -97,6 +109,7 @@
         named: plan.peers.iter().copied().collect(),
         told: BTreeMap::new(),
         name: name.to_string(),
+        near: keeps.then_some(plan.listen),
         secret: secrets[0],
         desk,
         log: log.clone(),
@@ -184,6 +197,24 @@
     desk: &Post<Word>,
     over: &AtomicBool,
     log: &Logger,
+) -> io::Result<bool> {
+    let mut to = None;
+    let told = tell_one(peer, name, secret, desk, over, log, &mut to);
+    if let Some(to) = to {
+        desk.send(Word::Untold(to));
+    }
+    told
+}
+
+/// As `tell`; `whom` is who was told, from when on the desk knows of it.
+fn tell_one(
+    peer: SocketAddr,
+    name: &str,
+    secret: &[u8; 32],
+    desk: &Post<Word>,
+    over: &AtomicBool,
+    log: &Logger,
+    whom: &mut Option<String>,
 ) -> io::Result<bool> {
     let mut stream = TcpStream::connect_timeout(&peer, PATIENCE)?;
     stream.set_read_timeout(Some(PATIENCE))?;
@@ -204,6 +235,7 @@
     let mut teller = Teller::new(secret, &nonce);
     stream.write_all(&teller.who(name))?;
     let (outlet, tellings) = narrow(MOST_WAITING);
+    *whom = Some(to.clone());
     desk.send(Word::Tell(to.clone(), outlet));
     loop {
         let telling = match tellings.recv(Some(LOOK)) {
@@ -223,6 +255,11 @@
                 stream.write_all(&teller.whole(of_yours))?;
                 info!(log, "exchange: told"; "instance" => &to, "marks" => all.len());
             }
+            Telling::Whole { of_yours } => stream.write_all(&teller.whole(of_yours))?,
+            Telling::State(message) => {
+                stream.write_all(&teller.state(&message))?;
+                desk.send(Word::Written(to.clone(), message.len()));
+            }
             Telling::Seen(key, seen) => {
                 // All that waits goes in one frame.
                 let mut marks = vec![(key, seen)];
--- /dev/null
+++ b/crates/sandstile-router/src/kept.rs
@@ -0,0 +1,405 @@
+//! The state that is kept together with other instances, beside the desk's sessions. What is told to whom and believed when stands in
+//! `sandstile-keeper`; here it meets outlets to other instances, the disk's thread and whoever asks over a socket. Off without our own file.
+use crate::charter::State as Plan;
+use crate::clock::Clock;
+use crate::mailbox::{mailbox, Mailbox, Post};
+use crate::threads;
+use crate::words::{Show, Telling, Word};
+use crossbeam_channel::RecvTimeoutError;
+use sandstile_keeper::{Keeper, News};
+use sandstile_replica::catchup::{believe, Belief, Standing};
+use sandstile_replica::{stored, Fact, Kind, Replica, Value};
+use sandstile_sessions::mark::{Mark, Seen};
+use sandstile_sessions::store::Key;
+use sandstile_stored::{Folder, Opened, Shelf};
+use serde_json::json;
+use slog::{info, warn, Logger};
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Between looks at what is due.
+const TICK: Duration = Duration::from_millis(50);
+/// Seconds between writes to the disk.
+const WRITES: f64 = 0.25;
+/// Seconds between two words on how far one group's log has come.
+const FLOORS: f64 = 1.0;
+/// For whoever asks over the socket to say what, and to read it.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// What is known of this router besides its plan.
+pub struct Terms<'a> {
+    pub name: &'a str,
+    pub life: u64,
+    pub seed: u64,
+    /// Seconds.
+    pub horizon: f64,
+}
+
+/// What a turn brought.
+#[derive(Default)]
+pub struct Learnt {
+    pub marks: Vec<(Key, Seen)>,
+    /// The copy from the disk was an old one: what it lacks may have been written.
+    pub old_copy: bool,
+    /// One that was handed all of ours told all that it has.
+    pub vouched: bool,
+}
+
+/// For the disk's thread.
+enum Chore {
+    Put(f64, Box<Replica>),
+    End(f64, Box<Replica>, Post<()>),
+}
+
+pub struct Kept {
+    keeper: Keeper,
+    outlets: BTreeMap<String, Post<Telling>>,
+    /// Those that were handed all that our former life knew.
+    vouchers: BTreeSet<String>,
+    /// Where the disk takes what has changed; `None` in memory alone, and once it has failed.
+    disk: Option<Post<Chore>>,
+    /// The disk's thread has done what it was given.
+    idle: Mailbox<bool>,
+    busy: bool,
+    wrote_at: f64,
+    put: u64,
+    /// When each group's log was spoken of last, and the term it was under.
+    led: BTreeMap<Arc<str>, (f64, u64)>,
+    believed: Belief,
+    old_copy: bool,
+    twins: u64,
+    contradictions: u64,
+}
+
+fn subject(key: Key) -> String {
+    format!("{:016x}", key.0)
+}
+
+fn mark((key, fact): (&sandstile_replica::Key, &Fact)) -> Option<(Key, Seen)> {
+    match (key.kind, &fact.value) {
+        (Kind::Mark, Value::Seen(seen)) => {
+            Some((Key(u64::from_str_radix(&key.subject, 16).ok()?), seen.clone()))
+        }
+        _ => None,
+    }
+}
+
+impl Kept {
+    /// Takes up what the disk holds, and begins what runs beside. The message is one line.
+    pub fn begin(
+        plan: &Plan,
+        terms: &Terms,
+        words: Post<Word>,
+        clock: &Clock,
+        log: &Logger,
+    ) -> Result<Kept, String> {
+        let now = clock.now();
+        let (mut disk, mut believed, mut stored_life, mut facts) = (None, Belief::None, None, Vec::new());
+        let (idle, done) = mailbox();
+        if let Some(dir) = &plan.dir {
+            let folder = Folder::open(dir, plan.witness.as_deref())?;
+            let Opened { found, stored, witness, shelf } =
+                sandstile_stored::open(Box::new(folder), terms.life);
+            believed = believe(stored, witness);
+            info!(log, "state is taken up"; "facts" => found.facts.len(), "spoilt" => found.spoilt,
+                "ended" => found.ended, "believed" => ?believed, "witness" => ?witness.file);
+            (stored_life, facts) = (found.life, found.facts);
+            match shelf {
+                Ok(shelf) => {
+                    let (post, chores) = mailbox();
+                    let own = log.clone();
+                    threads::joined("state", threads::STACK, move || keep(shelf, &chores, &idle, &own))?;
+                    disk = Some(post);
+                }
+                Err(e) => warn!(log, "state is kept in memory alone: {e}"),
+            }
+        }
+        let ticks = words.clone();
+        threads::begin("ticks", move || {
+            while ticks.send(Word::Tick) {
+                std::thread::sleep(TICK);
+            }
+        })?;
+        if let Some(path) = &plan.control {
+            let listener = door(path)?;
+            threads::begin("state asked", move || answer(&listener, &words))?;
+        }
+        let keeper = Keeper::new(
+            sandstile_keeper::Terms {
+                name: terms.name.to_string(),
+                life: terms.life,
+                horizon: terms.horizon,
+                seed: terms.seed ^ terms.life,
+                stored: facts,
+                believed,
+                stored_life,
+            },
+            now,
+        );
+        Ok(Kept {
+            keeper,
+            outlets: BTreeMap::new(),
+            vouchers: BTreeSet::new(),
+            disk,
+            idle: done,
+            busy: false,
+            wrote_at: now,
+            put: 0,
+            led: BTreeMap::new(),
+            believed,
+            old_copy: false,
+            twins: 0,
+            contradictions: 0,
+        })
+    }
+
+    /// Marks that were found on the disk.
+    pub fn marks(&self) -> impl Iterator<Item = (Key, Seen)> + '_ {
+        self.keeper.replica().iter().filter_map(mark)
+    }
+
+    /// Whether what was found is all that the former life knew.
+    pub fn found_all(&self) -> bool {
+        self.believed == Belief::All
+    }
+
+    pub fn wrote(&mut self, now: f64, key: Key, seen: &Seen) {
+        self.keeper.learn(now, Kind::Mark, &subject(key), Value::Seen(seen.clone()));
+    }
+
+    /// A group's primary has told how far its log is.
+    pub fn led(&mut self, now: f64, group: &Arc<str>, mark: Mark) {
+        let term = mark.term.0;
+        let before = self.led.get(group).copied();
+        if before.is_some_and(|(at, of)| of == term && now < at + FLOORS) {
+            return;
+        }
+        self.led.insert(group.clone(), (now, term));
+        // Names that are too long for a key are told of nowhere.
+        if before.is_none_or(|(_, of)| of != term) {
+            self.keeper.say(now, Kind::Leads, group, 0, &format!("{term:016x}"));
+        }
+        self.keeper.learn(now, Kind::Floor, &format!("{term:016x}/{group}"), Value::Most(mark.position));
+    }
+
+    /// This one hears us from now on; `of_yours` says that it ended in order and left us all that it knew.
+    pub fn linked(&mut self, now: f64, peer: String, outlet: Post<Telling>, of_yours: bool) {
+        if outlet.send(Telling::Whole { of_yours }) {
+            self.keeper.linked_with(now, &peer);
+            self.outlets.insert(peer, outlet);
+        }
+    }
+
+    pub fn parted(&mut self, now: f64, peer: &str) {
+        if self.outlets.remove(peer).is_some() {
+            self.keeper.parted_from(now, peer);
+        }
+    }
+
+    pub fn written(&mut self, peer: &str, bytes: usize) {
+        self.keeper.written(peer, bytes);
+    }
+
+    pub fn heard(&mut self, now: f64, from: &str, message: &[u8]) {
+        self.keeper.heard(now, from, message);
+    }
+
+    pub fn vouches(&mut self, peer: &str) {
+        // Few were told by our former life.
+        if self.vouchers.len() < 64 {
+            self.vouchers.insert(peer.to_string());
+        }
+    }
+
+    fn send(&mut self, now: f64) {
+        for (peer, message) in self.keeper.take_out(now) {
+            if self.outlets.get(&peer).is_some_and(|o| !o.send(Telling::State(message))) {
+                self.outlets.remove(&peer);
+                self.keeper.parted_from(now, &peer);
+            }
+        }
+    }
+
+    /// What is due.
+    pub fn turn(&mut self, now: f64, log: &Logger) -> Learnt {
+        self.keeper.look(now);
+        self.send(now);
+        let mut learnt = Learnt::default();
+        for news in self.keeper.take_news() {
+            match news {
+                News::Learnt(key, Value::Seen(seen)) if key.kind == Kind::Mark => {
+                    learnt.marks.extend(u64::from_str_radix(&key.subject, 16).ok().map(|k| (Key(k), seen)));
+                }
+                News::Learnt(..) => {}
+                News::Standing(standing) => {
+                    info!(log, "state: {}", word(standing); "facts" => self.keeper.replica().len())
+                }
+                News::Has(peer) => learnt.vouched |= self.vouchers.remove(&peer),
+                News::Contradicts(key) => {
+                    self.contradictions += 1;
+                    warn!(log, "state: one under one number said two things"; "kind" => key.kind.word(),
+                        "of" => &*key.subject, "by" => &*key.owner);
+                }
+                News::OldCopy { found, met } => {
+                    (self.old_copy, learnt.old_copy) = (true, true);
+                    warn!(log, "state: the copy on the disk was an old one"; "its life" => found, "a later one" => met);
+                }
+                News::Twin(life) => {
+                    self.twins += 1;
+                    if self.twins == 1 {
+                        warn!(log, "state: a later life of this name is about"; "life" => life);
+                    }
+                }
+            }
+        }
+        self.put_by(now, log);
+        learnt
+    }
+
+    fn put_by(&mut self, now: f64, log: &Logger) {
+        while let Some(well) = self.idle.try_recv() {
+            self.busy = false;
+            if !well && self.disk.take().is_some() {
+                warn!(log, "state is kept in memory alone from now on");
+            }
+        }
+        let number = self.keeper.replica().number();
+        if self.busy || now < self.wrote_at + WRITES || (number == self.put && self.put > 0) {
+            return;
+        }
+        if let Some(disk) = &self.disk {
+            // A copy shares its facts with ours.
+            self.busy = disk.send(Chore::Put(now, Box::new(self.keeper.replica().clone())));
+            (self.wrote_at, self.put) = (now, number);
+        }
+    }
+
+    /// All is told to all, and put down as that.
+    pub fn end(&mut self, now: f64, done: &Post<()>) {
+        self.keeper.look(now);
+        for (peer, outlet) in std::mem::take(&mut self.outlets) {
+            let Some(words) = self.keeper.last_words(now, &peer) else { continue };
+            if words.into_iter().all(|w| outlet.send(Telling::State(w))) {
+                outlet.send(Telling::End(done.clone()));
+            }
+        }
+        if let Some(disk) = self.disk.take() {
+            disk.send(Chore::End(now, Box::new(self.keeper.replica().clone()), done.clone()));
+        }
+    }
+
+    /// What an operator is told.
+    pub fn show(&self, now: f64, show: Show) -> Vec<u8> {
+        let replica = self.keeper.replica();
+        match show {
+            Show::Facts => {
+                // In the form of a file, so that a router and a file compare alike.
+                let mut out = stored::head(1);
+                replica.iter().for_each(|(key, fact)| stored::put(&mut out, 1, now, key, fact));
+                stored::ended(&mut out, 1, replica.number());
+                out
+            }
+            Show::Summary(at) => {
+                let (c, r) = (self.keeper.counts(), replica.counts());
+                let mut by_kind = serde_json::Map::new();
+                for (key, _) in replica.iter() {
+                    let n = by_kind.entry(key.kind.word()).or_insert(json!(0));
+                    *n = json!(n.as_u64().unwrap_or(0) + 1);
+                }
+                let said = json!({"standing": word(self.keeper.standing()), "facts": replica.len(), "kinds": by_kind,
+                    "digest": format!("{:016x}", replica.digest()), "as_of": at,
+                    "digest_as_of": format!("{:016x}", replica.digest_as_of(at)),
+                    "linked": self.keeper.linked().collect::<Vec<_>>(), "number": replica.number(),
+                    "believed": format!("{:?}", self.believed).to_lowercase(), "old_copy": self.old_copy,
+                    "disk": self.disk.is_some(), "twins": self.twins, "contradictions": self.contradictions,
+                    "bytes_in": c.bytes_in, "bytes_out": c.bytes_out, "messages_in": c.messages_in,
+                    "messages_out": c.messages_out, "rounds": c.rounds, "rounds_lost": c.rounds_lost,
+                    "unreadable": c.unreadable, "refused": c.refused, "shed": c.shed,
+                    "given_up": r.given_up, "forgotten": r.forgotten});
+                format!("{said}\n").into_bytes()
+            }
+        }
+    }
+}
+
+fn word(standing: Standing) -> &'static str {
+    match standing {
+        Standing::New => "new",
+        Standing::CatchingUp => "catching up",
+        Standing::InStep => "in step",
+        Standing::InStepAsOf(_) => "in step as of before",
+        Standing::Careful => "careful",
+    }
+}
+
+/// The disk's thread: one chore at a time, however slow it is.
+fn keep(mut shelf: Shelf, chores: &Mailbox<Chore>, idle: &Post<bool>, log: &Logger) {
+    loop {
+        match chores.recv(None) {
+            Ok(Chore::Put(now, replica)) => {
+                let put = shelf.put(now, &replica);
+                idle.send(put.is_ok());
+                if let Err(e) = put {
+                    warn!(log, "state: the disk takes no more: {e}");
+                    return;
+                }
+            }
+            Ok(Chore::End(now, replica, done)) => {
+                if let Err(e) = shelf.end(now, &replica) {
+                    warn!(log, "state: not all of it is on the disk: {e}");
+                }
+                drop(done);
+                return;
+            }
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+    }
+}
+
+/// A socket that a former process left is taken away; one that somebody listens at is not.
+fn door(path: &Path) -> Result<UnixListener, String> {
+    let told = |e: std::io::Error| format!("state: {}: {e}", path.display());
+    if std::fs::symlink_metadata(path).is_ok() {
+        if UnixStream::connect(path).is_ok() {
+            return Err(format!("state: {}: another process listens there", path.display()));
+        }
+        std::fs::remove_file(path).map_err(told)?;
+    }
+    let listener = UnixListener::bind(path).map_err(told)?;
+    std::fs::set_permissions(path, std::os::unix::fs::PermissionsExt::from_mode(0o600)).map_err(told)?;
+    Ok(listener)
+}
+
+/// Answers one after the other: `summary SECONDS` or `facts`, a line.
+fn answer(listener: &UnixListener, words: &Post<Word>) {
+    for stream in listener.incoming() {
+        let Ok(mut stream) = stream else {
+            std::thread::sleep(TICK);
+            continue;
+        };
+        let patient = stream.set_read_timeout(Some(PATIENCE)).and(stream.set_write_timeout(Some(PATIENCE)));
+        let mut line = String::new();
+        let read = BufReader::new((&stream).take(64)).read_line(&mut line);
+        if patient.is_err() || read.is_err() {
+            continue;
+        }
+        let show = match line.trim().split_once(' ') {
+            Some(("summary", at)) => at.parse().ok().filter(|at: &f64| at.is_finite()).map(Show::Summary),
+            None if line.trim() == "facts" => Some(Show::Facts),
+            _ => None,
+        };
+        let Some(show) = show else { continue };
+        let (post, told) = crate::mailbox::slot();
+        if !words.send(Word::Show(show, post)) {
+            return;
+        }
+        if let Ok(bytes) = told.recv(Some(PATIENCE)) {
+            let _ = stream.write_all(&bytes);
+        }
+    }
+}
--- a/crates/sandstile-router/src/lib.rs
+++ b/crates/sandstile-router/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod exchange;
 pub mod hosts;
 pub mod inlet;
+pub mod kept;
 pub mod keys;
 pub mod launch;
 pub mod lists;
@@ -24,6 +25,7 @@
 pub mod threads;
 pub mod tools;
 pub mod wire;
+pub mod words;
 
 pub use sandstile_lines::{budget, client, ending, job, link, pool, sqlstate, statement};
 pub use sandstile_pgwire as pg;
--- a/crates/sandstile-router/src/main.rs
+++ b/crates/sandstile-router/src/main.rs
@@ -19,6 +19,8 @@
   sessions inspect FILE          say what a journal of sessions holds
   token decode TOKEN --keys FILE say what a session's mark says
   members --socket PATH [--json]  ask a running router who is there
+  state show A                    say how a router's kept state stands, or what a file holds
+  state compare A B               name the facts in which two differ; A, B: a router's socket, or a file
   version    print the version
 
   --config   our own file (HCL): what LB_CONFIG does not know; off without it
@@ -54,7 +56,7 @@
     let json = arguments.contains("--json");
     let command = arguments.subcommand().map_err(|e| e.to_string())?;
     let mut words = Vec::new();
-    if matches!(command.as_deref(), Some("sessions" | "token")) {
+    if matches!(command.as_deref(), Some("sessions" | "token" | "state")) {
         while let Some(word) = arguments.opt_free_from_str::<String>().map_err(|e| e.to_string())? {
             words.push(word);
         }
@@ -68,6 +70,7 @@
         Some("check") => check(charter.as_deref()),
         Some("sessions") => inspect(&words),
         Some("token") => decode(&words, keys.as_deref()),
+        Some("state") => kept_state(&words),
         Some("members") => members(socket.as_deref(), json),
         Some("version") => {
             println!("sandstile {}", env!("CARGO_PKG_VERSION"));
@@ -112,6 +115,29 @@
     Ok(())
 }
 
+/// What is kept together with other routers: by one, or where two differ.
+fn kept_state(words: &[String]) -> Result<(), String> {
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    match words[..] {
+        ["show", of] => {
+            print!("{}", ask::state(Path::new(of), Clock::anchor().now())?);
+            Ok(())
+        }
+        ["compare", one, other] => {
+            let (one, other) = (ask::facts(Path::new(one))?, ask::facts(Path::new(other))?);
+            let differences = sandstile_replica::differ::compare(&one.facts, &other.facts);
+            differences.iter().for_each(|d| println!("{d}"));
+            let counts = [&one, &other].map(|found| sandstile_replica::differ::gather(&found.facts).len());
+            println!("{} facts, {} facts, {} differ", counts[0], counts[1], differences.len());
+            match differences.is_empty() {
+                true => Ok(()),
+                false => Err("the two differ".to_string()),
+            }
+        }
+        _ => Err("usage: sandstile state show A, or state compare A B".to_string()),
+    }
+}
+
 /// What a mark says, for operators who have the keys.
 fn decode(words: &[String], keys: Option<&Path>) -> Result<(), String> {
     let [verb, text] = words else {
--- a/crates/sandstile-router/src/router.rs
+++ b/crates/sandstile-router/src/router.rs
@@ -7,14 +7,16 @@
 use crate::discovery::{Agent, Watcher};
 use crate::exchange;
 use crate::inlet::Inlet;
+use crate::kept::{self, Kept};
 use crate::keys;
 use crate::launch::Launch;
 use crate::members::{self, Beside, Members};
 use crate::pg;
 use crate::recorder;
-use crate::sessions::{Sessions, Word};
+use crate::sessions::Sessions;
 use crate::signals::{Wish, Wishes};
 use crate::threads;
+use crate::words::Word;
 use sandstile_desk::{Desk, Fact, Update};
 use sandstile_policy::policy::Instance;
 use sandstile_return::{Dials, Lists, Ramp, Stall};
@@ -65,6 +67,8 @@
         told: BTreeSet::new(),
         lists: charter.back.as_ref().map(|_| Lists::new(launch.seed)),
     };
+    // Each life of an instance has a number of its own, higher than that of the former one as far as its clock goes.
+    let life = (clock.now() * 1e6) as u64;
     let policy = Instance::new(&launch.terms, launch.seed, clock.now());
     let mut desk = Desk::new(policy, counters.desk.clone());
     desk.add(Box::new(Inlet::new(listed, Fact::List)));
@@ -72,7 +76,19 @@
     if let Some(plan) = &charter.sessions {
         let (post, word_box) = posts.inlet::<Word>();
         let answers = posts.answers.clone();
-        let seen = Sessions::begin(plan.clone(), &launch.workloads, word_box, answers, &clock, &log)?;
+        let kept = plan.state.as_ref().map(|state| {
+            let terms = kept::Terms { name: &launch.name, life, seed: launch.seed, horizon: plan.horizon };
+            Kept::begin(state, &terms, post.clone(), &clock, &log)
+        });
+        let seen = Sessions::begin(
+            plan.clone(),
+            &launch.workloads,
+            word_box,
+            answers,
+            kept.transpose()?,
+            &clock,
+            &log,
+        )?;
         desk.add(Box::new(seen));
         words = Some(post);
     }
@@ -98,13 +114,13 @@
         recording = Some(thread);
     }
     lists.send(launch.known);
-    // Each life of an instance has a number of its own, higher than that of the former one as far as its clock goes.
-    let life = (clock.now() * 1e6) as u64;
     let (mut roster, mut told_at) = (None, None);
     if let (Some(plan), Some(words)) = (&charter.sessions, &words) {
         if let Some(exchange) = &plan.exchange {
             let secrets = plan.read_keys()?.derived(exchange::CONTEXT);
-            roster = Some(exchange::begin(exchange, &launch.name, life, secrets, words.clone(), &log)?);
+            let keeps = plan.state.is_some();
+            roster =
+                Some(exchange::begin(exchange, &launch.name, life, keeps, secrets, words.clone(), &log)?);
             told_at = Some(exchange.listen);
         }
     }
--- a/crates/sandstile-router/src/sessions.rs
+++ b/crates/sandstile-router/src/sessions.rs
@@ -3,8 +3,10 @@
 //! keys and the disk.
 use crate::charter::{Durability, Sessions as Plan};
 use crate::clock::Clock;
+use crate::kept::Kept;
 use crate::mailbox::{mailbox, Mailbox, Post};
 use crate::statement::Workload;
+use crate::words::{Telling, Word};
 use crossbeam_channel::RecvTimeoutError;
 use sandstile_desk::{Answer, Asked, Ending, Fact, Given, Outcome, Source};
 use sandstile_exchange::Heard;
@@ -13,17 +15,20 @@
 use sandstile_policy::terms::Reach;
 use sandstile_sessions::floor::{Floor, Ground};
 use sandstile_sessions::mark::{Mark, Seen, Term};
-use sandstile_sessions::store::{Bounds, Exact, Key, Store};
+use sandstile_sessions::store::{Bounds, Key, Store};
 use sandstile_sessions::token::{KeyRing, Token};
 use slog::{info, warn, Logger};
 use std::collections::BTreeMap;
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
 /// What one statement wants of all this.
 struct Wish {
     key: Key,
+    /// Names of groups are few and shared by many.
+    group: Arc<str>,
     writes: bool,
     /// For an own read: what it must reach.
     floor: Option<Floor>,
@@ -39,28 +44,6 @@
     }
 }
 
-/// Word from outside the desk.
-pub enum Word {
-    Keys(KeyRing),
-    /// Another instance, of this name, wants to be told what is known here.
-    Tell(String, Post<Telling>),
-    /// What another instance, of this name, has told.
-    Heard(String, Heard),
-    /// The instance ends: all that is known is to be on the disk, and told, when nobody holds this any more.
-    End(Post<()>),
-}
-
-/// What goes to another instance.
-pub enum Telling {
-    /// All that is known, and whether that is all that the other knew when it ended last.
-    Snapshot {
-        exact: Exact,
-        of_yours: bool,
-    },
-    Seen(Key, Seen),
-    End(Post<()>),
-}
-
 #[derive(Default, Debug)]
 pub struct Counts {
     pub known: u64,
@@ -86,6 +69,10 @@
     /// Instances that ended in order and told all they knew before: when, and the life that is to have it back.
     handed: BTreeMap<String, (f64, Option<String>)>,
     heard_since: f64,
+    /// How far each group's log had come when its primary first answered this instance.
+    begun: BTreeMap<Arc<str>, Mark>,
+    /// What is kept together with other instances, where our own file turns that on.
+    kept: Option<Box<Kept>>,
     aged_at: f64,
     counts: Counts,
     told_at: f64,
@@ -106,6 +93,7 @@
         workloads: &[Workload],
         words: Mailbox<Word>,
         answers: Post<Given>,
+        kept: Option<Kept>,
         clock: &Clock,
         log: &Logger,
     ) -> Result<Sessions, String> {
@@ -138,6 +126,12 @@
                 .map_err(|e| format!("thread journal: {e}"))?;
             journal = Some(post);
         }
+        if let Some(kept) = &kept {
+            kept.marks().for_each(|(key, seen)| store.merge(key, &seen));
+            if kept.found_all() {
+                heard_since = f64::NEG_INFINITY;
+            }
+        }
         if !plan.stay {
             heard_since = f64::INFINITY;
         }
@@ -154,6 +148,8 @@
             outlets: Vec::new(),
             handed: BTreeMap::new(),
             heard_since,
+            begun: BTreeMap::new(),
+            kept: kept.map(Box::new),
             aged_at: now,
             counts,
             told_at: now,
@@ -174,6 +170,9 @@
                 "sketch_fill" => self.store.fill(), "pushed_out" => self.store.counts().pushed_out);
         }
         let key = Key::of(&asked.group, session);
+        let begun = self.begun.get_key_value(asked.group.as_str());
+        let group = begun.map_or_else(|| Arc::from(asked.group.as_str()), |(name, _)| name.clone());
+        let begun = begun.map(|(_, mark)| *mark);
         let own = self.own_reads.get(asked.workload).copied().unwrap_or(false);
         let floor = own.then(|| {
             let carried = asked.mark.as_deref().and_then(|text| {
@@ -187,6 +186,7 @@
                 horizon: self.plan.horizon,
                 skew: self.plan.skew,
                 heard_since: self.heard_since,
+                begun,
             };
             let floor = self.store.floor(key, carried, &ground);
             match floor {
@@ -198,7 +198,7 @@
         });
         let before = self.plan.unmarked_as_before && asked.mark.is_none();
         let floor = floor.filter(|floor| !(before && matches!(floor, Floor::Unknown(_))));
-        Some(Wish { key, writes: asked.writes, floor })
+        Some(Wish { key, group, writes: asked.writes, floor })
     }
 
     /// An answer by a host that turns out to hold less than the read must see is none: another host serves it. That
@@ -227,6 +227,17 @@
         at_primary.then_some(Mark { term: Term(term), position })
     }
 
+    /// The first word of a group's primary in this life, or under a term of its own, says how far the log had come.
+    fn led(&mut self, now: f64, wish: &Wish, outcome: &Outcome) {
+        let Some(mark) = Self::mark(wish, outcome) else { return };
+        if self.begun.get(&wish.group).is_none_or(|b| b.term != mark.term) {
+            self.begun.insert(wish.group.clone(), mark);
+        }
+        if let Some(kept) = &mut self.kept {
+            kept.led(now, &wish.group, mark);
+        }
+    }
+
     fn remember(&mut self, now: f64, wish: &Wish, outcome: &Outcome) -> Option<Seen> {
         if !wish.writes {
             return None;
@@ -236,6 +247,9 @@
             None => Seen::Lost(now),
         };
         self.store.merge(wish.key, &seen);
+        if let Some(kept) = &mut self.kept {
+            kept.wrote(now, wish.key, &seen);
+        }
         // One that does not take it in as fast as writes come is told all of it anew, later.
         self.outlets.retain(|outlet| outlet.send(Telling::Seen(wish.key, seen.clone())));
         Some(seen)
@@ -253,17 +267,32 @@
             Word::Keys(ring) => self.ring = ring,
             Word::Tell(to, outlet) => {
                 let of_yours = self.has_of(now, &to);
+                if let Some(kept) = self.kept.as_mut().filter(|_| sandstile_exchange::keeps(&to)) {
+                    kept.linked(now, to, outlet, of_yours);
+                    return;
+                }
                 if outlet.send(Telling::Snapshot { exact: self.store.snapshot(), of_yours }) {
                     self.outlets.push(outlet);
                 }
             }
             Word::Heard(from, heard) => self.learn(now, &from, heard),
+            Word::Untold(to) => self.kept.iter_mut().for_each(|k| k.parted(now, &to)),
+            Word::Written(to, bytes) => self.kept.iter_mut().for_each(|k| k.written(&to, bytes)),
+            Word::Tick => self.keep(now),
+            Word::Show(show, post) => {
+                if let Some(kept) = &self.kept {
+                    post.send(kept.show(now, show));
+                }
+            }
             Word::End(done) => {
                 self.told_at = now;
                 info!(self.log, "sessions: {:?}", self.counts; "remembered" => self.store.len());
                 for outlet in self.outlets.drain(..) {
                     outlet.send(Telling::End(done.clone()));
                 }
+                if let Some(kept) = &mut self.kept {
+                    kept.end(now, &done);
+                }
                 if let Some(journal) = &self.journal {
                     journal.send(Entry::End(done));
                 }
@@ -283,8 +312,30 @@
         fits
     }
 
+    /// What is due with the state that is kept together, and what it has learnt.
+    fn keep(&mut self, now: f64) {
+        let Some(kept) = &mut self.kept else { return };
+        let learnt = kept.turn(now, &self.log);
+        learnt.marks.iter().for_each(|(key, seen)| self.store.merge(*key, seen));
+        if learnt.old_copy && self.heard_since == f64::NEG_INFINITY {
+            self.heard_since = now;
+        } else if learnt.vouched && self.plan.stay {
+            self.heard_since = f64::NEG_INFINITY;
+        }
+    }
+
     fn learn(&mut self, now: f64, from: &str, heard: Heard) {
         match heard {
+            Heard::State(message) => {
+                if let Some(kept) = &mut self.kept {
+                    kept.heard(now, from, &message);
+                    self.keep(now);
+                }
+            }
+            Heard::Whole { of_yours } if self.kept.is_some() && sandstile_exchange::keeps(from) => {
+                // Believed once all that it holds is held here.
+                self.kept.iter_mut().filter(|_| of_yours).for_each(|k| k.vouches(from));
+            }
             // A further life of it: what an earlier one handed over may not be all any more.
             Heard::Who(_) => drop(self.has_of(now, from)),
             Heard::Marks(marks) => marks.iter().for_each(|(key, seen)| self.store.merge(*key, seen)),
@@ -343,6 +394,7 @@
                 self.ring.issue(&Token { key: wish.key, mark: Mark { position, ..mark }, issued: now })
             });
         }
+        self.led(now, &wish, outcome);
         let key = wish.key;
         self.wishes.insert(given.stmt, wish);
         self.put_down(key, seen, Some(given))
--- a/crates/sandstile-scenario/src/script.rs
+++ b/crates/sandstile-scenario/src/script.rs
@@ -57,6 +57,8 @@
     pub crowd: usize,
     /// They come again after `pause`, whatever time they were told.
     pub ignore_return: bool,
+    /// Their front sends each session to its own router, or to none while that is away.
+    pub pinned: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -92,6 +94,14 @@
     pub tokens: bool,
     /// Routers put marks down in a journal, and sessions stay with their router.
     pub journal: bool,
+    /// Routers tell each other what sessions have seen, and sessions stay with their router.
+    pub exchange: bool,
+    /// They keep state together besides, on disks of their own.
+    pub state: bool,
+}
+
+impl Remembering {
+    pub const OFF: Remembering = Remembering { tokens: false, journal: false, exchange: false, state: false };
 }
 
 /// What the audit holds the run against.
@@ -344,6 +354,7 @@
             connections: s.count("connections", 1.0..2000.0, 128),
             crowd: s.count("crowd", 0.0..2000.0, 0),
             ignore_return: s.yes("ignore_return", false),
+            pinned: s.yes("pinned", false),
         };
         s.finish();
         clients
@@ -380,13 +391,16 @@
         s.finish();
         rules
     });
-    let (off, tokens, journal) = (
-        Remembering { tokens: false, journal: false },
-        Remembering { tokens: true, journal: false },
-        Remembering { tokens: false, journal: true },
-    );
-    let both = Remembering { tokens: true, journal: true };
-    let words = [("off", off), ("tokens", tokens), ("journal", journal), ("both", both)];
+    let off = Remembering::OFF;
+    let exchange = Remembering { exchange: true, ..off };
+    let words = [
+        ("off", off),
+        ("tokens", Remembering { tokens: true, ..off }),
+        ("journal", Remembering { journal: true, ..off }),
+        ("both", Remembering { tokens: true, journal: true, ..off }),
+        ("exchange", exchange),
+        ("state", Remembering { state: true, ..exchange }),
+    ];
     let sessions = file.word("sessions", &words, Some(off));
     let planted = file.yes("planted", false);
     let cues = cues(file, &plan, &group_names, &workload_names, &node_names, routers.count, seconds);
@@ -415,7 +429,7 @@
 
 impl Clients {
     fn usual() -> Self {
-        Clients { retries: 2, pause: 0.1, connections: 128, crowd: 0, ignore_return: false }
+        Clients { retries: 2, pause: 0.1, connections: 128, crowd: 0, ignore_return: false, pinned: false }
     }
 }
 
--- a/crates/sandstile-sessions/examples/cost.rs
+++ b/crates/sandstile-sessions/examples/cost.rs
@@ -20,8 +20,14 @@
     let mark = |n: u64| Mark { term: Term(1), position: 1000.0 + n as f64 / 1000.0 };
     let mut store = Store::new(Bounds::usual());
     (0..100_000).for_each(|n| store.note(Key(n), mark(n)));
-    let ground =
-        Ground { now: 1100.0, term: Some(Term(1)), horizon: 300.0, skew: 1.0, heard_since: f64::INFINITY };
+    let ground = Ground {
+        now: 1100.0,
+        term: Some(Term(1)),
+        horizon: 300.0,
+        skew: 1.0,
+        heard_since: f64::INFINITY,
+        begun: None,
+    };
     let times = 500_000;
     println!(
         "hash of a name   {:6.0} ns",
--- a/crates/sandstile-sessions/examples/marks.rs
+++ b/crates/sandstile-sessions/examples/marks.rs
@@ -26,6 +26,7 @@
             horizon: 120.0,
             skew: 1.0,
             heard_since: f64::INFINITY,
+            begun: None,
         };
         let before = memory();
         let mut store = Store::new(bounds);
--- a/crates/sandstile-sessions/src/floor.rs
+++ b/crates/sandstile-sessions/src/floor.rs
@@ -1,5 +1,5 @@
 //! The one question: what must this read reach, and how sure are we?
-use crate::mark::{Seen, Term};
+use crate::mark::{Mark, Seen, Term};
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Floor {
@@ -39,6 +39,10 @@
     /// This instance has heard of every write of the group since then: by being the only one since, or by a
     /// journal that it found whole. Infinite where it can't know.
     pub heard_since: f64,
+    /// How far the group's log had come when its primary first answered this instance. Whoever writes by this instance alone has
+    /// written before its start, which is before that, or here, which is remembered: no need reaches further. Counts where
+    /// `heard_since` is finite, that is where sessions stay.
+    pub begun: Option<Mark>,
 }
 
 /// What a session's read must reach. `seen` joins all that is known of the session; `carried` says that the mark
@@ -57,9 +61,16 @@
         return Floor::Unknown(Why::Ahead);
     }
     let complete = carried || ground.heard_since <= since;
+    // Without this all own reads after a start go to the primary for as long as replicas may lag.
+    let begun = ground.begun.filter(|b| ground.heard_since.is_finite() && ground.term == Some(b.term));
+    let begun = begun.filter(|b| b.position <= ground.now + ground.skew).map(|b| b.position);
     let mut binding = marks.iter().filter(|(_, position)| **position >= since).peekable();
     if binding.peek().is_none() {
-        return if complete { Floor::Nothing } else { Floor::Unknown(Why::NoWord) };
+        return match (complete, begun) {
+            (true, _) => Floor::Nothing,
+            (false, Some(position)) => Floor::Known(position),
+            (false, None) => Floor::Unknown(Why::NoWord),
+        };
     }
     let Some(term) = ground.term else { return Floor::Unknown(Why::NoTerm) };
     let mut highest: f64 = 0.0;
@@ -69,9 +80,9 @@
         }
         highest = highest.max(*position);
     }
-    if complete {
-        Floor::Known(highest)
-    } else {
-        Floor::Unknown(Why::NoWord)
+    match (complete, begun) {
+        (true, _) => Floor::Known(highest),
+        (false, Some(position)) => Floor::Known(highest.max(position)),
+        (false, None) => Floor::Unknown(Why::NoWord),
     }
 }
--- a/crates/sandstile-sessions/tests/joins.rs
+++ b/crates/sandstile-sessions/tests/joins.rs
@@ -50,7 +50,7 @@
 }
 
 fn ground(now: f64, term: u64) -> Ground {
-    Ground { now, term: Some(Term(term)), horizon: 60.0, skew: 1.0, heard_since: f64::INFINITY }
+    Ground { now, term: Some(Term(term)), horizon: 60.0, skew: 1.0, heard_since: f64::INFINITY, begun: None }
 }
 
 /// More news never lower what a read must reach, nor make the unknown known as nothing.
@@ -200,3 +200,24 @@
     store.note_unknown(key, 999.0);
     assert_eq!(store.floor(key, carried(990.0, 1), &g), Floor::Unknown(Why::Lost));
 }
+
+/// After a start: what the primary first told binds whoever is not known, and nobody more than what is known besides; it is nothing
+/// under another term, nor where sessions roam.
+#[test]
+fn after_a_start_the_primarys_first_word_is_enough() {
+    let of = |position: f64, term: u64| Seen::of(Mark { term: Term(term), position });
+    let g = Ground {
+        heard_since: 995.0,
+        begun: Some(Mark { term: Term(1), position: 996.0 }),
+        ..ground(1000.0, 1)
+    };
+    assert_eq!(super_floor(&Seen::default(), false, &g), Floor::Known(996.0));
+    assert_eq!(super_floor(&of(990.0, 1), false, &g), Floor::Known(996.0));
+    assert_eq!(super_floor(&of(998.0, 1), false, &g), Floor::Known(998.0));
+    assert_eq!(super_floor(&of(990.0, 2), false, &g), Floor::Unknown(Why::OtherTerm));
+    let unknown = Floor::Unknown(Why::NoWord);
+    assert_eq!(super_floor(&Seen::default(), false, &Ground { term: Some(Term(2)), ..g }), unknown);
+    assert_eq!(super_floor(&Seen::default(), false, &Ground { heard_since: f64::INFINITY, ..g }), unknown);
+    let ahead = Some(Mark { term: Term(1), position: 2000.0 });
+    assert_eq!(super_floor(&Seen::default(), false, &Ground { begun: ahead, ..g }), unknown);
+}
--- a/crates/sandstile-sessions/tests/walk.rs
+++ b/crates/sandstile-sessions/tests/walk.rs
@@ -94,6 +94,7 @@
             horizon: 100.0,
             skew: 10.0,
             heard_since: f64::INFINITY,
+            begun: None,
         };
         store.floor(KEY, token.map(|t| self.mark(t)), &ground)
     }
--- /dev/null
+++ b/crates/sandstile-stored/src/lib.rs
@@ -0,0 +1,99 @@
+//! The kept state on a disk. One file holds a copy and, behind it, what changed since; a witness, best on another disk and in no backup,
+//! names the life that wrote it and the number that it ended with. Whoever opens the file takes up its facts whatever befell it; that
+//! it holds *all* is believed only where the witness says so too (`sandstile_replica::catchup::believe`). A disk that fails ends the
+//! writing, loudly, and nothing else: what is there has no end in order, so it is never taken for all.
+mod folder;
+
+pub use folder::Folder;
+use sandstile_replica::catchup::{Stored, Witness};
+use sandstile_replica::stored::{self, Found};
+use sandstile_replica::Replica;
+use std::io;
+
+/// Where bytes lie. The one for real disks is [`Folder`]; tests have others that fail.
+pub trait Place: Send {
+    /// The file's bytes; `None` where there is none.
+    fn read(&mut self) -> io::Result<Option<Vec<u8>>>;
+    /// Puts these bytes in the place of all, at once or not at all, and on the disk.
+    fn replace(&mut self, bytes: &[u8]) -> io::Result<()>;
+    /// Behind what is there, and on the disk.
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()>;
+    /// `None` where there is no witness, or none that can be read.
+    fn witness(&mut self) -> io::Result<Option<Vec<u8>>>;
+    fn put_witness(&mut self, bytes: &[u8]) -> io::Result<()>;
+}
+
+/// A file longer than its first copy by so much is written anew.
+const GROWN: usize = 4;
+const LEAST: usize = 256 * 1024;
+
+/// The file of one life.
+pub struct Shelf {
+    place: Box<dyn Place>,
+    life: u64,
+    bytes: usize,
+    copied: usize,
+    /// Up to which of the copy's numbers all is on the disk.
+    number: u64,
+}
+
+/// What the disk says of the former life.
+pub struct Opened {
+    pub found: Found,
+    pub stored: Stored,
+    pub witness: Witness,
+    /// `None` where the disk takes nothing: why.
+    pub shelf: Result<Shelf, io::Error>,
+}
+
+/// Reads what a former life left, and begins the file of this one. The witness comes first: from then on no copy of a former life is
+/// taken for the latest, wherever this start breaks off.
+pub fn open(mut place: Box<dyn Place>, life: u64) -> Opened {
+    let bytes = place.read();
+    let told = place.witness();
+    let file = told.ok().flatten().and_then(|w| stored::read_witness(&w));
+    let found = bytes.as_ref().ok().and_then(Option::as_ref).map(|b| stored::read(b)).unwrap_or_default();
+    let stored = match found.life {
+        Some(of) if found.whole() => Stored::Whole { life: of, number: found.number, ended: found.ended },
+        _ => Stored::Lost,
+    };
+    let witness = Witness { file, peers: None };
+    let begin = |mut place: Box<dyn Place>| {
+        bytes?;
+        place.put_witness(&stored::witness(life, 0))?;
+        Ok(Shelf { place, life, bytes: 0, copied: 0, number: 0 })
+    };
+    Opened { shelf: begin(place), found, stored, witness }
+}
+
+impl Shelf {
+    /// Puts down what has changed; a copy of all where the file has grown too long. An error is the end of it.
+    pub fn put(&mut self, now: f64, replica: &Replica) -> io::Result<()> {
+        let number = replica.number();
+        if self.bytes == 0 || self.bytes > (self.copied * GROWN).max(LEAST) {
+            let mut out = stored::head(self.life);
+            replica.iter().for_each(|(key, fact)| stored::put(&mut out, self.life, now, key, fact));
+            stored::number(&mut out, self.life, number);
+            self.place.replace(&out)?;
+            (self.bytes, self.copied, self.number) = (out.len(), out.len(), number);
+        } else if number > self.number {
+            let mut out = Vec::new();
+            for (_, _, key, fact) in replica.changes(self.number) {
+                stored::put(&mut out, self.life, now, key, fact);
+            }
+            stored::number(&mut out, self.life, number);
+            self.place.append(&out)?;
+            (self.bytes, self.number) = (self.bytes + out.len(), number);
+        }
+        Ok(())
+    }
+
+    /// The life ends in order: all that it knew is there, and the witness says so.
+    pub fn end(mut self, now: f64, replica: &Replica) -> io::Result<()> {
+        self.put(now, replica)?;
+        let mut out = Vec::new();
+        stored::ended(&mut out, self.life, self.number);
+        self.place.append(&out)?;
+        self.place.put_witness(&stored::witness(self.life, self.number))
+    }
+}
