--- a/crates/sandstile-keeper/src/keeper.rs
+++ b/crates/sandstile-keeper/src/keeper.rs
@@ -90,6 +90,8 @@
     /// Since when it hears nothing; `None` while it is linked.
     gone: Option<f64>,
     out: VecDeque<Message>,
+    /// It asked for more than may wait for it.
+    shed: bool,
     /// Bytes that whoever writes to it has not written yet.
     under_way: usize,
     credit: f64,
@@ -171,6 +173,13 @@
         std::mem::take(&mut self.news)
     }
 
+    /// Takes over a whole copy in place of the one it has, for models that begin with much known to all.
+    pub fn take_over(&mut self, replica: Replica) {
+        self.replica = replica;
+        let number = self.replica.number();
+        self.peers.values_mut().for_each(|p| p.deltas = Deltas::from(number));
+    }
+
     /// Peers that hear this router now.
     pub fn linked(&self) -> impl Iterator<Item = &str> {
         self.peers.iter().filter(|(_, p)| p.gone.is_none()).map(|(name, _)| name.as_str())
@@ -211,6 +220,7 @@
             talk: Talk::default(),
             gone: None,
             out: VecDeque::new(),
+            shed: false,
             under_way: 0,
             credit: BURST,
             credited: now,
@@ -247,11 +257,14 @@
         };
         let number = peer.number;
         let asks = !matches!(message, Message::Facts(_) | Message::Deltas { .. } | Message::Ack(_));
-        if asks && peer.waits() >= MOST_WAITING {
-            // Not answered, echoes neither: whoever asked sees that its comparison is not whole.
+        if asks && (peer.waits() >= MOST_WAITING || (peer.shed && !matches!(message, Message::Root(_)))) {
+            // Not answered, and no echo behind it until another comparison begins: whoever asked sees that this one is not whole.
+            peer.shed = true;
             self.counts.shed += 1;
+            self.counts.rounds_lost += u64::from(peer.round.take().is_some());
             return;
         }
+        peer.shed = peer.shed && !asks;
         // News come whether or not a comparison gets on: one that was never answered, for the link back was not up yet, is to be seen.
         let of_a_round = !matches!(message, Message::Deltas { .. } | Message::Ack(_) | Message::Root(_));
         if let Some(round) = peer.round.as_mut().filter(|_| of_a_round) {
--- a/crates/sandstile-keeper/src/lib.rs
+++ b/crates/sandstile-keeper/src/lib.rs
@@ -3,6 +3,7 @@
 //! messages go in and out as bytes, times are the caller's.
 mod keeper;
 mod near;
+pub mod sim;
 
 pub use keeper::{Counts, Keeper, News, Terms};
 pub use near::near;
--- /dev/null
+++ b/crates/sandstile-keeper/tests/keepers.rs
@@ -0,0 +1,312 @@
+//! Keepers in virtual time: returns, splits, peers that die while they tell, that ask for more than they take, that lie.
+use sandstile_keeper::sim::{Net, Sim};
+use sandstile_keeper::{near, Keeper, News, Terms};
+use sandstile_replica::catchup::{Belief, Standing};
+use sandstile_replica::fact::Said;
+use sandstile_replica::{wire, Fact, Key, Kind, Message, Value};
+use sandstile_sessions::mark::{Mark, Seen, Term};
+use std::collections::BTreeSet;
+
+const BEGIN: f64 = 1_000_000.0;
+const NET: Net = Net { delay: 0.002, jitter: 0.002, loss: 0.0 };
+
+fn mark(position: f64) -> Value {
+    Value::Seen(Seen::of(Mark { term: Term(1), position }))
+}
+
+fn write(sim: &mut Sim, place: usize, session: usize) {
+    let now = sim.now();
+    if let Some(keeper) = sim.keeper(place) {
+        keeper.learn(now, Kind::Mark, &format!("{session:016x}"), mark(now));
+    }
+}
+
+fn fleet(n: usize, net: Net, seed: u64) -> Sim {
+    let mut sim = Sim::new(n, net, 300.0, seed, BEGIN);
+    for place in 0..n {
+        sim.start(place, Vec::new(), Belief::None, None);
+        sim.run(BEGIN + 0.02 * (place + 1) as f64);
+    }
+    sim.run(BEGIN + 10.0);
+    sim
+}
+
+/// Writes at all places, a session each, `rate` a second.
+fn busy(sim: &mut Sim, seconds: f64, rate: usize, first: usize, places: &[usize]) {
+    for n in 0..(seconds * rate as f64) as usize {
+        write(sim, places[n % places.len()], first + n);
+        let next = sim.now() + 1.0 / rate as f64;
+        sim.run(next);
+    }
+}
+
+fn at(sim: &mut Sim, seconds: f64) {
+    let until = sim.now() + seconds;
+    sim.run(until);
+}
+
+#[test]
+fn one_that_lost_all_is_in_step_soon_and_asks_two() {
+    let mut sim = fleet(5, NET, 1);
+    busy(&mut sim, 10.0, 400, 0, &[0, 1, 2, 3, 4]);
+    sim.kill(2);
+    busy(&mut sim, 1.0, 400, 10_000, &[0, 1, 3, 4]);
+    let before: u64 = sim.told.iter().sum();
+    sim.start(2, Vec::new(), Belief::None, None);
+    at(&mut sim, 1.0);
+    assert!(sim.in_step(2), "{:?}", sim.seen(2).map(|s| s.keeper.standing()));
+    // Its life is news that goes out once it is in step.
+    at(&mut sim, 0.5);
+    assert!(sim.alike());
+    let asked: BTreeSet<_> = sim
+        .seen(2)
+        .expect("there")
+        .news
+        .iter()
+        .filter_map(|(_, n)| match n {
+            News::Has(peer) => Some(peer.clone()),
+            _ => None,
+        })
+        .collect();
+    assert!(asked.len() <= 3, "{asked:?}");
+    // 4,400 facts of some 50 bytes, from two peers, and their sums and hashes; and it tells nobody of them as news.
+    let cost = sim.told.iter().sum::<u64>() - before;
+    assert!(cost < 2_000_000, "{cost} bytes");
+}
+
+/// Both sides write during a split. At the heal each link brings what its peer missed, and comparisons find nothing more.
+#[test]
+fn a_split_heals_within_two_seconds() {
+    for (n, seed) in [(5, 1), (5, 2), (16, 3)] {
+        let mut sim = fleet(n, Net { loss: 0.05, ..NET }, seed);
+        let all: Vec<usize> = (0..n).collect();
+        busy(&mut sim, 3.0, 200, 0, &all);
+        sim.cut(true, |place| usize::from(place >= n / 2));
+        busy(&mut sim, 8.0, 200, 10_000, &all);
+        assert!(!sim.alike());
+        assert!(!sim.in_step(0) || n > 8, "one that can ask nobody of the other side may not claim it");
+        sim.cut(false, |place| usize::from(place >= n / 2));
+        at(&mut sim, 2.0);
+        assert!(sim.alike(), "{n} routers");
+    }
+}
+
+#[test]
+fn peers_that_die_while_they_tell_are_replaced() {
+    let mut sim = fleet(5, Net { delay: 0.05, ..NET }, 4);
+    busy(&mut sim, 10.0, 400, 0, &[0, 1, 2, 3, 4]);
+    sim.kill(0);
+    sim.start(0, Vec::new(), Belief::None, None);
+    // In the midst of the comparison.
+    at(&mut sim, 0.4);
+    assert!(!sim.in_step(0));
+    sim.kill(1);
+    sim.kill(2);
+    at(&mut sim, 6.0);
+    assert!(sim.in_step(0) && sim.alike());
+}
+
+#[test]
+fn most_come_back_at_once_and_nobody_is_overrun() {
+    let mut sim = fleet(16, NET, 5);
+    busy(&mut sim, 10.0, 400, 0, &(0..16).collect::<Vec<_>>());
+    let killed: Vec<usize> = (0..11).collect();
+    killed.iter().for_each(|n| drop(sim.kill(*n)));
+    at(&mut sim, 1.0);
+    let before = sim.told.clone();
+    for n in &killed {
+        sim.start(*n, Vec::new(), Belief::None, None);
+    }
+    at(&mut sim, 3.0);
+    assert!((0..16).all(|n| sim.in_step(n)), "all of them");
+    at(&mut sim, 0.5);
+    assert!(sim.alike());
+    // Sixteen thousand facts to eleven, out of two peers each: of those that stayed none told more than twice its part.
+    let told: Vec<u64> = (11..16).map(|n| sim.told[n] - before[n]).collect();
+    let (most, all) = (told.iter().max().copied().unwrap_or(0), told.iter().sum::<u64>());
+    assert!(most * 5 < all * 3, "{told:?}");
+}
+
+#[test]
+fn with_nobody_left_it_is_careful_and_says_so() {
+    let mut sim = Sim::new(3, NET, 300.0, 6, BEGIN);
+    sim.start(0, Vec::new(), Belief::None, None);
+    sim.run(BEGIN + 4.0);
+    assert_eq!(sim.seen(0).map(|s| s.keeper.standing()), Some(Standing::Careful));
+    sim.start(1, Vec::new(), Belief::None, None);
+    sim.run(BEGIN + 8.0);
+    assert!(sim.in_step(0) && sim.in_step(1));
+}
+
+/// A copy of the life before the last is put back, and its witness with it: nothing on the disk tells; the peers do.
+#[test]
+fn an_old_copy_is_known_by_the_lives_that_peers_met() {
+    let mut sim = fleet(3, NET, 7);
+    let (first, old) = sim.kill(1).expect("there");
+    sim.start(1, old.clone(), Belief::All, Some(first));
+    at(&mut sim, 6.0);
+    let news =
+        |sim: &Sim| sim.seen(1).expect("there").news.iter().any(|(_, n)| matches!(n, News::OldCopy { .. }));
+    assert!(!news(&sim), "the very copy of its last life is none");
+    sim.kill(1);
+    sim.start(1, old, Belief::All, Some(first));
+    at(&mut sim, 2.0);
+    assert!(news(&sim));
+}
+
+fn alone(name: &str, now: f64) -> Keeper {
+    let terms = Terms {
+        name: name.to_string(),
+        life: (now * 1e6) as u64,
+        horizon: 300.0,
+        seed: 1,
+        stored: Vec::new(),
+        believed: Belief::None,
+        stored_life: None,
+    };
+    Keeper::new(terms, now)
+}
+
+/// A comparison that is never answered, since the way back is not up yet, is given up though news keep coming.
+#[test]
+fn a_comparison_without_an_answer_is_given_up() {
+    let mut keeper = alone("a", BEGIN);
+    keeper.linked_with(BEGIN, "b#1");
+    let mut asked = 0;
+    for n in 0..100 {
+        let now = BEGIN + f64::from(n) * 0.05;
+        keeper.look(now);
+        let out = keeper.take_out(now);
+        asked +=
+            out.iter().filter(|(_, m)| matches!(wire::read(m, now), Some((Message::Root(_), _)))).count();
+        let news = Message::Deltas { upto: n as u64 + 1, facts: Vec::new() };
+        keeper.heard(now, "b#1", &wire::write(&news, now));
+    }
+    assert!(asked >= 3, "{asked} comparisons begun in five seconds");
+}
+
+/// Whoever asks for much and reads little gets what is on its way, and no more waits for it than that.
+#[test]
+fn a_slow_peer_costs_a_window() {
+    let mut keeper = alone("a", BEGIN);
+    keeper.linked_with(BEGIN, "b#1");
+    for n in 0..60_000u64 {
+        keeper.learn(BEGIN, Kind::Mark, &format!("{n:016x}"), mark(BEGIN));
+    }
+    let (mut handed, mut now) = (0, BEGIN);
+    let (mut facts, mut upto) = (BTreeSet::new(), 0);
+    let mut read = |message: &[u8], now: f64, upto: &mut u64| {
+        if let Some((Message::Deltas { upto: to, facts: some }, _)) = wire::read(message, now) {
+            facts.extend(some.into_iter().map(|(key, _)| key));
+            *upto = to;
+        }
+        facts.len()
+    };
+    for _ in 0..400 {
+        now += 0.05;
+        keeper.look(now);
+        keeper.heard(now, "b#1", &wire::write(&Message::Want((0..4096).collect()), now));
+        (0..5).for_each(|_| keeper.heard(now, "b#1", &wire::write(&Message::Root(1), now)));
+        for (_, message) in keeper.take_out(now) {
+            handed += message.len();
+            read(&message, now, &mut upto);
+        }
+    }
+    assert!(handed < 400_000, "{handed} bytes handed over, none of them written");
+    assert!(keeper.counts().shed > 0);
+    // It reads at last: nothing was lost.
+    for _ in 0..2000 {
+        now += 0.05;
+        keeper.written("b#1", usize::MAX);
+        keeper.heard(now, "b#1", &wire::write(&Message::Ack(upto), now));
+        keeper.look(now);
+        for (_, message) in keeper.take_out(now) {
+            read(&message, now, &mut upto);
+        }
+    }
+    assert_eq!(read(&[], now, &mut upto), 60_000);
+}
+
+/// One with the key says what it likes: facts of the future, of kinds that others own, two things under one number, taken back.
+#[test]
+fn a_liar_is_refused_fact_by_fact() {
+    let mut keeper = alone("a", BEGIN);
+    keeper.linked_with(BEGIN, "liar#1");
+    let said =
+        |life: u64, number: u64, careful: u8| Value::Said(Said { life, number, careful, body: "x".into() });
+    let of = |kind, value| (Key::owned(kind, "h", "liar"), Fact { value, born: BEGIN });
+    let facts = vec![
+        (Key::of(Kind::Mark, "s"), Fact { value: mark(BEGIN + 1e6), born: BEGIN }),
+        (Key::of(Kind::Floor, "g"), Fact { value: Value::Most(f64::MAX), born: BEGIN }),
+        (Key::of(Kind::Life, "b"), Fact { value: Value::Most(1e300), born: BEGIN }),
+        of(Kind::Refuses, said(1, 5, 0)),
+        of(Kind::Refuses, said(1, 5, 1)),
+        // Taken back under a lower number.
+        of(Kind::Refuses, said(1, 4, 0)),
+        (Key::of(Kind::Mark, "fine"), Fact { value: mark(BEGIN - 1.0), born: BEGIN }),
+    ];
+    keeper.heard(BEGIN, "liar#1", &wire::write(&Message::Facts(facts), BEGIN));
+    let held: Vec<String> = keeper.replica().iter().map(|(key, _)| key.subject.to_string()).collect();
+    assert_eq!(held, ["fine", "h"]);
+    let refuses = keeper.replica().get(&Key::owned(Kind::Refuses, "h", "liar")).expect("kept");
+    assert_eq!(refuses.value, said(1, 5, 1), "the more careful of the two stands");
+    assert_eq!(keeper.counts().refused, 3);
+    assert!(keeper.take_news().iter().any(|n| matches!(n, News::Contradicts(_))));
+    keeper.heard(BEGIN, "liar#1", &[9; 40]);
+    assert_eq!(keeper.counts().unreadable, 1);
+}
+
+/// Clocks an hour apart: ages travel, and no fact is ordered by a clock of another.
+#[test]
+fn clocks_an_hour_apart_make_no_difference_to_who_is_right() {
+    let (early, late) = (BEGIN, BEGIN + 3500.0);
+    let (mut a, mut b) = (alone("a", early), alone("b", late));
+    a.linked_with(early, "b#1");
+    b.linked_with(late, "a#1");
+    a.say(early, Kind::Refuses, "h", 1, "");
+    a.say(early + 1.0, Kind::Refuses, "h", 0, "well again");
+    a.learn(early + 1.0, Kind::Floor, "g", Value::Most(early));
+    for n in 0..40 {
+        let passed = 1.0 + f64::from(n) * 0.05;
+        a.look(early + passed);
+        b.look(late + passed);
+        for (_, message) in a.take_out(early + passed) {
+            b.heard(late + passed, "a#1", &message);
+        }
+        for (_, message) in b.take_out(late + passed) {
+            a.heard(early + passed, "b#1", &message);
+        }
+    }
+    let key = Key::owned(Kind::Refuses, "h", "a");
+    let at_b = b.replica().get(&key).expect("told");
+    assert!(matches!(&at_b.value, Value::Said(s) if s.number == 2), "the later word, by its number");
+    let age = late + 3.0 - at_b.born;
+    assert!((1.9..2.2).contains(&age), "as old as it is: {age}");
+}
+
+/// The ring of many: symmetric, connected however few are lost, few links each.
+#[test]
+fn many_have_few_links_and_hang_together() {
+    for n in [2, 5, 9, 16, 50, 300] {
+        let there: BTreeSet<String> = (0..n).map(Sim::name).collect();
+        let links = |a: usize| near(&Sim::name(a), &there);
+        for a in 0..n {
+            let of = links(a);
+            assert!(of.len() < 2 * (n as f64).log2().ceil() as usize + 1 || n <= 9, "{n}: {}", of.len());
+            assert!(of.iter().all(|b| near(b, &there).contains(&Sim::name(a))), "both or neither");
+        }
+        if n == 300 {
+            // Every third is gone; the others still reach each other without anybody having looked for new links.
+            let alive = |name: &str| name[1..].parse::<usize>().expect("a number") % 3 != 0;
+            let (mut reached, mut edge) = (BTreeSet::from([Sim::name(1)]), vec![1]);
+            while let Some(at) = edge.pop() {
+                for name in links(at).into_iter().filter(|b| alive(b)) {
+                    if reached.insert(name.clone()) {
+                        edge.push(name[1..].parse().expect("a number"));
+                    }
+                }
+            }
+            assert_eq!(reached.len(), 200);
+        }
+    }
+}
--- a/crates/sandstile-lab/src/lib.rs
+++ b/crates/sandstile-lab/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod capacity;
 pub mod charts;
 pub mod clients;
+pub mod copies;
 pub mod experiment;
 pub mod hunt;
 pub mod members;
--- a/crates/sandstile-lab/src/main.rs
+++ b/crates/sandstile-lab/src/main.rs
@@ -2,7 +2,7 @@
 use clap::{Parser, Subcommand, ValueEnum};
 use sandstile_emulator::Clock;
 use sandstile_lab::{
-    capacity, experiment, hunt, members, processes, recordings, rehearse, report, returns, scale_out,
+    capacity, copies, experiment, hunt, members, processes, recordings, rehearse, report, returns, scale_out,
 };
 use sandstile_scenario::Script;
 use std::path::{Path, PathBuf};
@@ -162,6 +162,15 @@
         #[arg(long)]
         quick: bool,
     },
+    /// How keeping the same grows with the number of routers, in virtual time: a table and charts
+    Copies {
+        /// Where the table and the charts go
+        #[arg(long, default_value = "target/copies")]
+        out: PathBuf,
+        /// Up to sixteen routers, a tenth of the sessions
+        #[arg(long)]
+        quick: bool,
+    },
     /// Write tables, charts and a page from an experiment's rows
     Report { dir: PathBuf },
     /// Load an address that speaks the platform's protocol
@@ -304,6 +313,10 @@
             println!("{text}");
             ExitCode::SUCCESS
         }),
+        Command::Copies { out, quick } => copies::grow(&out, quick).map(|text| {
+            println!("{text}");
+            ExitCode::SUCCESS
+        }),
         Command::Report { dir } => experiment::report(&dir).map(|text| {
             println!("{text}");
             ExitCode::SUCCESS
--- a/crates/sandstile-replica/src/state.rs
+++ b/crates/sandstile-replica/src/state.rs
@@ -1,6 +1,6 @@
 //! One copy of all facts.
 use crate::fact::{Fact, Joined, Key, Kind, Value, KINDS};
-use crate::tree::{leaf, Tree};
+use crate::tree::{range, Tree};
 use imbl::{OrdMap, OrdSet};
 use std::collections::BTreeMap;
 
@@ -249,14 +249,17 @@
         over.len()
     }
 
-    /// Hashes of the keys of one leaf, each with that of its fact.
-    pub fn of_leaf(&self, at: usize) -> Vec<(u64, u64)> {
-        let from = (at as u64) << 48;
-        let to = from | (u64::MAX >> 16);
-        let all = self.by_hash.range(from..=to).filter(|(hash, _)| leaf(**hash) == at);
+    /// Hashes of the keys below one node, each with that of its fact; so many at the most.
+    pub fn below(&self, level: usize, node: usize, most: usize) -> Vec<(u64, u64)> {
+        let all = self.by_hash.range(range(level, node)).take(most);
         all.filter_map(|(hash, key)| Some((*hash, self.facts.get(key)?.hash(key)))).collect()
     }
 
+    /// Whether no more than so many facts are below one node.
+    pub fn few_below(&self, level: usize, node: usize, few: usize) -> bool {
+        self.by_hash.range(range(level, node)).nth(few).is_none()
+    }
+
     pub fn by_hash(&self, hash: u64) -> Option<(&Key, &Fact)> {
         let key = self.by_hash.get(&hash)?;
         Some((key, self.facts.get(key)?))
--- a/crates/sandstile-replica/src/talk.rs
+++ b/crates/sandstile-replica/src/talk.rs
@@ -4,6 +4,7 @@
 use crate::state::{Came, Replica};
 use crate::tree::{LEVELS, WIDE};
 use crate::wire::MOST_ENTRIES;
+use std::collections::BTreeSet;
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Message {
@@ -17,9 +18,10 @@
         node: u32,
         sums: [u64; WIDE],
     },
-    /// All keys of a leaf here, with their facts, by their hashes.
+    /// All keys below a node here, with their facts, by their hashes.
     Leaf {
-        at: u32,
+        level: u8,
+        node: u32,
         hashes: Vec<(u64, u64)>,
     },
     /// Facts of these keys are to be sent.
@@ -41,6 +43,8 @@
 
 /// Facts in one message: some 100 bytes each.
 pub const AT_ONCE: usize = 256;
+/// Facts below a node that are named one by one.
+const FEW: usize = 32;
 /// The hop of the last echo: root, four levels of sums, leaves, wishes, facts.
 pub const LAST_HOP: u8 = LEVELS as u8 + 3;
 
@@ -80,14 +84,17 @@
                 for (n, (mine, theirs)) in ours.iter().zip(&sums).enumerate() {
                     if mine != theirs {
                         let below = node * WIDE + n;
-                        match level + 1 < LEVELS {
+                        // Where little is here, to name it costs less than to go on comparing: one that has lost all is told all at once.
+                        match level + 1 < LEVELS && !replica.few_below(level + 1, below, FEW) {
                             true => out.extend(Self::node(replica, level + 1, below)),
-                            false => out.push(Self::leaf(replica, below)),
+                            false => out.push(Self::leaf(replica, level + 1, below)),
                         }
                     }
                 }
             }
-            Message::Leaf { at, hashes } => self.compare(replica, at as usize, &hashes, &mut out),
+            Message::Leaf { level, node, hashes } => {
+                self.compare(replica, usize::from(level), node as usize, &hashes, &mut out);
+            }
             Message::Want(hashes) => {
                 let all: Vec<(Key, Fact)> = hashes
                     .iter()
@@ -122,20 +129,25 @@
         Some(Message::Node { level: level as u8, node: node as u32, sums })
     }
 
-    fn leaf(replica: &Replica, at: usize) -> Message {
-        let mut hashes = replica.of_leaf(at);
-        hashes.truncate(MOST_ENTRIES / 2);
-        Message::Leaf { at: at as u32, hashes }
+    fn leaf(replica: &Replica, level: usize, node: usize) -> Message {
+        let hashes = replica.below(level, node, MOST_ENTRIES / 2);
+        Message::Leaf { level: level as u8, node: node as u32, hashes }
     }
 
     /// What they lack is sent, what we lack is asked for; what both have and differ on goes both ways.
-    fn compare(&self, replica: &Replica, at: usize, theirs: &[(u64, u64)], out: &mut Vec<Message>) {
-        let ours = replica.of_leaf(at);
-        let has = |all: &[(u64, u64)], one: &(u64, u64)| all.contains(one);
-        let wanted: Vec<u64> = theirs.iter().filter(|one| !has(&ours, one)).map(|(key, _)| *key).collect();
+    fn compare(
+        &self,
+        replica: &Replica,
+        level: usize,
+        node: usize,
+        theirs: &[(u64, u64)],
+        out: &mut Vec<Message>,
+    ) {
+        let ours: BTreeSet<(u64, u64)> = replica.below(level, node, usize::MAX).into_iter().collect();
+        let theirs: BTreeSet<(u64, u64)> = theirs.iter().copied().collect();
+        let wanted: Vec<u64> = theirs.difference(&ours).map(|(key, _)| *key).collect();
         let lacking: Vec<(Key, Fact)> = ours
-            .iter()
-            .filter(|one| !has(theirs, one))
+            .difference(&theirs)
             .filter_map(|(key, _)| replica.by_hash(*key))
             .map(|(key, fact)| (key.clone(), fact.clone()))
             .collect();
--- a/crates/sandstile-replica/src/tree.rs
+++ b/crates/sandstile-replica/src/tree.rs
@@ -23,6 +23,14 @@
     (key >> (64 - 4 * LEVELS)) as usize
 }
 
+/// The keys below a node.
+pub fn range(level: usize, node: usize) -> std::ops::RangeInclusive<u64> {
+    let shift = 64 - 4 * level.min(LEVELS) as u32;
+    // The root has all.
+    let from = (node as u64).checked_shl(shift).unwrap_or(0);
+    from..=from | u64::MAX.checked_shr(64 - shift).unwrap_or(0)
+}
+
 impl Tree {
     /// A fact of this key has another hash now; 0 where there was, or is, none. Sums wrap, so that their order is no matter.
     pub fn change(&mut self, key: u64, from: u64, to: u64) {
--- a/crates/sandstile-replica/src/wire.rs
+++ b/crates/sandstile-replica/src/wire.rs
@@ -154,9 +154,9 @@
             out.extend_from_slice(&node.to_be_bytes());
             sums.iter().for_each(|s| out.extend_from_slice(&s.to_be_bytes()));
         }
-        Message::Leaf { at, hashes } => {
-            out.push(3);
-            out.extend_from_slice(&at.to_be_bytes());
+        Message::Leaf { level, node, hashes } => {
+            out.extend_from_slice(&[3, *level]);
+            out.extend_from_slice(&node.to_be_bytes());
             let flat: Vec<u64> = hashes.iter().flat_map(|(k, v)| [*k, *v]).collect();
             put_hashes(&mut out, &flat);
         }
@@ -217,10 +217,11 @@
             Message::Node { level, node, sums }
         }
         3 => {
-            let at = u32::from_be_bytes(from.array()?);
+            let level = from.byte()?;
+            let node = u32::from_be_bytes(from.array()?);
             let count = from.count().filter(|n| n % 2 == 0)?;
             let hashes = (0..count / 2).map(|_| Some((from.number()?, from.number()?)));
-            Message::Leaf { at, hashes: hashes.collect::<Option<_>>()? }
+            Message::Leaf { level, node, hashes: hashes.collect::<Option<_>>()? }
         }
         4 => {
             let count = from.count()?;
--- a/crates/sandstile-replica/tests/laws.rs
+++ b/crates/sandstile-replica/tests/laws.rs
@@ -60,7 +60,7 @@
         let b = copy(&mut || other.rand_range(0..60) as usize);
         let values = |r: &Replica| r.iter().map(|(k, f)| (k.clone(), f.value.clone())).collect::<Vec<_>>();
         let sum = a.iter().fold(0u64, |sum, (key, fact)| sum.wrapping_add(fact.hash(key)));
-        let leaves: usize = (0..sandstile_replica::Tree::leaves()).map(|at| a.of_leaf(at).len()).sum();
+        let leaves: usize = (0..sandstile_replica::Tree::leaves()).map(|at| a.below(4, at, 9999).len()).sum();
         a.digest() == b.digest() && values(&a) == values(&b) && a.digest() == sum && leaves == a.len()
     }
     quickcheck::QuickCheck::new().tests(40).quickcheck(holds as fn(u64) -> bool);
--- a/crates/sandstile-replica/tests/talk.rs
+++ b/crates/sandstile-replica/tests/talk.rs
@@ -129,7 +129,7 @@
     for n in 0..1_000_000u32 {
         let mut bytes = match n % 4 {
             0 => wire::write(&Message::Facts(all[..2].to_vec()), NOW),
-            1 => wire::write(&Message::Leaf { at: n, hashes: vec![(1, 2)] }, NOW),
+            1 => wire::write(&Message::Leaf { level: 4, node: n, hashes: vec![(1, 2)] }, NOW),
             2 => wire::write(&Message::Node { level: n as u8, node: n, sums: [9; 16] }, NOW),
             _ => wire::write(&Message::Want(vec![1, 2, 3]), NOW),
         };
--- a/crates/sandstile-router/src/kept.rs
+++ b/crates/sandstile-router/src/kept.rs
@@ -224,9 +224,12 @@
         }
     }
 
-    /// What is due.
-    pub fn turn(&mut self, now: f64, log: &Logger) -> Learnt {
-        self.keeper.look(now);
+    /// Answers go out at once, news with the next look: so many facts share a message, and a message a look is all that a link carries
+    /// of them.
+    pub fn turn(&mut self, now: f64, looks: bool, log: &Logger) -> Learnt {
+        if looks {
+            self.keeper.look(now);
+        }
         self.send(now);
         let mut learnt = Learnt::default();
         for news in self.keeper.take_news() {
--- a/crates/sandstile-router/src/sessions.rs
+++ b/crates/sandstile-router/src/sessions.rs
@@ -278,7 +278,7 @@
             Word::Heard(from, heard) => self.learn(now, &from, heard),
             Word::Untold(to) => self.kept.iter_mut().for_each(|k| k.parted(now, &to)),
             Word::Written(to, bytes) => self.kept.iter_mut().for_each(|k| k.written(&to, bytes)),
-            Word::Tick => self.keep(now),
+            Word::Tick => self.keep(now, true),
             Word::Show(show, post) => {
                 if let Some(kept) = &self.kept {
                     post.send(kept.show(now, show));
@@ -312,10 +312,10 @@
         fits
     }
 
-    /// What is due with the state that is kept together, and what it has learnt.
-    fn keep(&mut self, now: f64) {
+    /// What follows from what was heard of the state that is kept together; `looks` where what is due is looked for as well.
+    fn keep(&mut self, now: f64, looks: bool) {
         let Some(kept) = &mut self.kept else { return };
-        let learnt = kept.turn(now, &self.log);
+        let learnt = kept.turn(now, looks, &self.log);
         learnt.marks.iter().for_each(|(key, seen)| self.store.merge(*key, seen));
         if learnt.old_copy && self.heard_since == f64::NEG_INFINITY {
             self.heard_since = now;
@@ -329,7 +329,7 @@
             Heard::State(message) => {
                 if let Some(kept) = &mut self.kept {
                     kept.heard(now, from, &message);
-                    self.keep(now);
+                    self.keep(now, false);
                 }
             }
             Heard::Whole { of_yours } if self.kept.is_some() && sandstile_exchange::keeps(from) => {
--- a/crates/sandstile-router/tests/sessions.rs
+++ b/crates/sandstile-router/tests/sessions.rs
@@ -302,6 +302,95 @@
     fs::remove_dir_all(&stage.dir).expect("our own folder");
 }
 
+/// One that keeps state and one that knows nothing of that, side by side: each tells the other what the first version tells.
+#[test]
+fn one_that_keeps_state_and_one_that_does_not_understand_each_other() {
+    let stage = Stage::new();
+    let own = |n: usize, other: usize, state: &str| {
+        let (listen, peer) = (stage.exchange(n), stage.exchange(other));
+        format!(
+            "{}\nsessions_stay = true\nreplicas_lag_at_most_s = 60\nexchange {{\n listen = \"{listen}\"\n peers = [\"{peer}\"]\n}}\n{state}",
+            stage.keys()
+        )
+    };
+    for (keeps, other) in [("state {\n}", ""), ("", "state {\n}"), ("state {\n}", "state {\n}")] {
+        let _keeper = stage.router(1, Some(&own(1, 0, other)));
+        let router = stage.router(0, Some(&own(0, 1, keeps)));
+        thread::sleep(Duration::from_millis(700));
+        ask(&router, "save", "ann", None);
+        router.end("TERM");
+        let router = stage.router(0, Some(&own(0, 1, keeps)));
+        assert!(all_by_primary(&hosts(&router, "ann", None)), "{keeps} beside {other}");
+        assert!(served_by_replicas(&router, "one who never wrote", None), "{keeps} beside {other}");
+    }
+    fs::remove_dir_all(&stage.dir).expect("our own folder");
+}
+
+/// The state in a folder, asked over a socket, compared with a file; a second process there is told so in a line and does not start.
+#[test]
+fn kept_state_is_shown_and_compared_and_has_one_keeper() {
+    let stage = Stage::new();
+    let (dir, socket) = (stage.dir.join("state"), stage.dir.join("state.sock"));
+    let own = |n: usize| {
+        format!(
+            "{}\nsessions_stay = true\nexchange {{\n listen = \"{}\"\n}}\nstate {{\n dir = {:?}\n witness = {:?}\n control = {:?}\n}}",
+            stage.keys(),
+            stage.exchange(n),
+            dir.display().to_string(),
+            stage.dir.join("witness").display().to_string(),
+            socket.display().to_string()
+        )
+    };
+    let state = |words: &[&str]| {
+        let out = Command::new(env!("CARGO_BIN_EXE_sandstile"))
+            .arg("state")
+            .args(words)
+            .output()
+            .expect("the program");
+        let text =
+            format!("{}{}", String::from_utf8_lossy(&out.stdout), String::from_utf8_lossy(&out.stderr));
+        (out.status.success(), text)
+    };
+    let (file, socket) = (dir.join("state").display().to_string(), socket.display().to_string());
+    let router = stage.router(0, Some(&own(0)));
+    ask(&router, "save", "ann", None);
+    ask(&router, "save", "bob", None);
+    let same = || state(&["compare", &socket, &file]).0;
+    wait_for("all of it on the disk", same);
+    let before = dir.join("copy");
+    fs::copy(&file, &before).expect("room");
+    ask(&router, "save", "cid", None);
+    wait_for("more of it on the disk", || !state(&["compare", &before.display().to_string(), &file]).0);
+    let (_, told) = state(&["compare", &before.display().to_string(), &socket]);
+    assert!(told.contains("only the second has it") && told.contains("mark "), "{told}");
+    let (well, told) = state(&["show", &socket]);
+    assert!(well && told.contains("\"mark\":3") && told.contains("\"disk\":true"), "{told}");
+    let config = stage.dir.join("own-second.hcl");
+    fs::write(&config, format!("sessions {{\n{}\n}}\n", own(1))).expect("room");
+    let second = Command::new(env!("CARGO_BIN_EXE_sandstile"))
+        .args(["serve", "--config"])
+        .arg(&config)
+        .env("LB_CONFIG", stage.dir.join("config-0.json"))
+        .env("LB_LISTEN", format!("127.{}.{}.99:6432", stage.net.0, stage.net.1 + 100))
+        .output()
+        .expect("the program");
+    let told = String::from_utf8_lossy(&second.stderr).into_owned();
+    assert!(!second.status.success() && told.contains("another process keeps its state there"), "{told}");
+    router.end("TERM");
+    let (well, told) = state(&["show", &file]);
+    assert!(well && told.contains("ended in order: true"), "{told}");
+    // Its next life finds all of it: whoever is not there has not written.
+    let router = stage.router(0, Some(&own(0)));
+    assert!(!all_by_primary(&hosts(&router, "one who never wrote", None)));
+    router.end("KILL");
+    // Killed, and the file of an orderly end put back: the witness knows better.
+    fs::copy(&before, &file).expect("room");
+    let router = stage.router(0, Some(&own(0)));
+    assert!(all_by_primary(&hosts(&router, "one who never wrote", None)));
+    drop(router);
+    fs::remove_dir_all(&stage.dir).expect("our own folder");
+}
+
 /// Keys rotate under SIGHUP without a token lost; a bad file keeps the former ones.
 #[test]
 fn keys_are_read_again_on_sighup() {
@@ -373,6 +462,9 @@
         ("sessions {\n durability = \"maybe\"\n journal = \"x\"\n}", "2:15: durability"),
         ("sessions {\n durability = \"none\"\n}", "goes with journal"),
         ("sessions {\n exchange {\n listen = \"here\"\n }\n}", "3:11: \"here\" is no address"),
+        ("sessions {\n state {\n }\n}", "2:2: state goes with exchange"),
+        ("sessions {\n state {\n witness = \"w\"\n }\n}", "witness goes with dir"),
+        ("sessions {\n journal = \"x\"\n state {\n }\n}", "one of them"),
         ("sessions {\n keys = \"/nowhere/keys\"\n}", "/nowhere/keys"),
         ("sessions {", "own.hcl:"),
     ] {
