Learning together: shared searches for lost primaries, hosts that refused spared; copies compared as they were

Each router probed every member of a group without a primary itself; copies under load are never equal, so their audit could not tell late from different.

--- a/crates/sandstile-audit/src/lib.rs
+++ b/crates/sandstile-audit/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod agreement;
 pub mod copies;
 pub mod judge;
+pub mod probing;
 pub mod returning;
 pub mod service;
 pub mod trace;
@@ -10,6 +11,7 @@
 pub use agreement::{agreement, Agreement};
 pub use copies::{copies, Copies};
 pub use judge::{judge, own_reads, Finding, OwnReads, Rule};
+pub use probing::searches;
 pub use returning::{returning, Returning};
 pub use service::{service, Service};
 pub use trace::Trace;
--- a/crates/sandstile-audit/src/returning.rs
+++ b/crates/sandstile-audit/src/returning.rs
@@ -209,6 +209,22 @@
 }
 
 /// Looks at a whole trace; nothing where it has no beginning.
+/// Microseconds of routers' processor time for each statement that clients asked, over the evening.
+pub fn cpu(trace: &Trace) -> Option<f64> {
+    let begin = trace.terms.as_ref()?.begin;
+    let mut last: BTreeMap<usize, f64> = BTreeMap::new();
+    let mut used = 0.0;
+    for w in &trace.held {
+        let before = last.insert(w.router, w.cpu_ms);
+        if w.t > begin {
+            // A new process counts from nothing.
+            used += before.filter(|b| *b <= w.cpu_ms).map_or(w.cpu_ms, |b| w.cpu_ms - b);
+        }
+    }
+    let asked = trace.statements.values().filter(|s| s.asked.is_some()).count();
+    (asked > 0 && used > 0.0).then(|| used * 1e3 / asked as f64)
+}
+
 pub fn returning(trace: &Trace) -> Returning {
     let Some(terms) = &trace.terms else { return Returning::default() };
     let mut cues: Vec<(String, f64)> =
--- a/crates/sandstile-audit/src/trace.rs
+++ b/crates/sandstile-audit/src/trace.rs
@@ -116,6 +116,8 @@
     pub router: usize,
     pub rss_kb: f64,
     pub descriptors: f64,
+    /// Milliseconds of processor time so far.
+    pub cpu_ms: f64,
 }
 
 /// A cue of links: which kinds of ends it touches, and when it stood.
@@ -341,6 +343,7 @@
                 router: number("number")? as usize,
                 rss_kb: number("rss_kb")?,
                 descriptors: number("descriptors")?,
+                cpu_ms: number("cpu_ms").unwrap_or(0.0),
             }),
             "router" => {
                 let state = match json["state"].as_str() {
--- a/crates/sandstile-audit/tests/agreement.rs
+++ b/crates/sandstile-audit/tests/agreement.rs
@@ -103,3 +103,62 @@
     assert_eq!(last.agreed_after.map(|s| (s * 10.0).round() / 10.0), Some(0.8), "{found}");
     assert_eq!(found.false_deaths(), 0);
 }
+
+fn kept(as_of: f64, n: usize, standing: &str, digest: &str) -> String {
+    format!(
+        "\n{{\"t\":{},\"what\":\"kept\",\"number\":{n},\"standing\":\"{standing}\",\"facts\":5,\"digest\":\"{digest}\",\"as_of\":{as_of},\"bytes_out\":{},\"contradictions\":0,\"old_copy\":false}}",
+        as_of + 1.0,
+        (as_of - 99.0) * 1000.0
+    )
+}
+
+/// Copies are compared side by side, each with those that it can reach; one that stays behind is told, a moment's difference is not.
+#[test]
+fn copies_come_to_one_from_each_change() {
+    let play = |behind: bool| {
+        let mut lines = CUT.to_string();
+        let mut at = 100.0_f64;
+        while at < 129.0 {
+            for n in 0..3 {
+                let apart = (110.0..121.5).contains(&(at + 1.0));
+                let moment = n == 2 && (at - 104.0).abs() < 0.1;
+                let digest = match n {
+                    0 if apart => "alone",
+                    1 if behind && at > 123.0 => "behind",
+                    _ if moment => "moment",
+                    _ => "same",
+                };
+                lines += &kept(at, n, "in step", digest);
+            }
+            at += 0.25;
+        }
+        sandstile_audit::copies(&trace(&lines))
+    };
+    let found = play(false);
+    let after: Vec<Option<f64>> =
+        found.epochs.iter().map(|e| e.after.map(|s| (s * 4.0).round() / 4.0)).collect();
+    assert_eq!(after, [Some(1.75), Some(0.0), Some(1.5)], "{found}");
+    assert!((900.0..1100.0).contains(&found.bytes.0), "{found}");
+    let found = play(true);
+    assert_eq!(found.epochs[2].after, None, "{found}");
+}
+
+/// The longest time for which a member was looked at by nobody, and how often it was, while nobody led.
+#[test]
+fn searches_for_a_primary_are_measured() {
+    let mut lines = String::from(
+        "\n{\"t\":99.5,\"what\":\"primary\",\"group\":\"1\",\"host\":\"s-1-a\"}\n{\"t\":110.0,\"what\":\"fault_begins\",\"fault\":\"crash\",\"host\":\"s-1-a\"}",
+    );
+    for n in 0..50 {
+        let t = 110.5 + f64::from(n) * 0.2;
+        // Nobody for two seconds.
+        if !(114.0..116.0).contains(&t) {
+            lines += &format!("\n{{\"t\":{t},\"what\":\"probed\",\"host\":\"s-1-b\"}}");
+        }
+        lines += &format!("\n{{\"t\":{t},\"what\":\"probed\",\"host\":\"s-2-b\"}}");
+    }
+    lines += "\n{\"t\":120.5,\"what\":\"fault_ends\",\"fault\":\"crash\",\"host\":\"s-1-a\"}";
+    let found = sandstile_audit::searches(&trace(&lines));
+    assert_eq!(found.len(), 1);
+    assert!((2.0..2.3).contains(&found[0].gap) && (3.9..4.1).contains(&found[0].rate.0), "{}", found[0]);
+}
--- a/crates/sandstile-desk/src/counts.rs
+++ b/crates/sandstile-desk/src/counts.rs
@@ -35,6 +35,8 @@
     pub turned_away: Count,
     /// Statements that a ramp turned away, after a start.
     pub ramped: Count,
+    /// Probes that were left to other routers.
+    pub probes_left: Count,
     /// Times that this process stood still.
     pub stalls: Count,
 }
--- a/crates/sandstile-desk/src/desk.rs
+++ b/crates/sandstile-desk/src/desk.rs
@@ -115,6 +115,11 @@
                     self.orders.push_back(Order::Sharers(n));
                     self.said.push(Said::Sharers(n));
                 }
+                Fact::Warned(host, age) => {
+                    if let Some(host) = self.hosts.find(&host) {
+                        self.policy.warned(now, host, age);
+                    }
+                }
             }
         }
         any
@@ -250,6 +255,10 @@
                     }
                 }
                 self.sources.iter_mut().for_each(|s| s.ended(now, stmt, &mut outcome));
+                if let Some(&host) = open.hosts.get(execution) {
+                    let name = self.hosts.name(host);
+                    self.sources.iter_mut().for_each(|s| s.met(now, name, &outcome));
+                }
                 if outcome.ending == Ending::Completed {
                     if let Some(line) = open.line.take() {
                         self.counts.completed.add();
@@ -279,6 +288,8 @@
                 if let Some(out) = self.probes.get_mut(&host) {
                     *out = out.saturating_sub(1);
                 }
+                let name = self.hosts.name(host);
+                self.sources.iter_mut().for_each(|s| s.probed(now, name, &outcome));
                 self.policy.probed(now, host, outcome.ending == Ending::Completed, outcome.note);
             }
         }
@@ -358,6 +369,14 @@
                     }
                 }
                 Decision::Probe { host } => {
+                    let name = self.hosts.name(host);
+                    // Who is primary can be heard of from others; how far a host has come has to be seen.
+                    if self.policy.leaderless(host)
+                        && !self.sources.iter_mut().all(|s| s.may_probe(now, name))
+                    {
+                        self.counts.probes_left.add();
+                        continue;
+                    }
                     *self.probes.entry(host).or_default() += 1;
                     self.orders.push_back(Order::Probe(host));
                 }
--- a/crates/sandstile-desk/src/source.rs
+++ b/crates/sandstile-desk/src/source.rs
@@ -9,6 +9,8 @@
     List(Update),
     /// So many routers share the hosts.
     Sharers(f64),
+    /// Another router met the host of this name refusing, so many seconds ago.
+    Warned(String, f64),
 }
 
 /// All methods have a default for sources that have nothing to say there.
@@ -23,6 +25,17 @@
         Vec::new()
     }
 
+    /// The decisions look for the primary of a group, and want this host of it probed: `false` where another router does that.
+    fn may_probe(&mut self, _now: f64, _host: &str) -> bool {
+        true
+    }
+
+    /// A probe of this host has ended.
+    fn probed(&mut self, _now: f64, _host: &str, _outcome: &Outcome) {}
+
+    /// An execution at this host has ended.
+    fn met(&mut self, _now: f64, _host: &str, _outcome: &Outcome) {}
+
     /// A statement has come, and may still be turned away.
     fn arrives(&mut self, _now: f64, _asked: &Asked) {}
 
--- a/crates/sandstile-desk/tests/desk.rs
+++ b/crates/sandstile-desk/tests/desk.rs
@@ -64,6 +64,8 @@
     facts: Arc<Mutex<Vec<Fact>>>,
     reach: Option<Reach>,
     over: Arc<Mutex<Vec<u64>>>,
+    /// Another router probes.
+    leaves: bool,
 }
 
 impl Source for Told {
@@ -76,6 +78,9 @@
     fn reach(&mut self, _: f64, asked: &Asked, _: u64) -> Option<Reach> {
         self.reach.filter(|_| asked.workload == 2)
     }
+    fn may_probe(&mut self, _: f64, _: &str) -> bool {
+        !self.leaves
+    }
     fn over(&mut self, stmt: u64) {
         self.over.lock().unwrap().push(stmt);
     }
@@ -105,7 +110,7 @@
     let (facts, over) = (Shared::default(), Shared::default());
     for (n, reach) in reaches.iter().enumerate() {
         let facts = if n == 0 { Arc::clone(&facts) } else { Arc::default() };
-        desk.add(Box::new(Told { facts, reach: *reach, over: Arc::clone(&over) }));
+        desk.add(Box::new(Told { facts, reach: *reach, over: Arc::clone(&over), leaves: false }));
     }
     (desk, facts, over)
 }
@@ -240,3 +245,77 @@
     assert_eq!(desk.take_said(), vec![Said::Sharers(5.0)]);
     assert!(!desk.ask(1000.0), "told once");
 }
+
+/// A host that refused another router is spared for a while, and no longer; one that has answered here since is not.
+#[test]
+fn a_host_that_refused_another_rests_unless_it_answered_here() {
+    for answered in [false, true] {
+        let (mut desk, facts, _) = desk(1000.0, &[None]);
+        facts.lock().unwrap().push(Fact::List(update(1, &[("a", true), ("b", false), ("c", false)])));
+        desk.ask(1000.0);
+        let mut names = BTreeMap::new();
+        while let Some(order) = desk.next_order() {
+            if let Order::Known { host, name, .. } = order {
+                names.insert(name, host);
+            }
+        }
+        let (mut now, mut stmt, mut at_b) = (1000.0, 0, Vec::new());
+        while now < 1002.0 {
+            now += 0.02;
+            if (1001.0..1001.02).contains(&now) {
+                // Met a while ago, or a moment ago.
+                facts.lock().unwrap().push(Fact::Warned("b".to_string(), if answered { 0.5 } else { 0.0 }));
+                facts.lock().unwrap().push(Fact::Warned("unheard of".to_string(), 0.0));
+                desk.ask(now);
+            }
+            stmt += 1;
+            desk.take(now, asked(stmt, &format!("w{stmt}"), 0, now));
+            desk.turn(now, true);
+            for (host, stmt, execution) in sent(&mut desk) {
+                if host == names["b"] {
+                    at_b.push(now);
+                }
+                let mut outcome = Outcome::from(Ending::Completed);
+                outcome.note = Note { position: Some(now), primary: Some(host == names["a"]) };
+                desk.take(now + 0.001, Mail::Ended { stmt, execution, outcome });
+            }
+            desk.turn(now + 0.002, true);
+        }
+        let within = |from: f64, to: f64| at_b.iter().filter(|t| (from..to).contains(*t)).count();
+        assert!(
+            within(1000.5, 1001.0) > 3 && within(1001.5, 1002.0) > 3,
+            "used before, and after a while: {at_b:?}"
+        );
+        assert_eq!(within(1001.03, 1001.24) > 0, answered, "{at_b:?}");
+    }
+}
+
+/// While nobody leads, a source may leave a probe to another router; the decisions ask again by and by.
+#[test]
+fn probes_are_left_to_others_while_nobody_leads() {
+    for leaves in [false, true] {
+        let mut desk = Desk::new(Instance::new(&terms(), 7, 1000.0), Arc::default());
+        let facts = Shared::default();
+        facts.lock().unwrap().push(Fact::List(update(1, &[("a", false), ("b", false), ("c", false)])));
+        desk.add(Box::new(Told { facts, reach: None, over: Shared::default(), leaves }));
+        desk.ask(1000.0);
+        desk.take(1000.0, asked(1, "x", 1, 1000.0));
+        let mut probes = 0;
+        for n in 0..90 {
+            let now = 1000.0 + f64::from(n) * 0.01;
+            desk.turn(now, true);
+            while let Some(order) = desk.next_order() {
+                probes += usize::from(matches!(order, Order::Probe(_)));
+                if let Order::Do(_, job) = order {
+                    // Each says that it is no primary.
+                    let (stmt, execution) = job.which().expect("a statement");
+                    let mut outcome = Outcome::from(Ending::Missed);
+                    outcome.note.primary = Some(false);
+                    desk.take(now, Mail::Ended { stmt, execution, outcome });
+                }
+            }
+        }
+        assert_eq!(probes == 0, leaves, "{probes}");
+        assert_eq!(desk.counts.probes_left.get() > 3, leaves);
+    }
+}
--- a/crates/sandstile-experiment/src/plan.rs
+++ b/crates/sandstile-experiment/src/plan.rs
@@ -107,6 +107,7 @@
             ("both", Remembering { tokens: true, journal: true, ..off }),
             ("exchange", Remembering { exchange: true, ..off }),
             ("state", Remembering { exchange: true, state: true, ..off }),
+            ("together", Remembering { exchange: true, state: true, together: true, ..off }),
         ];
         arms.push(Arm {
             name: s.name.clone(),
--- a/crates/sandstile-keeper/src/keeper.rs
+++ b/crates/sandstile-keeper/src/keeper.rs
@@ -74,6 +74,8 @@
 /// Seconds for which a peer that is gone is remembered, and how many are: one that comes back hears just what it missed.
 const REMEMBERED: f64 = 600.0;
 const MOST_PEERS: usize = 1024;
+/// The first word to a peer: that it is heard.
+const HELLO: Message = Message::Ack(0);
 /// Seconds between looks for what is over.
 const FORGETS: f64 = 1.0;
 
@@ -90,6 +92,8 @@
     /// Since when it hears nothing; `None` while it is linked.
     gone: Option<f64>,
     out: VecDeque<Message>,
+    /// It has been heard since it is linked: a comparison has an answer only where both hear each other.
+    heard: bool,
     /// It asked for more than may wait for it.
     shed: bool,
     /// Bytes that whoever writes to it has not written yet.
@@ -114,6 +118,8 @@
     replica: Replica,
     catchup: CatchUp,
     peers: BTreeMap<String, Peer>,
+    /// Who was heard and can't be told anything yet.
+    early: BTreeSet<String>,
     numbers: u32,
     /// The number of this router's last word.
     word: u64,
@@ -145,6 +151,7 @@
             stored_life: terms.stored_life,
             replica,
             peers: BTreeMap::new(),
+            early: BTreeSet::new(),
             numbers: 0,
             word: 0,
             announced: false,
@@ -204,7 +211,8 @@
             known.deltas.again();
             known.out.clear();
             known.under_way = 0;
-            (known.gone, known.round) = (None, None);
+            (known.gone, known.round, known.heard) = (None, None, self.early.remove(peer));
+            known.out.push_back(HELLO);
             return;
         }
         if self.peers.len() >= MOST_PEERS {
@@ -219,7 +227,8 @@
             deltas: Deltas::from(self.replica.number()),
             talk: Talk::default(),
             gone: None,
-            out: VecDeque::new(),
+            out: VecDeque::from([HELLO]),
+            heard: self.early.remove(peer),
             shed: false,
             under_way: 0,
             credit: BURST,
@@ -232,6 +241,7 @@
     }
 
     pub fn parted_from(&mut self, now: f64, peer: &str) {
+        self.early.remove(peer);
         if let Some(peer) = self.peers.get_mut(peer) {
             self.counts.rounds_lost += u64::from(peer.round.is_some());
             (peer.gone, peer.round) = (Some(now), None);
@@ -249,12 +259,16 @@
         };
         self.counts.refused += spoilt as u64;
         let Some(peer) = self.peers.get_mut(from).filter(|p| p.gone.is_none()) else {
+            if self.early.len() < MOST_PEERS {
+                self.early.insert(from.to_string());
+            }
             // Facts are taken from whoever could prove that it is a peer.
             if let Message::Facts(facts) | Message::Deltas { facts, .. } = message {
                 self.take_in(now, COMPARED, &facts);
             }
             return;
         };
+        peer.heard = true;
         let number = peer.number;
         let asks = !matches!(message, Message::Facts(_) | Message::Deltas { .. } | Message::Ack(_));
         if asks && (peer.waits() >= MOST_WAITING || (peer.shed && !matches!(message, Message::Root(_)))) {
@@ -342,7 +356,7 @@
     }
 
     fn begin_round(peer: &mut Peer, now: f64, replica: &Replica) {
-        if peer.round.is_none() && now >= peer.done + AGAIN && peer.waits() < MOST_WAITING {
+        if peer.heard && peer.round.is_none() && now >= peer.done + AGAIN && peer.waits() < MOST_WAITING {
             peer.rounds = peer.rounds.wrapping_add(1);
             peer.round = Some(Round { number: peer.rounds, got_on: now });
             peer.out.push_back(Talk::begin(replica));
--- a/crates/sandstile-keeper/src/sim.rs
+++ b/crates/sandstile-keeper/src/sim.rs
@@ -263,10 +263,8 @@
             self.now = self.now.max(at as f64 / 1e9);
             match self.waiting.remove(&id) {
                 Some(Event::Look(place, life)) => {
-                    if self.places[place].as_ref().is_some_and(|p| p.life == life) {
-                        if let Some(p) = &mut self.places[place] {
-                            p.keeper.look(self.now);
-                        }
+                    if let Some(p) = self.places[place].as_mut().filter(|p| p.life == life) {
+                        p.keeper.look(self.now);
                         self.heed(place);
                         self.send(place);
                         self.post(self.now + LOOKS, Event::Look(place, life));
--- a/crates/sandstile-keeper/tests/keepers.rs
+++ b/crates/sandstile-keeper/tests/keepers.rs
@@ -167,12 +167,17 @@
     Keeper::new(terms, now)
 }
 
-/// A comparison that is never answered, since the way back is not up yet, is given up though news keep coming.
+/// A comparison that is never answered is given up though news keep coming; one begins only with whoever was heard.
 #[test]
 fn a_comparison_without_an_answer_is_given_up() {
     let mut keeper = alone("a", BEGIN);
     keeper.linked_with(BEGIN, "b#1");
     let mut asked = 0;
+    keeper.look(BEGIN);
+    let roots = |out: &[(String, Vec<u8>)]| {
+        out.iter().filter(|(_, m)| matches!(wire::read(m, BEGIN), Some((Message::Root(_), _)))).count()
+    };
+    assert_eq!(roots(&keeper.take_out(BEGIN)), 0, "nobody would answer");
     for n in 0..100 {
         let now = BEGIN + f64::from(n) * 0.05;
         keeper.look(now);
@@ -227,6 +232,40 @@
     assert_eq!(read(&[], now, &mut upto), 60_000);
 }
 
+/// A comparison of which something was not answered is not whole, whatever echoes come behind it.
+#[test]
+fn what_was_shed_is_no_answer() {
+    let (mut asks, mut full) = (alone("a", BEGIN), alone("b", BEGIN + 1.0));
+    asks.linked_with(BEGIN, "b#1");
+    full.linked_with(BEGIN, "a#1");
+    full.learn(BEGIN + 1.0, Kind::Floor, "g", Value::Most(BEGIN));
+    asks.heard(BEGIN, "b#1", &wire::write(&Message::Ack(0), BEGIN));
+    asks.look(BEGIN);
+    let mut way: Vec<Vec<u8>> = asks.take_out(BEGIN).into_iter().map(|(_, m)| m).collect();
+    // Between its root and the echo behind it, more is asked than may wait.
+    let behind =
+        way.iter().position(|m| matches!(wire::read(m, BEGIN), Some((Message::Root(_), _)))).expect("a root")
+            + 1;
+    for _ in 0..1100 {
+        way.insert(behind, wire::write(&Message::Root(1), BEGIN));
+    }
+    let mut now = BEGIN;
+    for _ in 0..40 {
+        for message in std::mem::take(&mut way) {
+            full.heard(now, "a#1", &message);
+        }
+        now += 0.02;
+        full.written("a#1", usize::MAX);
+        for (_, message) in full.take_out(now) {
+            asks.heard(now, "b#1", &message);
+        }
+        way.extend(asks.take_out(now).into_iter().map(|(_, m)| m));
+        asks.written("b#1", usize::MAX);
+    }
+    assert!(full.counts().shed > 0);
+    assert!(!asks.take_news().iter().any(|n| matches!(n, News::Has(_))));
+}
+
 /// One with the key says what it likes: facts of the future, of kinds that others own, two things under one number, taken back.
 #[test]
 fn a_liar_is_refused_fact_by_fact() {
--- a/crates/sandstile-lab/src/main.rs
+++ b/crates/sandstile-lab/src/main.rs
@@ -498,6 +498,7 @@
     println!("\n{}", sandstile_audit::returning(&trace));
     println!("{}", sandstile_audit::agreement(&trace));
     print!("{}", sandstile_audit::copies(&trace));
+    sandstile_audit::searches(&trace).iter().for_each(|search| println!("{search}"));
     let broken = findings.iter().filter(|f| strict || f.rule.binds()).count();
     println!("{} statements, {} lines, {broken} broken", trace.statements.len(), trace.lines);
     Ok(ExitCode::from(u8::from(broken > 0)))
--- a/crates/sandstile-lab/src/processes.rs
+++ b/crates/sandstile-lab/src/processes.rs
@@ -123,10 +123,11 @@
     if wanted.state {
         let file = state_file(script, dir, number);
         text += &format!(
-            "  state {{\n    dir = {:?}\n    witness = {:?}\n    control = {:?}\n  }}\n",
+            "  state {{\n    dir = {:?}\n    witness = {:?}\n    control = {:?}\n    learn_together = {}\n  }}\n",
             file.parent().unwrap_or(dir).display().to_string(),
             dir.join(format!("router-{number}.witness")).display().to_string(),
             state_socket(net, number).display().to_string(),
+            wanted.together,
         );
     }
     fs::write(&path, text + "}\n" + &beside)?;
--- a/crates/sandstile-lab/src/report.rs
+++ b/crates/sandstile-lab/src/report.rs
@@ -3,7 +3,7 @@
 use hdrhistogram::Histogram;
 use sandstile_audit::judge::RULES;
 use sandstile_audit::{
-    agreement, copies, judge, own_reads, returning, service, Finding, Returning, Service, Trace,
+    agreement, copies, judge, own_reads, returning, searches, service, Finding, Returning, Service, Trace,
 };
 use sandstile_emulator::Summary as Emulated;
 use sandstile_scenario::Script;
@@ -50,6 +50,23 @@
         measures["agreement not reached"] = agreed.never().into();
         measures["false deaths"] = agreed.false_deaths().into();
     }
+    if let Some(us) = sandstile_audit::returning::cpu(&trace) {
+        if !json["returning"].is_object() {
+            json["returning"] = json!({});
+        }
+        json["returning"]["routers' processor us a statement"] = us.into();
+    }
+    let found = searches(&trace);
+    if !found.is_empty() {
+        let measures = &mut json["returning"];
+        if !measures.is_object() {
+            *measures = json!({});
+        }
+        let most =
+            |of: fn(&sandstile_audit::probing::Search) -> f64| found.iter().map(of).fold(0.0, f64::max);
+        measures["probes a second at a host, no primary"] = most(|s| s.rate.0).into();
+        measures["longest gap of probes s"] = most(|s| s.gap).into();
+    }
     let kept = copies(&trace);
     if !kept.is_empty() {
         let own = own_reads(&trace);
--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -360,6 +360,22 @@
         }
     }
 
+    /// Another instance met this host refusing, so many seconds ago: it rests for a first time, unless it has answered here since. No
+    /// more than this comes of another's word, and nothing makes a host used again but what is seen here.
+    pub fn warned(&mut self, now: f64, host: usize, age: f64) {
+        self.now = now;
+        let Some(h) = self.hosts.get_mut(host) else { return };
+        if h.rests_until <= now && h.answered_at < now - age {
+            h.rests_until = now + REST;
+        }
+    }
+
+    /// Whether probes of this host look for a primary that its group lacks.
+    pub fn leaderless(&self, host: usize) -> bool {
+        let primary = self.hosts.get(host).and_then(|h| self.groups.get(h.group)).and_then(|g| g.primary);
+        primary.is_none_or(|p| self.hosts[p].mute)
+    }
+
     /// A host told which term of its group's primary it follows. Positions of different terms can't be
     /// compared: a new one voids all that was heard under the last; `false` where this host lags behind.
     pub fn follows(&mut self, host: usize, term: u64) -> bool {
--- a/crates/sandstile-replica/src/differ.rs
+++ b/crates/sandstile-replica/src/differ.rs
@@ -18,7 +18,7 @@
     match kind {
         Kind::Mark => Rule::Both,
         Kind::Floor | Kind::Life => Rule::Higher,
-        Kind::Leads | Kind::Refuses | Kind::Drains | Kind::Cold | Kind::Storm => Rule::Later,
+        Kind::Leads | Kind::Refuses | Kind::Drains | Kind::Cold | Kind::Storm | Kind::Probed => Rule::Later,
     }
 }
 
--- a/crates/sandstile-replica/src/fact.rs
+++ b/crates/sandstile-replica/src/fact.rs
@@ -18,10 +18,21 @@
     Cold,
     /// A storm is under way, as one router sees it. One writer.
     Storm,
+    /// What a router's own probe of a host told. One writer.
+    Probed,
 }
 
-pub const KINDS: [Kind; 8] =
-    [Kind::Mark, Kind::Floor, Kind::Life, Kind::Leads, Kind::Refuses, Kind::Drains, Kind::Cold, Kind::Storm];
+pub const KINDS: [Kind; 9] = [
+    Kind::Mark,
+    Kind::Floor,
+    Kind::Life,
+    Kind::Leads,
+    Kind::Refuses,
+    Kind::Drains,
+    Kind::Cold,
+    Kind::Storm,
+    Kind::Probed,
+];
 
 impl Kind {
     pub fn of(number: u8) -> Option<Kind> {
@@ -38,12 +49,13 @@
             Kind::Drains => "drains",
             Kind::Cold => "cold",
             Kind::Storm => "storm",
+            Kind::Probed => "probed",
         }
     }
 
     /// Whether one router alone writes each fact of it.
     pub fn owned(self) -> bool {
-        matches!(self, Kind::Leads | Kind::Refuses | Kind::Drains | Kind::Cold | Kind::Storm)
+        !matches!(self, Kind::Mark | Kind::Floor | Kind::Life)
     }
 
     /// Seconds for which a fact of it says anything. Marks and floors age by their own positions.
@@ -54,6 +66,7 @@
             Kind::Life => 30.0 * 86_400.0,
             Kind::Leads | Kind::Drains => 60.0,
             Kind::Refuses | Kind::Cold | Kind::Storm => 15.0,
+            Kind::Probed => 5.0,
         }
     }
 
@@ -63,7 +76,7 @@
             Kind::Mark => 1 << 16,
             Kind::Floor => 4096,
             Kind::Life => 2048,
-            Kind::Leads | Kind::Refuses | Kind::Drains | Kind::Cold => 8192,
+            Kind::Leads | Kind::Refuses | Kind::Drains | Kind::Cold | Kind::Probed => 8192,
             Kind::Storm => 2048,
         }
     }
--- a/crates/sandstile-replica/src/state.rs
+++ b/crates/sandstile-replica/src/state.rs
@@ -36,6 +36,8 @@
 
 /// Seconds before its end for which a fact stands in no comparison as of a time: copies let go of it at times that differ.
 const NEARLY_OVER: f64 = 5.0;
+/// Seconds for which what stood before a change is kept, at the least.
+const FORMERS: f64 = 3.0;
 /// Evidence that is kept at the most.
 const MOST_EVIDENCE: usize = 64;
 /// Seconds by which a position may be ahead of our clock; hosts' clocks and ours are no better than that.
@@ -58,6 +60,9 @@
     /// Marks of at most this position were given up: whoever is not found may have been among them.
     pub lost_to: f64,
     horizon: f64,
+    /// What stood before the changes of the last seconds, in two turns: what a copy was a moment ago is compared, not what it is.
+    formers: [OrdMap<(Key, u64), Fact>; 2],
+    turned: f64,
     evidence: Vec<Evidence>,
     counts: Counts,
 }
@@ -75,6 +80,8 @@
             order: KINDS.iter().map(|kind| (*kind, OrdSet::new())).collect(),
             lost_to: 0.0,
             horizon,
+            formers: [OrdMap::new(), OrdMap::new()],
+            turned: f64::NEG_INFINITY,
             evidence: Vec::new(),
             counts: Counts::default(),
         }
@@ -148,6 +155,9 @@
                 order.insert((careful, age, key.clone()));
             }
         }
+        if let (Some(former), Some(_)) = (&former, &fact) {
+            self.formers[0].insert((key.clone(), self.number), former.clone());
+        }
         let before = self.changed.remove(key);
         if let Some(before) = before {
             self.log.remove(&before);
@@ -245,6 +255,10 @@
             .map(|(k, _)| k.clone())
             .collect();
         over.iter().for_each(|key| self.place(key, None, 0));
+        if now >= self.turned + FORMERS {
+            self.turned = now;
+            self.formers[1] = std::mem::take(&mut self.formers[0]);
+        }
         self.counts.forgotten += over.len() as u64;
         over.len()
     }
@@ -273,18 +287,27 @@
             .filter_map(|(number, (key, by))| Some((*number, *by, key, self.facts.get(key)?)))
     }
 
-    /// The sum of all facts that are older than this, by what they say of their own age, and not about to be forgotten: copies that have
-    /// heard of the same up to then have the same, but for what has changed a moment ago.
+    /// The sum of all facts as they stood then, by what they say of their own age, those left out that are about to be forgotten: copies
+    /// that have heard of the same up to then have the same, whatever is on its way just now. For a time of a few seconds ago.
     pub fn digest_as_of(&self, at: f64) -> u64 {
+        let age = |key: &Key, fact: &Fact| match &fact.value {
+            Value::Seen(seen) => (seen.latest(), self.horizon),
+            Value::Most(most) if key.kind == Kind::Floor => (*most, self.horizon),
+            _ => (fact.born, key.kind.lasts()),
+        };
         let counts = |key: &Key, fact: &Fact| {
-            let (age, lasts) = match &fact.value {
-                Value::Seen(seen) => (seen.latest(), self.horizon),
-                Value::Most(most) if key.kind == Kind::Floor => (*most, self.horizon),
-                _ => (fact.born, key.kind.lasts()),
-            };
+            let (age, lasts) = age(key, fact);
             age <= at && age + lasts >= at + NEARLY_OVER
         };
+        // Of those that have changed since, what they were then: the last that is old enough.
+        let mut then: BTreeMap<&Key, &Fact> = BTreeMap::new();
+        for ((key, _), fact) in self.formers[1].iter().chain(&self.formers[0]) {
+            if self.facts.get(key).is_some_and(|now| age(key, now).0 > at) && counts(key, fact) {
+                then.insert(key, fact);
+            }
+        }
+        let former = then.iter().fold(0, |sum: u64, (key, fact)| sum.wrapping_add(fact.hash(key)));
         let some = self.facts.iter().filter(|(key, fact)| counts(key, fact));
-        some.fold(0, |sum: u64, (key, fact)| sum.wrapping_add(fact.hash(key)))
+        some.fold(former, |sum: u64, (key, fact)| sum.wrapping_add(fact.hash(key)))
     }
 }
--- a/crates/sandstile-replica/tests/laws.rs
+++ b/crates/sandstile-replica/tests/laws.rs
@@ -159,3 +159,31 @@
     let ill = copy.iter().filter(|(_, f)| matches!(&f.value, Value::Said(s) if s.careful == 1)).count();
     assert_eq!(ill, 20);
 }
+
+/// What a copy was a moment ago: one that has heard of a session's next write and one that has not yet say the same of before it.
+#[test]
+fn copies_are_compared_as_they_were() {
+    let mark = |at: f64| {
+        let seen = sandstile_sessions::mark::Seen::of(sandstile_sessions::mark::Mark {
+            term: sandstile_sessions::mark::Term(1),
+            position: at,
+        });
+        Fact { value: Value::Seen(seen), born: at }
+    };
+    let key = Key::of(Kind::Mark, "s");
+    let (mut heard, mut not_yet) = (Replica::new(300.0), Replica::new(300.0));
+    for copy in [&mut heard, &mut not_yet] {
+        copy.learn(NOW, &key, &mark(NOW - 10.0));
+        copy.forget(NOW);
+    }
+    heard.learn(NOW, &key, &mark(NOW - 0.2));
+    heard.learn(NOW, &key, &mark(NOW - 0.1));
+    heard.forget(NOW + 1.0);
+    assert_ne!(heard.digest(), not_yet.digest());
+    assert_eq!(heard.digest_as_of(NOW - 1.0), not_yet.digest_as_of(NOW - 1.0));
+    assert_ne!(heard.digest_as_of(NOW), not_yet.digest_as_of(NOW));
+    // Nothing is kept for longer than it is compared.
+    heard.forget(NOW + 4.0);
+    heard.forget(NOW + 8.0);
+    assert_ne!(heard.digest_as_of(NOW - 1.0), not_yet.digest_as_of(NOW - 1.0));
+}
--- a/crates/sandstile-router/src/charter.rs
+++ b/crates/sandstile-router/src/charter.rs
@@ -46,6 +46,8 @@
     pub witness: Option<PathBuf>,
     /// Where `sandstile state` asks, if anywhere.
     pub control: Option<PathBuf>,
+    /// Probes for lost primaries are shared, and hosts that refused another are spared.
+    pub together: bool,
 }
 
 impl Sessions {
@@ -221,6 +223,7 @@
             dir: t.text("dir").map(PathBuf::from),
             witness: t.text("witness").map(PathBuf::from),
             control: t.text("control").map(PathBuf::from),
+            together: t.yes("learn_together", false),
         };
         if plan.witness.is_some() && plan.dir.is_none() {
             t.wrong("witness", "witness goes with dir", Some("dir = \"FOLDER\"".to_string()));
--- a/crates/sandstile-router/src/counters.rs
+++ b/crates/sandstile-router/src/counters.rs
@@ -68,6 +68,7 @@
             ("turned_away", &self.desk.turned_away),
             ("dials_held", &self.dials_held),
             ("ramped", &self.desk.ramped),
+            ("probes_left", &self.desk.probes_left),
             ("stalls", &self.desk.stalls),
             ("members", &self.members),
             ("view", &self.view),
--- a/crates/sandstile-router/src/kept.rs
+++ b/crates/sandstile-router/src/kept.rs
@@ -6,12 +6,17 @@
 use crate::threads;
 use crate::words::{Show, Telling, Word};
 use crossbeam_channel::RecvTimeoutError;
+use sandstile_desk::{Ending, Outcome};
+use sandstile_duties::{Duties, Told, Warnings};
 use sandstile_keeper::{Keeper, News};
+use sandstile_policy::terms::Verdict;
 use sandstile_replica::catchup::{believe, Belief, Standing};
+use sandstile_replica::fact::Said;
 use sandstile_replica::{stored, Fact, Kind, Replica, Value};
 use sandstile_sessions::mark::{Mark, Seen};
 use sandstile_sessions::store::Key;
 use sandstile_stored::{Folder, Opened, Shelf};
+use sandstile_views::{may, About, View, Way};
 use serde_json::json;
 use slog::{info, warn, Logger};
 use std::collections::{BTreeMap, BTreeSet};
@@ -30,6 +35,11 @@
 /// For whoever asks over the socket to say what, and to read it.
 const PATIENCE: Duration = Duration::from_secs(2);
 
+/// Hosts and groups that are remembered as spoken of.
+const MOST_HOSTS: usize = 4096;
+/// Seconds between two words on one host that refuses.
+const REFUSALS: f64 = 0.5;
+
 /// What is known of this router besides its plan.
 pub struct Terms<'a> {
     pub name: &'a str,
@@ -47,6 +57,8 @@
     pub old_copy: bool,
     /// One that was handed all of ours told all that it has.
     pub vouched: bool,
+    /// Hosts that refused another, and how long ago.
+    pub warned: Vec<(String, f64)>,
 }
 
 /// For the disk's thread.
@@ -69,12 +81,27 @@
     put: u64,
     /// When each group's log was spoken of last, and the term it was under.
     led: BTreeMap<Arc<str>, (f64, u64)>,
+    /// Who probes which host, where our own file has it shared.
+    duties: Option<Duties>,
+    /// Hosts that refused this router: when it said so last.
+    refused: BTreeMap<String, f64>,
+    /// Whose word on hosts that refuse is heeded.
+    warnings: Warnings,
     believed: Belief,
     old_copy: bool,
     twins: u64,
     contradictions: u64,
 }
 
+/// What a probe told, how careful that makes, and its word among facts.
+const TOLD: [(Told, u8, &str); 3] =
+    [(Told::Silent, 1, "silent"), (Told::Answers, 0, "answers"), (Told::Primary, 0, "primary")];
+
+/// A peer's name without its life.
+fn bare(peer: &str) -> &str {
+    peer.split_once('#').map_or(peer, |(name, _)| name)
+}
+
 fn subject(key: Key) -> String {
     format!("{:016x}", key.0)
 }
@@ -150,6 +177,9 @@
             wrote_at: now,
             put: 0,
             led: BTreeMap::new(),
+            duties: plan.together.then(|| Duties::new(terms.name, sandstile_duties::Terms::default())),
+            refused: BTreeMap::new(),
+            warnings: Warnings::default(),
             believed,
             old_copy: false,
             twins: 0,
@@ -178,6 +208,9 @@
         if before.is_some_and(|(at, of)| of == term && now < at + FLOORS) {
             return;
         }
+        if self.led.len() >= MOST_HOSTS {
+            self.led.clear();
+        }
         self.led.insert(group.clone(), (now, term));
         // Names that are too long for a key are told of nowhere.
         if before.is_none_or(|(_, of)| of != term) {
@@ -215,6 +248,71 @@
         }
     }
 
+    /// Whether this router is to probe a host whose group lacks a primary.
+    pub fn may_probe(&mut self, now: f64, host: &str) -> bool {
+        let Some(duties) = &mut self.duties else { return true };
+        let there = self.keeper.linked().map(|peer| bare(peer).to_string()).collect();
+        duties.there(now, &there);
+        duties.probes(now, host)
+    }
+
+    pub fn probed(&mut self, now: f64, host: &str, outcome: &Outcome) {
+        let Some(duties) = &mut self.duties else { return };
+        let told = match (outcome.ending == Ending::Completed, outcome.note.primary) {
+            (false, _) => Told::Silent,
+            (true, Some(true)) => Told::Primary,
+            (true, _) => Told::Answers,
+        };
+        duties.probed(now, host, told);
+        let (careful, body) = TOLD.iter().find(|(t, ..)| *t == told).map_or((1, ""), |(_, c, b)| (*c, *b));
+        self.keeper.say(now, Kind::Probed, host, careful, body);
+    }
+
+    /// An execution at this host has ended: what others would lose a statement to learn is told to them.
+    pub fn met(&mut self, now: f64, host: &str, outcome: &Outcome) {
+        if self.duties.is_none() {
+            return;
+        }
+        if outcome.ending == Ending::Completed {
+            self.warnings.answered(now, host);
+        }
+        match outcome.ending.verdict() {
+            Verdict::ConnectFailed | Verdict::Reset | Verdict::Full => {
+                if self.refused.len() >= MOST_HOSTS {
+                    self.refused.clear();
+                }
+                if self.refused.get(host).is_none_or(|said| now >= said + REFUSALS) {
+                    self.refused.insert(host.to_string(), now);
+                    self.keeper.say(now, Kind::Refuses, host, 1, "");
+                }
+            }
+            Verdict::Completed if self.refused.remove(host).is_some() => {
+                self.keeper.say(now, Kind::Refuses, host, 0, "");
+            }
+            _ => {}
+        }
+    }
+
+    /// Another's word on a host.
+    fn told(&mut self, now: f64, key: &sandstile_replica::Key, said: &Said, learnt: &mut Learnt) {
+        let Some(duties) = &mut self.duties else { return };
+        let Some(born) = self.keeper.replica().get(key).map(|fact| fact.born) else { return };
+        match key.kind {
+            Kind::Probed => {
+                let Some((told, ..)) = TOLD.iter().find(|(_, _, body)| *body == &*said.body) else { return };
+                duties.heard(&key.owner, said.life, said.number, &key.subject, born, *told);
+            }
+            Kind::Refuses => {
+                // More care is allowed in every view, alone as well.
+                let may = said.careful > 0 && may(View::Alone, About::Refusal, Way::MoreCareful, false);
+                if may && self.warnings.heed(now, &key.owner, &key.subject) {
+                    learnt.warned.push((key.subject.to_string(), now - born));
+                }
+            }
+            _ => {}
+        }
+    }
+
     fn send(&mut self, now: f64) {
         for (peer, message) in self.keeper.take_out(now) {
             if self.outlets.get(&peer).is_some_and(|o| !o.send(Telling::State(message))) {
@@ -237,6 +335,7 @@
                 News::Learnt(key, Value::Seen(seen)) if key.kind == Kind::Mark => {
                     learnt.marks.extend(u64::from_str_radix(&key.subject, 16).ok().map(|k| (Key(k), seen)));
                 }
+                News::Learnt(key, Value::Said(said)) => self.told(now, &key, &said, &mut learnt),
                 News::Learnt(..) => {}
                 News::Standing(standing) => {
                     info!(log, "state: {}", word(standing); "facts" => self.keeper.replica().len())
--- a/crates/sandstile-router/src/sessions.rs
+++ b/crates/sandstile-router/src/sessions.rs
@@ -73,6 +73,8 @@
     begun: BTreeMap<Arc<str>, Mark>,
     /// What is kept together with other instances, where our own file turns that on.
     kept: Option<Box<Kept>>,
+    /// What others met, for the decisions.
+    warned: Vec<Fact>,
     aged_at: f64,
     counts: Counts,
     told_at: f64,
@@ -83,6 +85,8 @@
 const AGE: f64 = 5.0;
 /// A restart takes no longer; after that nobody vouches for what an instance may have written in between.
 const HANDED: f64 = 15.0;
+/// Groups whose beginning is remembered.
+const MOST_GROUPS: usize = 4096;
 /// Between lines of log that count.
 const TELL: f64 = 60.0;
 
@@ -150,6 +154,7 @@
             heard_since,
             begun: BTreeMap::new(),
             kept: kept.map(Box::new),
+            warned: Vec::new(),
             aged_at: now,
             counts,
             told_at: now,
@@ -230,6 +235,10 @@
     /// The first word of a group's primary in this life, or under a term of its own, says how far the log had come.
     fn led(&mut self, now: f64, wish: &Wish, outcome: &Outcome) {
         let Some(mark) = Self::mark(wish, outcome) else { return };
+        if self.begun.len() >= MOST_GROUPS && !self.begun.contains_key(&wish.group) {
+            // Its unknown sessions go to the primary a little longer.
+            return;
+        }
         if self.begun.get(&wish.group).is_none_or(|b| b.term != mark.term) {
             self.begun.insert(wish.group.clone(), mark);
         }
@@ -317,6 +326,7 @@
         let Some(kept) = &mut self.kept else { return };
         let learnt = kept.turn(now, looks, &self.log);
         learnt.marks.iter().for_each(|(key, seen)| self.store.merge(*key, seen));
+        self.warned.extend(learnt.warned.into_iter().map(|(host, age)| Fact::Warned(host, age)));
         if learnt.old_copy && self.heard_since == f64::NEG_INFINITY {
             self.heard_since = now;
         } else if learnt.vouched && self.plan.stay {
@@ -364,7 +374,19 @@
         while let Some(word) = self.words.try_recv() {
             self.heard(now, word);
         }
-        Vec::new()
+        std::mem::take(&mut self.warned)
+    }
+
+    fn may_probe(&mut self, now: f64, host: &str) -> bool {
+        self.kept.as_mut().is_none_or(|kept| kept.may_probe(now, host))
+    }
+
+    fn probed(&mut self, now: f64, host: &str, outcome: &Outcome) {
+        self.kept.iter_mut().for_each(|kept| kept.probed(now, host, outcome));
+    }
+
+    fn met(&mut self, now: f64, host: &str, outcome: &Outcome) {
+        self.kept.iter_mut().for_each(|kept| kept.met(now, host, outcome));
     }
 
     fn reach(&mut self, now: f64, asked: &Asked, term: u64) -> Option<Reach> {
--- a/crates/sandstile-router/tests/kept.rs
+++ b/crates/sandstile-router/tests/kept.rs
@@ -1,5 +1,6 @@
 //! Several processes of this program that keep state together, and faults between them: short forms of the rehearsals of replication.
-use sandstile_audit::{copies, judge, own_reads, Copies, OwnReads, Trace};
+use sandstile_audit::probing::Search;
+use sandstile_audit::{copies, judge, own_reads, searches, Copies, OwnReads, Trace};
 use sandstile_lab::rehearse::{rehearse, Wanted};
 use sandstile_scenario::Script;
 use std::fs;
@@ -50,7 +51,12 @@
 "#;
 
 fn play(name: &str, seconds: u32, cues: &str) -> (Copies, OwnReads) {
-    let text = FLEET.replace("SECONDS", &seconds.to_string()) + cues;
+    let trace = played(name, &FLEET.replace("SECONDS", &seconds.to_string()), cues);
+    (copies(&trace), own_reads(&trace))
+}
+
+fn played(name: &str, fleet: &str, cues: &str) -> Trace {
+    let text = fleet.to_string() + cues;
     let script = Script::read(name, &text).unwrap_or_else(|p| panic!("{p:?}"));
     let out = std::env::temp_dir().join(format!("sandstile-{name}-{}", std::process::id()));
     let router = Path::new(env!("CARGO_BIN_EXE_sandstile")).to_path_buf();
@@ -61,7 +67,7 @@
         found.iter().filter(|f| f.rule.binds() && !f.what.contains("after its time was over")).collect();
     assert!(broken.is_empty(), "{broken:?}");
     let _ = fs::remove_dir_all(out);
-    (copies(&trace), own_reads(&trace))
+    trace
 }
 
 fn came_to_one(found: &Copies, why: &str) -> f64 {
@@ -116,3 +122,36 @@
     assert!(own.checked > 300 && own.missed == 0, "{own:?}");
     assert!(came_to_one(&found, "split heals") < 4.0, "{found}");
 }
+
+/// Nobody leads for long: routers that share the search probe each member far less than routers that do not, and while one of them is
+/// killed and another stands still no member goes unprobed for longer than was agreed.
+#[test]
+fn a_search_that_is_shared_costs_less_and_leaves_no_gap() {
+    let cues = r#"
+fault "primary" {
+  kind = "crash"
+  on = "primary:1"
+  at = 3
+  for = 12
+}
+restart "killed" {
+  router = 0
+  kind = "kill"
+  back = 2
+  at = 6
+}
+stop "still" {
+  router = 1
+  for = 2
+  at = 10
+}
+"#;
+    let fleet = FLEET.replace("SECONDS", "17").replace("ship_ms = 60", "ship_ms = 60\n  detect_s = 60");
+    let search = |name: &str, sessions: &str| -> Search {
+        let trace = played(name, &fleet.replace("\"state\"", sessions), cues);
+        searches(&trace).first().cloned().expect("a search")
+    };
+    let (alone, together) = (search("kept-alone", "\"state\""), search("kept-together", "\"together\""));
+    assert!(together.rate.0 < 0.75 * alone.rate.0, "{together}; alone: {alone}");
+    assert!(together.gap < 2.5, "{together}");
+}
--- a/crates/sandstile-router/tests/sessions.rs
+++ b/crates/sandstile-router/tests/sessions.rs
@@ -6,6 +6,8 @@
 use sandstile_emulator::{speech, Clock, Emulator, Handle, Record};
 use sandstile_lab::processes;
 use sandstile_pgwire as pg;
+use sandstile_replica::fact::Said;
+use sandstile_replica::{wire, Fact, Key, Kind, Message, Value};
 use sandstile_scenario::Script;
 use stand_ins::{wait_for, PATIENCE};
 use std::fs;
@@ -391,6 +393,76 @@
     fs::remove_dir_all(&stage.dir).expect("our own folder");
 }
 
+/// One with the key says again and again that every host refuses, and that it has just looked and nobody leads: reads and writes are served
+/// all the same, by replicas as well once it has been belied.
+#[test]
+fn a_liar_with_the_key_costs_a_moment() {
+    let stage = Stage::new();
+    let own = format!(
+        "{}\nsessions_stay = true\nexchange {{\n listen = \"{}\"\n}}\nstate {{\n learn_together = true\n}}",
+        stage.keys(),
+        stage.exchange(0)
+    );
+    let router = stage.router(0, Some(&own));
+    assert!(
+        served_by_replicas(&router, "one who never wrote", None)
+            || all_by_primary(&hosts(&router, "x", None))
+    );
+    let secrets = sandstile_router::keys::read_keys(&stage.dir.join("keys"))
+        .expect("keys")
+        .derived(sandstile_router::exchange::CONTEXT);
+    let mut lies = TcpStream::connect(stage.exchange(0)).expect("an exchange");
+    let (mut greeting, mut bytes) = (Vec::new(), [0; 128]);
+    let nonce = loop {
+        let n = lies.read(&mut bytes).expect("a greeting");
+        greeting.extend_from_slice(&bytes[..n]);
+        if let Some((nonce, ..)) = sandstile_exchange::read_greeting(&greeting).expect("a greeting") {
+            break nonce;
+        }
+    };
+    let mut teller = sandstile_exchange::Teller::new(&secrets[0], &nonce);
+    lies.write_all(&teller.who("liar#7~2")).expect("a listener");
+    let over = std::sync::Arc::new(AtomicUsize::new(0));
+    let ends = over.clone();
+    let liar = thread::spawn(move || {
+        let (clock, mut number) = (Clock::anchor(), 0);
+        while ends.load(SeqCst) == 0 {
+            let now = clock.now();
+            let mut facts = Vec::new();
+            for host in ["s-1-a", "s-1-b", "s-1-c"] {
+                for (kind, careful, body) in [(Kind::Refuses, 1, ""), (Kind::Probed, 0, "answers")] {
+                    number += 1;
+                    let said = Said { life: 7, number, careful, body: body.into() };
+                    facts
+                        .push((Key::owned(kind, host, "liar"), Fact { value: Value::Said(said), born: now }));
+                }
+            }
+            let message = wire::write(&Message::Facts(facts), now);
+            if lies.write_all(&teller.state(&message)).is_err() {
+                return;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+    });
+    let begin = std::time::Instant::now();
+    let mut by_replicas = 0;
+    for n in 0..60 {
+        let asked = std::time::Instant::now();
+        if n % 6 == 0 {
+            ask(&router, "save", "ann", None);
+        }
+        by_replicas += usize::from(ask(&router, "own", &format!("r{n}"), None).host != PRIMARY);
+        assert!(asked.elapsed() < Duration::from_secs(1), "each in its time");
+        thread::sleep(Duration::from_millis(50));
+    }
+    assert!(begin.elapsed() < Duration::from_secs(20));
+    assert!(by_replicas > 10, "{by_replicas}: what is seen here counts");
+    over.store(1, SeqCst);
+    liar.join().expect("a liar");
+    drop(router);
+    fs::remove_dir_all(&stage.dir).expect("our own folder");
+}
+
 /// Keys rotate under SIGHUP without a token lost; a bad file keeps the former ones.
 #[test]
 fn keys_are_read_again_on_sighup() {
--- a/crates/sandstile-scenario/src/script.rs
+++ b/crates/sandstile-scenario/src/script.rs
@@ -98,10 +98,13 @@
     pub exchange: bool,
     /// They keep state together besides, on disks of their own.
     pub state: bool,
+    /// And share probes and refusals.
+    pub together: bool,
 }
 
 impl Remembering {
-    pub const OFF: Remembering = Remembering { tokens: false, journal: false, exchange: false, state: false };
+    pub const OFF: Remembering =
+        Remembering { tokens: false, journal: false, exchange: false, state: false, together: false };
 }
 
 /// What the audit holds the run against.
@@ -400,6 +403,7 @@
         ("both", Remembering { tokens: true, journal: true, ..off }),
         ("exchange", exchange),
         ("state", Remembering { state: true, ..exchange }),
+        ("together", Remembering { state: true, together: true, ..exchange }),
     ];
     let sessions = file.word("sessions", &words, Some(off));
     let planted = file.yes("planted", false);
--- a/deploy/sessions.hcl
+++ b/deploy/sessions.hcl
@@ -28,6 +28,16 @@
   #   listen = "10.0.0.4:7432"
   #   peers  = ["10.0.0.5:7432", "10.0.0.6:7432"]
   # }
+
+  # State that instances keep together, over the exchange (docs/replication.md). Takes the journal's place; the witness lies in
+  # no backup that holds the folder. learn_together: probes for lost primaries are shared, hosts that refused another are spared
+  # (docs/duties.md).
+  # state {
+  #   dir            = "/var/lib/sandstile/state"
+  #   witness        = "/var/lib/sandstile-witness/state"
+  #   control        = "/run/sandstile/state.sock"
+  #   learn_together = false
+  # }
 }
 
 # Who asked what kind of thing when, for models and rehearsals; no literal, no name of a session. The recording ends at
