Kept state: patience for slow links, answers to operators beside the loop, cheaper acks

Cause: on links of 150 to 250 ms two of four starts were not in step after 11 s; the exchange gave a greeting half a second, which crosses the link twice (exchange.rs, PATIENCE). An operator's question looked through all facts on the loop; a peer that tells faster than is heard filled the desk's mailbox; each delta was acknowledged alone; the disk's copy took the sums along.

--- a/crates/sandstile-keeper/src/keeper.rs
+++ b/crates/sandstile-keeper/src/keeper.rs
@@ -76,6 +76,8 @@
 const MOST_PEERS: usize = 1024;
 /// The first word to a peer: that it is heard.
 const HELLO: Message = Message::Ack(0);
+/// Seconds between two acknowledgements to one peer.
+const ACKS: f64 = 0.2;
 /// Seconds between looks for what is over.
 const FORGETS: f64 = 1.0;
 
@@ -100,6 +102,9 @@
     under_way: usize,
     credit: f64,
     credited: f64,
+    /// Up to which of its numbers we hold all, where that is not said yet; and when it was said last.
+    acks: Option<u64>,
+    acked: f64,
     round: Option<Round>,
     rounds: u32,
     done: f64,
@@ -233,6 +238,8 @@
             under_way: 0,
             credit: BURST,
             credited: now,
+            acks: None,
+            acked: now,
             round: None,
             rounds: 0,
             done: f64::NEG_INFINITY,
@@ -290,7 +297,7 @@
             Message::Ack(upto) => peer.deltas.acked(upto),
             Message::Facts(facts) => self.take_in(now, COMPARED, &facts),
             Message::Deltas { upto, facts } => {
-                peer.out.push_back(Message::Ack(upto));
+                peer.acks = Some(upto);
                 self.take_in(now, number, &facts);
             }
             message => {
@@ -390,6 +397,11 @@
                 peer.round = None;
                 self.counts.rounds_lost += 1;
             }
+            // One word for all that has come meanwhile.
+            if let Some(upto) = peer.acks.filter(|_| now >= peer.acked + ACKS) {
+                peer.out.push_back(Message::Ack(upto));
+                (peer.acks, peer.acked) = (None, now);
+            }
             while peer.waits() < DELTAS_WAITING {
                 let Some(message) = peer.deltas.take(&self.replica, peer.number) else { break };
                 peer.out.push_back(message);
--- a/crates/sandstile-lab/src/processes.rs
+++ b/crates/sandstile-lab/src/processes.rs
@@ -114,10 +114,13 @@
         let relayed = relayed(script);
         let others = (0..script.routers.count).filter(|n| *n != number);
         let peers = others.map(|n| format!("{:?}", exchange_address(net, n, number, relayed).1.to_string()));
+        let peers: Vec<String> = peers.collect();
+        // A list of nothing is none: one router alone has nobody to name.
+        let named =
+            if peers.is_empty() { String::new() } else { format!("    peers = [{}]\n", peers.join(", ")) };
         text += &format!(
-            "  sessions_stay = true\n  exchange {{\n    listen = \"{}\"\n    peers = [{}]\n  }}\n",
+            "  sessions_stay = true\n  exchange {{\n    listen = \"{}\"\n{named}  }}\n",
             exchange_address(net, number, number, relayed).0,
-            peers.collect::<Vec<_>>().join(", ")
         );
     }
     if wanted.state {
--- a/crates/sandstile-replica/src/catchup.rs
+++ b/crates/sandstile-replica/src/catchup.rs
@@ -63,7 +63,7 @@
 const PATIENCE: f64 = 2.0;
 const NOBODY: f64 = 3.0;
 /// Seconds since a comparison found no difference for which it counts.
-const COUNTS: f64 = 5.0;
+const COUNTS: f64 = 8.0;
 
 #[derive(Clone, Debug)]
 struct Ask {
--- a/crates/sandstile-replica/src/lib.rs
+++ b/crates/sandstile-replica/src/lib.rs
@@ -14,6 +14,6 @@
 pub use catchup::{CatchUp, Standing};
 pub use deltas::Deltas;
 pub use fact::{Fact, Key, Kind, Value};
-pub use state::{Came, Replica};
+pub use state::{Came, Replica, Snapshot};
 pub use talk::{Message, Talk};
 pub use tree::Tree;
--- a/crates/sandstile-replica/src/state.rs
+++ b/crates/sandstile-replica/src/state.rs
@@ -287,6 +287,49 @@
             .filter_map(|(number, (key, by))| Some((*number, *by, key, self.facts.get(key)?)))
     }
 
+    /// All facts as they are now, for whoever looks through them elsewhere. Shares them, and leaves out what only comparisons need.
+    pub fn snapshot(&self) -> Snapshot {
+        Snapshot {
+            facts: self.facts.clone(),
+            log: self.log.clone(),
+            number: self.number,
+            horizon: self.horizon,
+            formers: self.formers.clone(),
+        }
+    }
+
+    pub fn digest_as_of(&self, at: f64) -> u64 {
+        self.snapshot().digest_as_of(at)
+    }
+}
+
+/// What a copy held at one time.
+#[derive(Clone)]
+pub struct Snapshot {
+    facts: OrdMap<Key, Fact>,
+    log: OrdMap<u64, (Key, u32)>,
+    number: u64,
+    horizon: f64,
+    formers: [OrdMap<(Key, u64), Fact>; 2],
+}
+
+impl Snapshot {
+    pub fn iter(&self) -> impl Iterator<Item = (&Key, &Fact)> {
+        self.facts.iter()
+    }
+
+    /// The number of its last change.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// What had changed behind this number, the earliest first.
+    pub fn changes(&self, behind: u64) -> impl Iterator<Item = (&Key, &Fact)> {
+        self.log
+            .range(behind.saturating_add(1)..)
+            .filter_map(|(_, (key, _))| Some((key, self.facts.get(key)?)))
+    }
+
     /// The sum of all facts as they stood then, by what they say of their own age, those left out that are about to be forgotten: copies
     /// that have heard of the same up to then have the same, whatever is on its way just now. For a time of a few seconds ago.
     pub fn digest_as_of(&self, at: f64) -> u64 {
--- a/crates/sandstile-router/src/exchange.rs
+++ b/crates/sandstile-router/src/exchange.rs
@@ -21,12 +21,15 @@
 
 /// Between tries to reach an instance that is not there.
 const AGAIN: Duration = Duration::from_millis(300);
-/// Instances are near; one that takes longer is not there.
-const PATIENCE: Duration = Duration::from_millis(500);
+/// A greeting crosses a slow link twice; one that takes longer is not there.
+const PATIENCE: Duration = Duration::from_millis(2000);
 /// Between looks at whether a listener is still there.
 const LOOK: Duration = Duration::from_millis(100);
 /// Marks that wait for one instance; beyond that it is told all anew.
 const MOST_WAITING: usize = 8192;
+/// Words of others that wait for the desk; a frame has a quarter of a megabyte at the most. And how long a teller waits then.
+const MOST_HEARD: usize = 128;
+const BREATH: Duration = Duration::from_millis(2);
 /// Instances that are told at one time, a thread each.
 const MOST_TOLD: usize = 64;
 /// Instances that may tell at one time.
@@ -182,6 +185,10 @@
                 from = Some(name.clone());
                 stream.set_read_timeout(None)?;
             }
+            // One that tells faster than is heard waits in its own stream, and fills no memory here.
+            while desk.waiting() > MOST_HEARD {
+                thread::sleep(BREATH);
+            }
             if let Some(from) = &from {
                 desk.send(Word::Heard(from.clone(), heard));
             }
--- a/crates/sandstile-router/src/kept.rs
+++ b/crates/sandstile-router/src/kept.rs
@@ -4,7 +4,7 @@
 use crate::clock::Clock;
 use crate::mailbox::{mailbox, Mailbox, Post};
 use crate::threads;
-use crate::words::{Show, Telling, Word};
+use crate::words::{Shown, Telling, Word};
 use crossbeam_channel::RecvTimeoutError;
 use sandstile_desk::{Ending, Outcome};
 use sandstile_duties::{Duties, Told, Warnings};
@@ -12,7 +12,7 @@
 use sandstile_policy::terms::Verdict;
 use sandstile_replica::catchup::{believe, Belief, Standing};
 use sandstile_replica::fact::Said;
-use sandstile_replica::{stored, Fact, Kind, Replica, Value};
+use sandstile_replica::{stored, Fact, Kind, Snapshot, Value};
 use sandstile_sessions::mark::{Mark, Seen};
 use sandstile_sessions::store::Key;
 use sandstile_stored::{Folder, Opened, Shelf};
@@ -63,8 +63,8 @@
 
 /// For the disk's thread.
 enum Chore {
-    Put(f64, Box<Replica>),
-    End(f64, Box<Replica>, Post<()>),
+    Put(f64, Snapshot),
+    End(f64, Snapshot, Post<()>),
 }
 
 pub struct Kept {
@@ -375,7 +375,7 @@
         }
         if let Some(disk) = &self.disk {
             // A copy shares its facts with ours.
-            self.busy = disk.send(Chore::Put(now, Box::new(self.keeper.replica().clone())));
+            self.busy = disk.send(Chore::Put(now, self.keeper.replica().snapshot()));
             (self.wrote_at, self.put) = (now, number);
         }
     }
@@ -390,44 +390,46 @@
             }
         }
         if let Some(disk) = self.disk.take() {
-            disk.send(Chore::End(now, Box::new(self.keeper.replica().clone()), done.clone()));
+            disk.send(Chore::End(now, self.keeper.replica().snapshot(), done.clone()));
         }
     }
 
-    /// What an operator is told.
-    pub fn show(&self, now: f64, show: Show) -> Vec<u8> {
+    /// What an operator is told, but for what takes a look at every fact.
+    pub fn show(&self, now: f64) -> Shown {
         let replica = self.keeper.replica();
-        match show {
-            Show::Facts => {
-                // In the form of a file, so that a router and a file compare alike.
-                let mut out = stored::head(1);
-                replica.iter().for_each(|(key, fact)| stored::put(&mut out, 1, now, key, fact));
-                stored::ended(&mut out, 1, replica.number());
-                out
-            }
-            Show::Summary(at) => {
-                let (c, r) = (self.keeper.counts(), replica.counts());
-                let mut by_kind = serde_json::Map::new();
-                for (key, _) in replica.iter() {
-                    let n = by_kind.entry(key.kind.word()).or_insert(json!(0));
-                    *n = json!(n.as_u64().unwrap_or(0) + 1);
-                }
-                let said = json!({"standing": word(self.keeper.standing()), "facts": replica.len(), "kinds": by_kind,
-                    "digest": format!("{:016x}", replica.digest()), "as_of": at,
-                    "digest_as_of": format!("{:016x}", replica.digest_as_of(at)),
-                    "linked": self.keeper.linked().collect::<Vec<_>>(), "number": replica.number(),
-                    "believed": format!("{:?}", self.believed).to_lowercase(), "old_copy": self.old_copy,
-                    "disk": self.disk.is_some(), "twins": self.twins, "contradictions": self.contradictions,
-                    "bytes_in": c.bytes_in, "bytes_out": c.bytes_out, "messages_in": c.messages_in,
-                    "messages_out": c.messages_out, "rounds": c.rounds, "rounds_lost": c.rounds_lost,
-                    "unreadable": c.unreadable, "refused": c.refused, "shed": c.shed,
-                    "given_up": r.given_up, "forgotten": r.forgotten});
-                format!("{said}\n").into_bytes()
-            }
-        }
+        let (c, r) = (self.keeper.counts(), replica.counts());
+        let about = json!({"standing": word(self.keeper.standing()), "facts": replica.len(),
+            "digest": format!("{:016x}", replica.digest()),
+            "linked": self.keeper.linked().collect::<Vec<_>>(), "number": replica.number(),
+            "believed": format!("{:?}", self.believed).to_lowercase(), "old_copy": self.old_copy,
+            "disk": self.disk.is_some(), "twins": self.twins, "contradictions": self.contradictions,
+            "bytes_in": c.bytes_in, "bytes_out": c.bytes_out, "messages_in": c.messages_in,
+            "messages_out": c.messages_out, "rounds": c.rounds, "rounds_lost": c.rounds_lost,
+            "unreadable": c.unreadable, "refused": c.refused, "shed": c.shed,
+            "given_up": r.given_up, "forgotten": r.forgotten});
+        Shown { at: now, about, held: replica.snapshot() }
     }
 }
 
+/// How it stands, with the sum of what is older than this.
+fn summary(shown: Shown, at: f64) -> Vec<u8> {
+    let Shown { mut about, held, .. } = shown;
+    let mut kinds: BTreeMap<&str, u64> = BTreeMap::new();
+    held.iter().for_each(|(key, _)| *kinds.entry(key.kind.word()).or_default() += 1);
+    about["kinds"] = json!(kinds);
+    about["as_of"] = json!(at);
+    about["digest_as_of"] = json!(format!("{:016x}", held.digest_as_of(at)));
+    format!("{about}\n").into_bytes()
+}
+
+/// All facts in the form of a file, so that a router and a file compare alike.
+fn facts(shown: &Shown) -> Vec<u8> {
+    let mut out = stored::head(1);
+    shown.held.iter().for_each(|(key, fact)| stored::put(&mut out, 1, shown.at, key, fact));
+    stored::ended(&mut out, 1, shown.held.number());
+    out
+}
+
 fn word(standing: Standing) -> &'static str {
     match standing {
         Standing::New => "new",
@@ -442,16 +444,16 @@
 fn keep(mut shelf: Shelf, chores: &Mailbox<Chore>, idle: &Post<bool>, log: &Logger) {
     loop {
         match chores.recv(None) {
-            Ok(Chore::Put(now, replica)) => {
-                let put = shelf.put(now, &replica);
+            Ok(Chore::Put(now, held)) => {
+                let put = shelf.put(now, &held);
                 idle.send(put.is_ok());
                 if let Err(e) = put {
                     warn!(log, "state: the disk takes no more: {e}");
                     return;
                 }
             }
-            Ok(Chore::End(now, replica, done)) => {
-                if let Err(e) = shelf.end(now, &replica) {
+            Ok(Chore::End(now, held, done)) => {
+                if let Err(e) = shelf.end(now, &held) {
                     warn!(log, "state: not all of it is on the disk: {e}");
                 }
                 drop(done);
@@ -490,17 +492,20 @@
         if patient.is_err() || read.is_err() {
             continue;
         }
-        let show = match line.trim().split_once(' ') {
-            Some(("summary", at)) => at.parse().ok().filter(|at: &f64| at.is_finite()).map(Show::Summary),
-            None if line.trim() == "facts" => Some(Show::Facts),
-            _ => None,
-        };
-        let Some(show) = show else { continue };
+        let at = line.strip_prefix("summary ").and_then(|at| at.trim().parse::<f64>().ok());
+        if at.is_none_or(|at| !at.is_finite()) && line.trim() != "facts" {
+            continue;
+        }
         let (post, told) = crate::mailbox::slot();
-        if !words.send(Word::Show(show, post)) {
+        if !words.send(Word::Show(post)) {
             return;
         }
-        if let Ok(bytes) = told.recv(Some(PATIENCE)) {
+        // Looked through here, and not where statements wait.
+        if let Ok(shown) = told.recv(Some(PATIENCE)) {
+            let bytes = match at {
+                Some(at) => summary(shown, at),
+                None => facts(&shown),
+            };
             let _ = stream.write_all(&bytes);
         }
     }
--- a/crates/sandstile-router/src/mailbox.rs
+++ b/crates/sandstile-router/src/mailbox.rs
@@ -90,6 +90,11 @@
         sent
     }
 
+    /// Mail that nobody has read yet.
+    pub fn waiting(&self) -> usize {
+        self.sender.as_ref().map_or(0, Sender::len)
+    }
+
     fn wake(&self) {
         match &self.reader {
             Reader::Thread(reader) => {
--- a/crates/sandstile-router/src/sessions.rs
+++ b/crates/sandstile-router/src/sessions.rs
@@ -288,9 +288,9 @@
             Word::Untold(to) => self.kept.iter_mut().for_each(|k| k.parted(now, &to)),
             Word::Written(to, bytes) => self.kept.iter_mut().for_each(|k| k.written(&to, bytes)),
             Word::Tick => self.keep(now, true),
-            Word::Show(show, post) => {
+            Word::Show(post) => {
                 if let Some(kept) = &self.kept {
-                    post.send(kept.show(now, show));
+                    post.send(kept.show(now));
                 }
             }
             Word::End(done) => {
--- a/crates/sandstile-router/src/words.rs
+++ b/crates/sandstile-router/src/words.rs
@@ -1,17 +1,16 @@
 //! What the desk's sessions hear from outside, and what goes from them to other instances.
 use crate::mailbox::Post;
 use sandstile_exchange::Heard;
+use sandstile_replica::Snapshot;
 use sandstile_sessions::mark::Seen;
 use sandstile_sessions::store::{Exact, Key};
 use sandstile_sessions::token::KeyRing;
 
-/// What an operator may ask of the kept state.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Show {
-    /// How it stands, with the sum of what is older than this (Unix seconds).
-    Summary(f64),
-    /// All facts, as the file has them.
-    Facts,
+/// What an operator is told of the kept state: how it stands, and a copy that shares its facts, to be looked through elsewhere.
+pub struct Shown {
+    pub at: f64,
+    pub about: serde_json::Value,
+    pub held: Snapshot,
 }
 
 /// Word from outside the desk.
@@ -28,7 +27,7 @@
     /// The kept state is to be looked at: some twenty times a second.
     Tick,
     /// An operator asks.
-    Show(Show, Post<Vec<u8>>),
+    Show(Post<Shown>),
     /// The instance ends: all that is known is to be on the disk, and told, when nobody holds this any more.
     End(Post<()>),
 }
--- a/crates/sandstile-stored/src/lib.rs
+++ b/crates/sandstile-stored/src/lib.rs
@@ -7,7 +7,7 @@
 pub use folder::Folder;
 use sandstile_replica::catchup::{Stored, Witness};
 use sandstile_replica::stored::{self, Found};
-use sandstile_replica::Replica;
+use sandstile_replica::Snapshot;
 use std::io;
 
 /// Where bytes lie. The one for real disks is [`Folder`]; tests have others that fail.
@@ -68,17 +68,17 @@
 
 impl Shelf {
     /// Puts down what has changed; a copy of all where the file has grown too long. An error is the end of it.
-    pub fn put(&mut self, now: f64, replica: &Replica) -> io::Result<()> {
-        let number = replica.number();
+    pub fn put(&mut self, now: f64, held: &Snapshot) -> io::Result<()> {
+        let number = held.number();
         if self.bytes == 0 || self.bytes > (self.copied * GROWN).max(LEAST) {
             let mut out = stored::head(self.life);
-            replica.iter().for_each(|(key, fact)| stored::put(&mut out, self.life, now, key, fact));
+            held.iter().for_each(|(key, fact)| stored::put(&mut out, self.life, now, key, fact));
             stored::number(&mut out, self.life, number);
             self.place.replace(&out)?;
             (self.bytes, self.copied, self.number) = (out.len(), out.len(), number);
         } else if number > self.number {
             let mut out = Vec::new();
-            for (_, _, key, fact) in replica.changes(self.number) {
+            for (key, fact) in held.changes(self.number) {
                 stored::put(&mut out, self.life, now, key, fact);
             }
             stored::number(&mut out, self.life, number);
@@ -89,8 +89,8 @@
     }
 
     /// The life ends in order: all that it knew is there, and the witness says so.
-    pub fn end(mut self, now: f64, replica: &Replica) -> io::Result<()> {
-        self.put(now, replica)?;
+    pub fn end(mut self, now: f64, held: &Snapshot) -> io::Result<()> {
+        self.put(now, held)?;
         let mut out = Vec::new();
         stored::ended(&mut out, self.life, self.number);
         self.place.append(&out)?;
