--- a/crates/sandstile-audit/src/probing.rs
+++ b/crates/sandstile-audit/src/probing.rs
@@ -52,7 +52,8 @@
             gap = ends.windows(2).map(|w| w[1] - w[0]).fold(gap, f64::max);
         }
         let rates: Vec<f64> = probes.values().map(|times| times.len() as f64 / (to - from)).collect();
-        let mean = rates.iter().sum::<f64>() / rates.len().max(1) as f64;
+        // A sum of nothing is less than none, as floats have it.
+        let mean = rates.iter().fold(0.0, |all, rate| all + rate) / rates.len().max(1) as f64;
         out.push(Search {
             group: group.clone(),
             from: from - terms.begin,
