--- a/crates/sandstile-keeper/tests/keepers.rs
+++ b/crates/sandstile-keeper/tests/keepers.rs
@@ -232,38 +232,68 @@
     assert_eq!(read(&[], now, &mut upto), 60_000);
 }
 
-/// A comparison of which something was not answered is not whole, whatever echoes come behind it.
+/// The messages that go out to one peer.
+fn said(keeper: &mut Keeper, now: f64, to: &str) -> Vec<Message> {
+    keeper.written(to, usize::MAX);
+    let out = keeper.take_out(now).into_iter().filter(|(peer, _)| peer == to);
+    out.filter_map(|(_, m)| wire::read(&m, now)).map(|(m, _)| m).collect()
+}
+
+/// A comparison of which something was not answered is not whole: no echo tells so, not even once there is room again.
 #[test]
 fn what_was_shed_is_no_answer() {
-    let (mut asks, mut full) = (alone("a", BEGIN), alone("b", BEGIN + 1.0));
-    asks.linked_with(BEGIN, "b#1");
+    let mut full = alone("b", BEGIN);
     full.linked_with(BEGIN, "a#1");
-    full.learn(BEGIN + 1.0, Kind::Floor, "g", Value::Most(BEGIN));
-    asks.heard(BEGIN, "b#1", &wire::write(&Message::Ack(0), BEGIN));
-    asks.look(BEGIN);
-    let mut way: Vec<Vec<u8>> = asks.take_out(BEGIN).into_iter().map(|(_, m)| m).collect();
-    // Between its root and the echo behind it, more is asked than may wait.
-    let behind =
-        way.iter().position(|m| matches!(wire::read(m, BEGIN), Some((Message::Root(_), _)))).expect("a root")
-            + 1;
+    full.learn(BEGIN, Kind::Floor, "g", Value::Most(BEGIN));
+    let hear = |full: &mut Keeper, now: f64, m: Message| full.heard(now, "a#1", &wire::write(&m, now));
+    // As many answers wait as may, and a question between root and echo finds no room.
     for _ in 0..1100 {
-        way.insert(behind, wire::write(&Message::Root(1), BEGIN));
+        hear(&mut full, BEGIN, Message::Root(1));
     }
+    hear(&mut full, BEGIN, Message::Want(vec![1, 2, 3]));
+    assert!(full.counts().shed > 0);
     let mut now = BEGIN;
     for _ in 0..40 {
-        for message in std::mem::take(&mut way) {
-            full.heard(now, "a#1", &message);
-        }
-        now += 0.02;
-        full.written("a#1", usize::MAX);
-        for (_, message) in full.take_out(now) {
-            asks.heard(now, "b#1", &message);
-        }
-        way.extend(asks.take_out(now).into_iter().map(|(_, m)| m));
-        asks.written("b#1", usize::MAX);
+        now += 0.1;
+        said(&mut full, now, "a#1");
     }
-    assert!(full.counts().shed > 0);
-    assert!(!asks.take_news().iter().any(|n| matches!(n, News::Has(_))));
+    let echoes = |full: &mut Keeper, now: f64| {
+        said(full, now, "a#1").iter().filter(|m| matches!(m, Message::Echo { .. })).count()
+    };
+    hear(&mut full, now, Message::Echo { round: 1, hop: 6 });
+    assert_eq!(echoes(&mut full, now), 0, "it would say that all was answered");
+    // The next one begins anew.
+    hear(&mut full, now, Message::Root(1));
+    hear(&mut full, now, Message::Echo { round: 2, hop: 0 });
+    assert_eq!(echoes(&mut full, now), 1);
+}
+
+/// What a comparison brought is told to nobody as news: one that lost all would tell all that it was told to all the others. What came as
+/// news goes on, and not back.
+#[test]
+fn what_a_comparison_brought_is_no_news() {
+    let mut keeper = alone("a", BEGIN);
+    keeper.linked_with(BEGIN, "b#1");
+    keeper.linked_with(BEGIN, "c#1");
+    let fact =
+        |group: &str| (Key::of(Kind::Floor, group), Fact { value: Value::Most(BEGIN - 1.0), born: BEGIN });
+    keeper.heard(BEGIN, "b#1", &wire::write(&Message::Facts(vec![fact("compared")]), BEGIN));
+    keeper.heard(BEGIN, "b#1", &wire::write(&Message::Deltas { upto: 1, facts: vec![fact("news")] }, BEGIN));
+    keeper.look(BEGIN + 0.1);
+    let told = |keeper: &mut Keeper, to: &str| -> Vec<String> {
+        let facts = said(keeper, BEGIN + 0.1, to).into_iter().filter_map(|m| match m {
+            Message::Deltas { facts, .. } => Some(facts),
+            _ => None,
+        });
+        facts.flatten().map(|(key, _)| key.subject.to_string()).collect()
+    };
+    // Whoever is asked first takes all out for both: the other's are read from the same turn.
+    let mut other = alone("a", BEGIN);
+    other.linked_with(BEGIN, "b#1");
+    other.heard(BEGIN, "b#1", &wire::write(&Message::Deltas { upto: 1, facts: vec![fact("news")] }, BEGIN));
+    other.look(BEGIN + 0.1);
+    assert_eq!(told(&mut keeper, "c#1"), ["news"]);
+    assert!(told(&mut other, "b#1").is_empty(), "not back to whoever told it");
 }
 
 /// One with the key says what it likes: facts of the future, of kinds that others own, two things under one number, taken back.
