--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -361,7 +361,7 @@
     }
 
     /// Another instance met this host refusing, so many seconds ago: it rests for a first time, unless it has
-    /// answered here since. No more comes of another's word, and only what is seen here has a host used again.
+    /// answered here since. No more comes of another's word; only what is seen here has a host used again.
     pub fn warned(&mut self, now: f64, host: usize, age: f64) {
         self.now = now;
         let Some(h) = self.hosts.get_mut(host) else { return };
