--- a/crates/sandstile-router/tests/stand_ins/mod.rs
+++ b/crates/sandstile-router/tests/stand_ins/mod.rs
@@ -314,7 +314,7 @@
         Router { child: command.arg("serve").spawn().expect("the program"), address, file }
     }
 
-    fn up(mut command: Command, address: SocketAddr, file: PathBuf) -> Router {
+    pub fn up(mut command: Command, address: SocketAddr, file: PathBuf) -> Router {
         let router = Router { child: command.spawn().expect("the program"), address, file };
         wait_for("a router", || TcpStream::connect(address).is_ok());
         router
