Why a connection was closed, a statement refused or retried: counters and log lines

A statement that is read only with its client's end is logged and counted (read_too_late). No decision changes; tests of rejections compare the same fields as before.

--- a/crates/sandstile-desk/src/counts.rs
+++ b/crates/sandstile-desk/src/counts.rs
@@ -1,4 +1,5 @@
 //! What the desk took in and answered. Read by whoever prints it, from any thread.
+use sandstile_policy::terms::Cause;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 
 #[derive(Default, Debug)]
@@ -39,4 +40,19 @@
     pub probes_left: Count,
     /// Times that this process stood still.
     pub stalls: Count,
+    /// Executions beyond a statement's first.
+    pub further_executions: Count,
+    refusals: [Count; Cause::ALL.len()],
+}
+
+impl Counts {
+    /// A statement was rejected or aborted for this cause.
+    pub fn refused(&self, cause: Cause) {
+        self.refusals[cause as usize].add();
+    }
+
+    /// How many were rejected or aborted, by cause.
+    pub fn refusals(&self) -> impl Iterator<Item = (String, &Count)> {
+        Cause::ALL.into_iter().zip(&self.refusals).map(|(cause, count)| (format!("{cause:?}"), count))
+    }
 }
--- a/crates/sandstile-desk/src/desk.rs
+++ b/crates/sandstile-desk/src/desk.rs
@@ -57,6 +57,8 @@
     ending: Vec<u64>,
     /// When it decided last.
     decided: f64,
+    /// Whether each step of each statement is said, for a log of everything.
+    pub traces: bool,
 }
 
 /// Seconds between looks that nothing but the time calls for. Timers of the platform are no finer; a sleep of nothing
@@ -77,6 +79,7 @@
             stall: None,
             longest_return: 0.0,
             decided: f64::NEG_INFINITY,
+            traces: false,
             hosts: Names::default(),
             groups: Names::default(),
             sessions: Names::bounded(MOST_SESSIONS),
@@ -281,6 +284,7 @@
                 }
                 let over = open.line.is_none();
                 self.ending.push(stmt);
+                self.trace(|| Said::Ended { stmt, execution, ending: outcome.ending });
                 self.policy.ended(now, stmt, execution, outcome.ending.verdict(), over, outcome.note);
             }
             Mail::Probed { host, mut outcome } => {
@@ -297,6 +301,13 @@
         }
     }
 
+    /// Notes a step of one statement, where steps are logged.
+    fn trace(&mut self, step: impl FnOnce() -> Said) {
+        if self.traces {
+            self.said.push(step());
+        }
+    }
+
     fn give(&mut self, asked: &Asked, answer: Answer) {
         self.answers.push_back(Given { line: asked.line, stmt: asked.stmt, answer });
     }
@@ -350,19 +361,28 @@
                     let Some(open) = self.open.get_mut(&stmt) else { continue };
                     let errand =
                         Errand::Statement { stmt, execution: open.hosts.len(), parcel: open.parcel.clone() };
+                    let execution = open.hosts.len();
                     open.hosts.push(host);
+                    if execution > 0 {
+                        self.counts.further_executions.add();
+                    }
+                    self.trace(|| Said::Sent { stmt, execution, host });
                     self.orders.push_back(Order::Do(host, Job { errand, until: now + time_out }));
                 }
-                Decision::Reject { stmt, return_after } => {
+                Decision::Reject { stmt, return_after, cause } => {
                     self.counts.rejected.add();
+                    self.counts.refused(cause);
+                    self.trace(|| Said::Refused { stmt, cause });
                     let after = match &mut self.limits {
                         Some((limits, _)) => limits.return_after(now, return_after),
                         None => return_after,
                     };
                     self.answer(stmt, Answer::Rejected(after));
                 }
-                Decision::Abort { stmt } => {
+                Decision::Abort { stmt, cause } => {
                     self.counts.aborted.add();
+                    self.counts.refused(cause);
+                    self.trace(|| Said::Refused { stmt, cause });
                     self.answer(stmt, Answer::Aborted);
                 }
                 Decision::Recall { stmt, execution } => {
--- a/crates/sandstile-desk/src/job.rs
+++ b/crates/sandstile-desk/src/job.rs
@@ -20,6 +20,18 @@
     Unusable,
 }
 
+impl Answer {
+    /// Its kind, for a log.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Answer::Completed(..) => "completed",
+            Answer::Rejected(_) => "rejected",
+            Answer::Aborted => "aborted",
+            Answer::Unusable => "unusable",
+        }
+    }
+}
+
 #[derive(Clone)]
 pub enum Errand {
     Statement { stmt: u64, execution: usize, parcel: Arc<dyn Parcel> },
--- a/crates/sandstile-desk/src/mail.rs
+++ b/crates/sandstile-desk/src/mail.rs
@@ -1,7 +1,8 @@
 //! What goes to the desk and what comes from it.
-use crate::ending::Outcome;
+use crate::ending::{Ending, Outcome};
 use crate::job::{Answer, Job, Parcel};
 use sandstile_intake::list::Entry;
+use sandstile_policy::terms::Cause;
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -90,6 +91,28 @@
     /// Seconds for which this process stood still.
     StoodStill(f64),
     Sharers(f64),
+    /// A step of one statement, where the desk traces them.
+    Sent {
+        stmt: u64,
+        execution: usize,
+        host: usize,
+    },
+    Ended {
+        stmt: u64,
+        execution: usize,
+        ending: Ending,
+    },
+    Refused {
+        stmt: u64,
+        cause: Cause,
+    },
+}
+
+impl Said {
+    /// Whether it is a step of one statement, and not news of the router as a whole.
+    pub fn is_step(&self) -> bool {
+        matches!(self, Said::Sent { .. } | Said::Ended { .. } | Said::Refused { .. })
+    }
 }
 
 impl fmt::Display for Said {
@@ -102,6 +125,13 @@
             Said::Storm(false, sign) => write!(f, "a storm is over: {sign}"),
             Said::StoodStill(s) => write!(f, "stood still for {s:.1} s: what is known is of before that"),
             Said::Sharers(n) => write!(f, "{n:.0} routers share the hosts"),
+            Said::Sent { stmt, execution, host } => {
+                write!(f, "statement {stmt}: execution {execution} to host {host}")
+            }
+            Said::Ended { stmt, execution, ending } => {
+                write!(f, "statement {stmt}: execution {execution} ended: {ending:?}")
+            }
+            Said::Refused { stmt, cause } => write!(f, "statement {stmt} gets no rows: {cause:?}"),
         }
     }
 }
--- a/crates/sandstile-lines/src/client.rs
+++ b/crates/sandstile-lines/src/client.rs
@@ -2,6 +2,7 @@
 //! the desk, and says what comes back. One statement is out at a time; what is pipelined waits, the most of it in the
 //! socket.
 use crate::budget::{Budget, Holder};
+use crate::closing::Closing;
 use crate::job::Answer;
 use crate::statement::{self, Statement, Workload};
 use sandstile_pgwire::{self as pg, Startup};
@@ -92,6 +93,9 @@
     since: f64,
     /// Counts how often it has come to wait for a command.
     spell: u64,
+    /// Statements that have been answered.
+    answered: u64,
+    closing: Closing,
 }
 
 enum Input {
@@ -144,6 +148,8 @@
             unread_since: None,
             since: now,
             spell: 0,
+            answered: 0,
+            closing: Closing::ClientClosed,
         }
     }
 
@@ -200,6 +206,14 @@
 
     /// The client has closed the connection, or it broke.
     pub fn closed(&mut self) -> Option<Wish> {
+        if self.state != State::Ended {
+            self.closing = match self.state {
+                State::Wishing { .. } | State::Asking { .. } => Closing::ClientClosedAsking,
+                State::Forsaken { .. } => Closing::ClientForsaken,
+                _ if self.buf.is_empty() => Closing::ClientClosed,
+                _ => Closing::ClientClosedMidCommand,
+            };
+        }
         match std::mem::replace(&mut self.state, State::Ended) {
             State::Asking { stmt, .. } => Some(Wish::Gone(stmt)),
             _ => None,
@@ -235,6 +249,7 @@
             return self.unreadable(now, "42710", "the id of an open statement", remarks);
         }
         self.out = words(answer);
+        self.answered += 1;
         self.holder = Holder::Client;
         self.say(time + LATE, false);
     }
@@ -251,7 +266,7 @@
                 State::Saying { then_ends, .. } if self.written == self.out.len() => {
                     (self.out, self.written) = (Vec::new(), 0);
                     if then_ends {
-                        self.state = State::Ended;
+                        self.end(Closing::ClientBadInput);
                         continue;
                     }
                     if self.holder == Holder::Client {
@@ -264,7 +279,7 @@
                     (self.out, self.written) = (Vec::new(), 0);
                     self.state = State::Forsaken { until: now + REST };
                 }
-                State::Forsaken { until } if now >= until => self.state = State::Ended,
+                State::Forsaken { until } if now >= until => self.end(Closing::ClientForsaken),
                 State::Saying { .. }
                 | State::Wishing { .. }
                 | State::Asking { .. }
@@ -287,6 +302,26 @@
         self.state == State::Ended
     }
 
+    fn end(&mut self, closing: Closing) {
+        self.closing = closing;
+        self.state = State::Ended;
+    }
+
+    /// Why it ended, once it has.
+    pub fn closing(&self) -> Closing {
+        self.closing
+    }
+
+    /// Bytes of commands that have come and were not yet acted on.
+    pub fn unanswered_bytes(&self) -> usize {
+        self.buf.len()
+    }
+
+    /// Statements that have been answered.
+    pub fn answered(&self) -> u64 {
+        self.answered
+    }
+
     /// Whether it waits for a command, as what it may be told to go, and since which spell of waiting. A command that
     /// has begun is no rest of a client that has asked before: its end may have come by the time of the close.
     pub fn rests(&self) -> Option<(Holder, u64)> {
@@ -367,7 +402,7 @@
         }
         if over && self.buf.is_empty() {
             around.remarks.push(Remark::Rested);
-            self.state = State::Ended;
+            self.end(Closing::ClientRested);
         } else if over {
             self.bad(now, "08P01", "a command without an end", around.remarks);
         } else {
@@ -405,7 +440,7 @@
                 Err(wrong) => self.unreadable(now, "42601", wrong.text(), around.remarks),
             },
             Input::Bad { code, what } => self.bad(now, code, what, around.remarks),
-            Input::End => self.state = State::Ended,
+            Input::End => self.end(Closing::ClientTerminated),
         }
         None
     }
--- a/crates/sandstile-lines/src/lib.rs
+++ b/crates/sandstile-lines/src/lib.rs
@@ -5,6 +5,7 @@
 //! Times are Unix seconds as f64, handed in by whoever drives the machines.
 pub mod budget;
 pub mod client;
+pub mod closing;
 pub mod link;
 pub mod pool;
 pub mod sqlstate;
--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -516,15 +516,22 @@
         // would end each statement unsent, and nothing would ever teach better.
         let worth_until = s.slo_at - 1.1 * k.usual.min(0.8 * k.slo);
         let spent = k.late_share == 0.0 && !open && k.effect == Effect::Idempotent;
-        let no_more = !open
-            && (s.executions.len() >= self.most || s.errors >= 2 || now >= k.repeat_by(s) - self.margin);
+        let no_more = match () {
+            () if open => None,
+            () if s.errors >= 2 => Some(Cause::ErrorsRepeated),
+            () if s.executions.len() >= self.most => Some(Cause::ExecutionsSpent),
+            () if now >= k.repeat_by(s) - self.margin => Some(Cause::RepeatWindowOver),
+            () => None,
+        };
         // A late one behind more than its host completes in its time is told at half of it, not held in vain.
         let g = &self.groups[s.group];
         let jammed = |p: usize| g.ahead(id) >= self.hosts[p].meter.rate * (s.end - s.half);
         let late = now < s.half && worth_until < s.half - self.margin && s.executions.is_empty();
         let last = if late && g.primary.is_some_and(jammed) { s.half } else { s.end } - self.margin;
-        if now >= last || (spent && now > worth_until) || no_more {
-            return Some(self.answer(id));
+        let over = (now >= last).then_some(Cause::TimeOver);
+        let worthless = (spent && now > worth_until).then_some(Cause::SloOver);
+        if let Some(cause) = over.or(worthless).or(no_more) {
+            return Some(self.answer(id, cause));
         }
         let mut look = if spent { worth_until.min(last) } else { last };
         if let Some(e) = s.executions.last().filter(|_| open) {
@@ -562,7 +569,7 @@
     }
 
     /// The one place that gives a final answer; a rejection promises that trying again is harmless.
-    fn answer(&mut self, id: u64) -> Decision {
+    fn answer(&mut self, id: u64, cause: Cause) -> Decision {
         let s = self.statements.get_mut(&id).expect("a statement under consideration");
         s.answered = true;
         self.due.push_back(id);
@@ -571,9 +578,9 @@
         let may_have_run = s.executions.iter().any(|e| e.may_have_run);
         let repeats = k.effect == Effect::Deduplicated && k.scope == DedupScope::All;
         if k.effect == Effect::Idempotent || repeats || !may_have_run {
-            return Decision::Reject { stmt: id, return_after: self.terms.max_return };
+            return Decision::Reject { stmt: id, return_after: self.terms.max_return, cause };
         }
-        Decision::Abort { stmt: id }
+        Decision::Abort { stmt: id, cause }
     }
 
     /// The one place that sends.
--- a/crates/sandstile-policy/src/terms.rs
+++ b/crates/sandstile-policy/src/terms.rs
@@ -136,11 +136,37 @@
     pub primary: Option<bool>,
 }
 
+/// Why a statement gets no rows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// Its time is over.
+    TimeOver,
+    /// It can't be answered within its SLO time any more, and a later answer is worth nothing.
+    SloOver,
+    /// As many executions as one statement may have.
+    ExecutionsSpent,
+    /// Two executions ended in errors.
+    ErrorsRepeated,
+    /// A repeat would come after the time in which repeats are dropped.
+    RepeatWindowOver,
+}
+
+impl Cause {
+    /// All causes, in the order of their declaration.
+    pub const ALL: [Cause; 5] = [
+        Cause::TimeOver,
+        Cause::SloOver,
+        Cause::ExecutionsSpent,
+        Cause::ErrorsRepeated,
+        Cause::RepeatWindowOver,
+    ];
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
     Send { stmt: u64, host: usize, time_out: f64 },
-    Reject { stmt: u64, return_after: f64 },
-    Abort { stmt: u64 },
+    Reject { stmt: u64, return_after: f64, cause: Cause },
+    Abort { stmt: u64, cause: Cause },
     Recall { stmt: u64, execution: usize },
     Probe { host: usize },
     Subscribe,
--- a/crates/sandstile-policy/tests/rules.rs
+++ b/crates/sandstile-policy/tests/rules.rs
@@ -112,7 +112,7 @@
         let mut w = World::new(terms(0b110_0111), 7);
         w.serve(2, verdict, Some(true));
         w.step(0.005);
-        assert!(w.decisions.contains(&Decision::Abort { stmt: 0 }));
+        assert!(w.decisions.iter().any(|d| matches!(d, Decision::Abort { stmt: 0, .. })));
         assert_eq!(w.sends().len(), 1);
     }
 }
@@ -206,7 +206,7 @@
     w.open.get_mut(&first).expect("arrived").over = true;
     let later = w.arrive(0, 0.5);
     w.step(0.005);
-    assert!(w.decisions.contains(&Decision::Reject { stmt: later, return_after: 0.5 }));
+    assert!(w.rejected(later, 0.5));
 }
 
 /// Withdrawn executions freed their places on hosts that went on working, and the hosts filled up.
@@ -328,7 +328,7 @@
     }
     w.step(0.005);
     assert_eq!(w.sends().len(), 2);
-    assert!(w.decisions.contains(&Decision::Reject { stmt: read, return_after: 0.5 }));
+    assert!(w.rejected(read, 0.5));
 }
 
 /// Writes were trial traffic for a dead primary after its rests, and those on open connections were lost.
@@ -650,7 +650,7 @@
     w.step(time_out);
     w.end(write, 1, Verdict::TimedOut, None, 0.0);
     w.step(0.005);
-    assert_eq!(w.decisions.last(), Some(&Decision::Abort { stmt: write }));
+    assert!(matches!(w.decisions.last(), Some(Decision::Abort { stmt, .. }) if *stmt == write));
 }
 
 /// Reads of any age go where the others can't: a replica that refused one takes them, and the same one first, so that
--- a/crates/sandstile-policy/tests/world/mod.rs
+++ b/crates/sandstile-policy/tests/world/mod.rs
@@ -252,7 +252,7 @@
                 }
                 o.sent.push(Sent { host, at: self.now, ended: None });
             }
-            Decision::Reject { stmt, .. } | Decision::Abort { stmt } => {
+            Decision::Reject { stmt, .. } | Decision::Abort { stmt, .. } => {
                 let o = self.open.get_mut(&stmt).expect("a known statement");
                 assert!(!o.over, "a second final answer");
                 o.over = true;
@@ -276,6 +276,12 @@
         }
     }
 
+    /// Whether this statement was rejected, naming this time to return after.
+    pub fn rejected(&self, statement: u64, after: f64) -> bool {
+        let it = |d: &Decision| matches!(d, Decision::Reject { stmt, return_after, .. } if (*stmt, *return_after) == (statement, after));
+        self.decisions.iter().any(it)
+    }
+
     pub fn sends(&self) -> Vec<(u64, usize)> {
         let send = |d: &Decision| match d {
             Decision::Send { stmt, host, .. } => Some((*stmt, *host)),
--- a/crates/sandstile-router/src/carrier.rs
+++ b/crates/sandstile-router/src/carrier.rs
@@ -18,7 +18,7 @@
 use sandstile_desk::{Desk, Given, Mail, Said};
 use sandstile_return::Dials;
 use sandstile_timers::Wheel;
-use slog::{info, warn, Logger};
+use slog::{debug, info, warn, Logger};
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind};
 use std::sync::Arc;
@@ -253,6 +253,7 @@
         for said in self.desk.take_said() {
             match said {
                 Said::StoodStill(_) => warn!(self.tools.log, "{said}"),
+                step if step.is_step() => debug!(self.tools.log, "{step}"),
                 _ => info!(self.tools.log, "{said}"),
             }
         }
--- a/crates/sandstile-router/src/clients.rs
+++ b/crates/sandstile-router/src/clients.rs
@@ -1,7 +1,9 @@
 //! The clients' connections: their sockets beside their state machines of `sandstile-lines`.
 use crate::budget::{Holder, Rest};
 use crate::client::{Around, Client, Remark, Wish};
+use crate::closing::Closing;
 use crate::mailbox::Post;
+use crate::rate::Limiter;
 use crate::statement::Workload;
 use crate::tools::{Tools, TURN};
 use crate::wire::{Moved, Wire};
@@ -10,11 +12,20 @@
 use mio::Token;
 use sandstile_desk::{Asked, Given, Mail};
 use slab::Slab;
-use slog::debug;
+use slog::{debug, info};
 use std::io;
 use std::sync::Arc;
 
 struct Seat {
+    /// Counts the connections of this process: the name of this one in the log.
+    number: u64,
+    accepted_at: f64,
+    /// Reads that brought bytes.
+    reads: u64,
+    /// Why the router closes it, where it is not the line's own doing.
+    closing: Option<Closing>,
+    /// The error number that a read or a write failed with.
+    error: Option<i32>,
     line: Client,
     wire: Wire,
     queued: bool,
@@ -36,6 +47,10 @@
     asked: u64,
     /// From now on each that rests is to go.
     dismissed: bool,
+    /// Connections accepted so far, which names the next.
+    accepted: u64,
+    unusual: Limiter<Closing>,
+    unread: Limiter<()>,
 }
 
 /// Tokens of clients are even, those of links odd; the first few are the loop's own.
@@ -45,7 +60,17 @@
 
 impl Clients {
     pub fn new(workloads: Vec<Workload>, desk: Post<Mail>) -> Self {
-        Clients { seats: Slab::new(), workloads, desk, remarks: Vec::new(), asked: 0, dismissed: false }
+        Clients {
+            seats: Slab::new(),
+            workloads,
+            desk,
+            remarks: Vec::new(),
+            asked: 0,
+            dismissed: false,
+            accepted: 0,
+            unusual: Limiter::default(),
+            unread: Limiter::default(),
+        }
     }
 
     pub fn is_empty(&self) -> bool {
@@ -60,9 +85,23 @@
         let mut wire = Wire::new(&tools.registry, stream, token(key), true)?;
         // Most bring their first statement along.
         wire.look();
-        let line = Client::new(tools.clock.now());
-        let (armed, idle) = (f64::INFINITY, None);
-        entry.insert(Seat { line, wire, queued: false, armed, idle, leaves: false, looked: false });
+        self.accepted += 1;
+        let (now, number) = (tools.clock.now(), self.accepted);
+        debug!(tools.log, "client accepted"; "client" => number, "peer" => ?wire.stream().peer_addr().ok());
+        entry.insert(Seat {
+            number,
+            accepted_at: now,
+            reads: 0,
+            closing: None,
+            error: None,
+            line: Client::new(now),
+            wire,
+            queued: false,
+            armed: f64::INFINITY,
+            idle: None,
+            leaves: false,
+            looked: false,
+        });
         self.queue(key, tools);
         Ok(())
     }
@@ -101,6 +140,8 @@
 
     pub fn answer(&mut self, given: Given, tools: &mut Tools) {
         if let Some(seat) = self.seats.get_mut(given.line) {
+            debug!(tools.log, "answered"; "client" => seat.number, "statement" => given.stmt,
+                "with" => given.answer.name());
             seat.line.answer(tools.clock.now(), given.stmt, given.answer, &mut self.remarks);
             self.run(given.line, tools);
         }
@@ -109,7 +150,8 @@
     /// Tells one that waits to go. What has come from it by now is still read and answered.
     pub fn leave(&mut self, key: usize, tools: &mut Tools) {
         let Some(seat) = self.seats.get_mut(key) else { return };
-        (seat.leaves, seat.looked) = (true, true);
+        let why = if self.dismissed { Closing::ClientDismissed } else { Closing::ClientEvicted };
+        (seat.leaves, seat.looked, seat.closing) = (true, true, Some(why));
         seat.wire.look();
         self.run(key, tools);
     }
@@ -140,7 +182,9 @@
                     seat.line.wrote(put);
                     moved = true;
                 }
-                Moved::Broken => {
+                Moved::Ended => {}
+                Moved::Broken(error) => {
+                    (seat.error, seat.closing) = (error, Some(Closing::ClientBroken));
                     gone(seat.line.closed(), &self.desk);
                     break;
                 }
@@ -149,10 +193,16 @@
             let wants = seat.line.wants().min(tools.scratch.len());
             match seat.wire.read(&mut tools.scratch[..wants]) {
                 Moved::Bytes(got) => {
+                    seat.reads += 1;
                     seat.line.bytes(now, &tools.scratch[..got]);
                     moved = true;
                 }
-                Moved::Broken => {
+                Moved::Ended => {
+                    gone(seat.line.closed(), &self.desk);
+                    break;
+                }
+                Moved::Broken(error) => {
+                    (seat.error, seat.closing) = (error, Some(Closing::ClientBroken));
                     gone(seat.line.closed(), &self.desk);
                     break;
                 }
@@ -161,14 +211,23 @@
             let remarks = &mut self.remarks;
             let mut around = Around { budget: &mut tools.budget, workloads: &self.workloads, remarks };
             match seat.line.turn(now, &mut around) {
-                Some(Wish::Ask { .. }) if seat.wire.ending() => {
+                Some(Wish::Ask { statement, time }) if seat.wire.ending() => {
                     // Asked before its client left: nobody reads an answer, so nothing is to begin for it.
+                    tools.counters.read_too_late.add();
+                    if self.unread.admits(now, ()) {
+                        info!(tools.log, "a statement was read only with its client's end";
+                            "client" => seat.number, "id" => &statement.id, "reads" => seat.reads,
+                            "time_left_s" => format!("{:.3}", time - now),
+                            "connected_s" => format!("{:.3}", now - seat.accepted_at));
+                    }
                     seat.line.closed();
                     break;
                 }
                 Some(Wish::Ask { statement, time }) => {
                     self.asked += 1;
                     seat.line.asked(self.asked);
+                    debug!(tools.log, "asked"; "client" => seat.number, "statement" => self.asked, "id" => &statement.id,
+                        "reads" => seat.reads, "time_left_s" => format!("{:.3}", time - now));
                     self.desk.send(Mail::Asked(Asked {
                         stmt: self.asked,
                         line: key,
@@ -235,8 +294,23 @@
         }
     }
 
+    /// Counts why a connection ends, and logs it: each where all is logged, else the unusual ones, at most one of a
+    /// kind in a second.
+    fn log_closing(&mut self, seat: &Seat, tools: &Tools) {
+        let why = seat.closing.unwrap_or(seat.line.closing());
+        tools.counters.closed(why);
+        let now = tools.clock.now();
+        debug!(tools.log, "client closed: {why:?}"; "client" => seat.number, "answered" => seat.line.answered());
+        if !why.ordinary() && self.unusual.admits(now, why) {
+            info!(tools.log, "client closed: {why:?}"; "client" => seat.number, "reads" => seat.reads,
+                "answered" => seat.line.answered(), "unanswered_bytes" => seat.line.unanswered_bytes(),
+                "errno" => seat.error, "connected_s" => format!("{:.3}", now - seat.accepted_at));
+        }
+    }
+
     fn close(&mut self, key: usize, tools: &mut Tools) {
         let mut seat = self.seats.remove(key);
+        self.log_closing(&seat, tools);
         if let Some((rest, _)) = seat.idle {
             tools.budget.strike(rest);
         }
--- a/crates/sandstile-router/src/counters.rs
+++ b/crates/sandstile-router/src/counters.rs
@@ -1,5 +1,6 @@
 //! What the router took in, sent and answered; printed on SIGUSR1 and at the end.
-use crate::ending::{Ending, ALL};
+use crate::closing::{self, Closing};
+use crate::ending::{self, Ending};
 use sandstile_desk::{Count, Counts};
 use std::fmt;
 use std::sync::Arc;
@@ -33,13 +34,22 @@
     pub letters_refused: Count,
     /// Database hosts that are known now.
     pub hosts: Count,
-    endings: [Count; ALL.len()],
+    /// Statements that were read only once their client had ended its sending.
+    pub read_too_late: Count,
+    /// Calls of `accept` that failed, but for an empty queue.
+    pub accept_errors: Count,
+    endings: [Count; ending::ALL.len()],
+    closings: [Count; closing::ALL.len()],
 }
 
 impl Counters {
     pub fn ended(&self, ending: Ending) {
         self.endings[ending as usize].add();
     }
+
+    pub fn closed(&self, closing: Closing) {
+        self.closings[closing as usize].add();
+    }
 }
 
 /// One line of `name=value`, the same names in the same order each time.
@@ -77,14 +87,23 @@
             ("names_taken", &self.names_taken),
             ("letters", &self.letters),
             ("letters_refused", &self.letters_refused),
+            ("read_too_late", &self.read_too_late),
+            ("accept_errors", &self.accept_errors),
+            ("further_executions", &self.desk.further_executions),
         ];
         write!(f, "counters")?;
         for (name, count) in plain {
             write!(f, " {name}={}", count.get())?;
         }
-        for ending in ALL {
+        for ending in ending::ALL {
             write!(f, " {ending:?}={}", self.endings[ending as usize].get())?;
         }
+        for closing in closing::ALL {
+            write!(f, " {closing:?}={}", self.closings[closing as usize].get())?;
+        }
+        for (cause, count) in self.desk.refusals() {
+            write!(f, " {cause}={}", count.get())?;
+        }
         Ok(())
     }
 }
--- a/crates/sandstile-router/src/hosts.rs
+++ b/crates/sandstile-router/src/hosts.rs
@@ -433,7 +433,7 @@
                     seat.line.wrote(put);
                     moved = true;
                 }
-                Moved::Broken => event = event.or(seat.line.closed(&mut tools.budget)),
+                Moved::Ended | Moved::Broken(_) => event = event.or(seat.line.closed(&mut tools.budget)),
                 Moved::Nothing => {}
             }
             if event.is_none() {
@@ -444,7 +444,7 @@
                         event = seat.line.bytes(now, &tools.scratch[..got], &mut tools.budget);
                         moved = true;
                     }
-                    Moved::Broken => event = seat.line.closed(&mut tools.budget),
+                    Moved::Ended | Moved::Broken(_) => event = seat.line.closed(&mut tools.budget),
                     Moved::Nothing => {}
                 }
             }
--- a/crates/sandstile-router/src/lib.rs
+++ b/crates/sandstile-router/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod lists;
 pub mod mailbox;
 pub mod members;
+pub mod rate;
 pub mod recorder;
 pub mod router;
 pub mod sessions;
@@ -27,5 +28,5 @@
 pub mod wire;
 pub mod words;
 
-pub use sandstile_lines::{budget, client, ending, job, link, pool, sqlstate, statement};
+pub use sandstile_lines::{budget, client, closing, ending, job, link, pool, sqlstate, statement};
 pub use sandstile_pgwire as pg;
--- a/crates/sandstile-router/src/router.rs
+++ b/crates/sandstile-router/src/router.rs
@@ -22,7 +22,7 @@
 use sandstile_desk::{Desk, Fact, Update};
 use sandstile_policy::policy::Instance;
 use sandstile_return::{Dials, Lists, Ramp, Stall};
-use slog::{info, warn, Logger};
+use slog::{info, warn, Drain, Logger};
 use std::collections::BTreeSet;
 use std::net::TcpListener;
 use std::sync::Arc;
@@ -83,6 +83,7 @@
     let life = (clock.now() * 1e6) as u64;
     let policy = Instance::new(&launch.terms, launch.seed, clock.now());
     let mut desk = Desk::new(policy, counters.desk.clone());
+    desk.traces = log.is_debug_enabled();
     desk.add(Box::new(Inlet::new(listed, Fact::List)));
     let mut words = None;
     if let Some(plan) = &charter.sessions {
--- a/crates/sandstile-router/src/wire.rs
+++ b/crates/sandstile-router/src/wire.rs
@@ -19,7 +19,10 @@
 pub enum Moved {
     Bytes(usize),
     Nothing,
-    Broken,
+    /// The other side has ended its sending, and all that it sent was read.
+    Ended,
+    /// The connection broke, with this error number where the platform gave one.
+    Broken(Option<i32>),
 }
 
 impl Wire {
@@ -69,7 +72,7 @@
         }
         loop {
             match self.stream.read(bytes) {
-                Ok(0) => return Moved::Broken,
+                Ok(0) => return Moved::Ended,
                 Ok(got) => {
                     // Less than there was room for is all there is; what comes from here on is told anew.
                     self.readable = got == bytes.len() || self.ending;
@@ -80,7 +83,7 @@
                     self.readable = false;
                     return Moved::Nothing;
                 }
-                Err(_) => return Moved::Broken,
+                Err(e) => return Moved::Broken(e.raw_os_error()),
             }
         }
     }
@@ -91,14 +94,14 @@
         }
         loop {
             match self.stream.write(bytes) {
-                Ok(0) => return Moved::Broken,
+                Ok(0) => return Moved::Broken(None),
                 Ok(put) => return Moved::Bytes(put),
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
                     self.writable = false;
                     return Moved::Nothing;
                 }
-                Err(_) => return Moved::Broken,
+                Err(e) => return Moved::Broken(e.raw_os_error()),
             }
         }
     }
--- a/crates/sandstile-router/tests/system_calls.rs
+++ b/crates/sandstile-router/tests/system_calls.rs
@@ -1,5 +1,6 @@
 //! What the router takes the result of a system call to prove, each put to the test: the program runs with a shim that
 //! makes calls fall short or fail as Linux documents, and has to keep its promises all the same.
+#[allow(dead_code)]
 mod stand_ins;
 
 use sandstile_router::pg;
--- a/crates/sandstile-shim/preload/lib.rs
+++ b/crates/sandstile-shim/preload/lib.rs
@@ -1,6 +1,8 @@
 //! The library that is loaded into a process under test. It stands before the C library's wrappers of system calls and
 //! makes them fail, fall short, or wait, as the rules in `SANDSTILE_SHIM` say. Everything behind the start is free of
 //! locks and allocations, for some of these calls come from signal handlers.
+// What callers owe these functions is what the C library's manual says of those of the same names.
+#![allow(clippy::missing_safety_doc)]
 use libc::{
     c_char, c_int, c_void, clockid_t, epoll_event, mode_t, nfds_t, pollfd, size_t, sockaddr, socklen_t,
     ssize_t, timespec,
--- a/crates/sandstile-virtual/src/mind.rs
+++ b/crates/sandstile-virtual/src/mind.rs
@@ -465,8 +465,8 @@
         for decision in decisions {
             match decision {
                 Decision::Send { stmt, host, time_out } => self.send(now, host, stmt, now + time_out),
-                Decision::Reject { stmt, return_after } => self.give(stmt, Final::Rejected(return_after)),
-                Decision::Abort { stmt } => self.give(stmt, Final::Aborted),
+                Decision::Reject { stmt, return_after, .. } => self.give(stmt, Final::Rejected(return_after)),
+                Decision::Abort { stmt, .. } => self.give(stmt, Final::Aborted),
                 Decision::Recall { stmt, execution } => self.recall(now, (stmt, execution)),
                 Decision::Probe { host } => {
                     self.probes += 1;
--- a/crates/sandstile-wirehost/src/instance.rs
+++ b/crates/sandstile-wirehost/src/instance.rs
@@ -181,11 +181,11 @@
                     let (call, host) = (&self.open[&stmt], self.hosts.name(host));
                     writeln!(out, "ISSUE {who} {call} {host} {:.3}", time_out * 1000.0)?;
                 }
-                Decision::Reject { stmt, return_after } => {
+                Decision::Reject { stmt, return_after, .. } => {
                     self.ending.push(stmt);
                     writeln!(out, "TURN_AWAY {who} {} {:.3}", self.open[&stmt], return_after * 1000.0)?
                 }
-                Decision::Abort { stmt } => {
+                Decision::Abort { stmt, .. } => {
                     self.ending.push(stmt);
                     writeln!(out, "END_FAILED {who} {}", self.open[&stmt])?
                 }
