Reads go on until they would block: a short read proves nothing of what is left

Observed: a request in two reads was never looked at again until the connection's two seconds were over. Line at fault: Wire::read cleared readable when got < bytes.len(); readiness is edge-triggered, so nothing told of the rest. Change: readiness stands until a read would block; a look at an idle link repeats when interrupted.

--- a/crates/sandstile-router/src/wire.rs
+++ b/crates/sandstile-router/src/wire.rs
@@ -73,11 +73,8 @@
         loop {
             match self.stream.read(bytes) {
                 Ok(0) => return Moved::Ended,
-                Ok(got) => {
-                    // Less than there was room for is all there is; what comes from here on is told anew.
-                    self.readable = got == bytes.len() || self.ending;
-                    return Moved::Bytes(got);
-                }
+                // However little came, it proves nothing of what is left: readiness stands until a read would block.
+                Ok(got) => return Moved::Bytes(got),
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
                     self.readable = false;
@@ -108,7 +105,13 @@
 
     /// Whether nothing has come: bytes or an end on an idle connection mean that it is of no use any more.
     pub fn quiet(&self) -> bool {
-        matches!(self.stream.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
+        loop {
+            match self.stream.peek(&mut [0]) {
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return e.kind() == ErrorKind::WouldBlock,
+                Ok(_) => return false,
+            }
+        }
     }
 
     pub fn close(self, registry: &Registry) {
