--- a/crates/sandstile-router/src/clients.rs
+++ b/crates/sandstile-router/src/clients.rs
@@ -88,6 +88,9 @@
         self.accepted += 1;
         let (now, number) = (tools.clock.now(), self.accepted);
         debug!(tools.log, "client accepted"; "client" => number, "peer" => ?wire.stream().peer_addr().ok());
+        if number == 1 {
+            info!(tools.log, "first client accepted");
+        }
         entry.insert(Seat {
             number,
             accepted_at: now,
@@ -226,6 +229,10 @@
                 Some(Wish::Ask { statement, time }) => {
                     self.asked += 1;
                     seat.line.asked(self.asked);
+                    if self.asked == 1 {
+                        info!(tools.log, "first statement read"; "client" => seat.number, "id" => &statement.id,
+                            "reads" => seat.reads, "connected_s" => format!("{:.3}", now - seat.accepted_at));
+                    }
                     debug!(tools.log, "asked"; "client" => seat.number, "statement" => self.asked, "id" => &statement.id,
                         "reads" => seat.reads, "time_left_s" => format!("{:.3}", time - now));
                     self.desk.send(Mail::Asked(Asked {
