--- a/crates/sandstile-desk/src/ending.rs
+++ b/crates/sandstile-desk/src/ending.rs
@@ -13,9 +13,11 @@
     Failed,
     /// No address, or one that nothing can be dialled at.
     NoAddress,
-    /// No descriptor or thread was to be had here in the time of a dial: the host is not to blame.
+    /// No socket was to be had here, or no way out of this machine, in the time of a dial: the host is not to blame.
     NoRoom,
     DialRefused,
+    /// The network says that there is no way to the host.
+    DialUnreachable,
     /// Neither refused nor up within the dial limit.
     DialTimedOut,
     /// Broke, or spoke nonsense, before it was ready for a first statement.
@@ -51,7 +53,7 @@
     Moved,
 }
 
-pub const ALL: [Ending; 23] = {
+pub const ALL: [Ending; 24] = {
     use Ending::*;
     [
         Completed,
@@ -61,6 +63,7 @@
         NoAddress,
         NoRoom,
         DialRefused,
+        DialUnreachable,
         DialTimedOut,
         DialBroken,
         DialTurnedAway,
@@ -91,7 +94,9 @@
             Missed => Verdict::Miss,
             TurnedAway | DialTurnedAway => Verdict::Full,
             Failed => Verdict::Error,
-            NoAddress | DialRefused | DialTimedOut | DialBroken | BrokenUnwritten => Verdict::ConnectFailed,
+            NoAddress | DialRefused | DialUnreachable | DialTimedOut | DialBroken | BrokenUnwritten => {
+                Verdict::ConnectFailed
+            }
             NoRoom | WithdrawnUnsent | IdleEnded | IdleExpired | IdleEvicted | Moved => Verdict::Moot,
             Broken => Verdict::Reset,
             Crossed | CutShort | Garbled | Unreadable => Verdict::Spoilt,
--- a/crates/sandstile-lines/src/client.rs
+++ b/crates/sandstile-lines/src/client.rs
@@ -133,7 +133,13 @@
 }
 
 impl Client {
+    /// One that is taken in at `now`.
     pub fn new(now: f64) -> Self {
+        Client::waiting_since(now, now)
+    }
+
+    /// One that may have connected at `since`, before it was taken in at `now`: what is read first may have come then.
+    pub fn waiting_since(since: f64, now: f64) -> Self {
         Client {
             state: State::Open,
             buf: Vec::new(),
@@ -142,11 +148,11 @@
             written: 0,
             greeted: false,
             holder: Holder::Stranger,
-            at: now,
+            at: since,
             arrived: VecDeque::new(),
             whole: 0,
-            unread_since: None,
-            since: now,
+            unread_since: (since < now).then_some(since),
+            since,
             spell: 0,
             answered: 0,
             closing: Closing::ClientClosed,
@@ -188,6 +194,11 @@
         }
     }
 
+    /// A read found nothing more: what comes from here on comes now.
+    pub fn drained(&mut self) {
+        self.unread_since = None;
+    }
+
     /// Notes the arrival of each command that has become whole.
     fn count(&mut self) {
         while let Ok(Some(end)) = pg::end(&self.buf[self.whole..], pg::MOST_FRAME) {
--- a/crates/sandstile-router/src/carrier.rs
+++ b/crates/sandstile-router/src/carrier.rs
@@ -4,17 +4,21 @@
 use crate::budget::{Budget, Claim, Holder};
 use crate::clients::Clients;
 use crate::clock::Clock;
+use crate::closing::Closing;
 use crate::control::Control;
 use crate::counters::Counters;
 use crate::ending::Ending;
-use crate::hosts::{self, Hosts};
+use crate::errno::AcceptFailure;
+use crate::hosts::{self, Dialled, Hosts};
+use crate::listener::{Accepted, Listener};
 use crate::mailbox::{carried, slot, Bell, Mailbox, Post};
 use crate::members::{self, Members};
+use crate::rate::Limiter;
 use crate::statement::Workload;
 use crate::tools::Tools;
 use crate::words::Word;
-use mio::net::TcpListener;
-use mio::{Events, Interest, Poll, Token};
+use mio::net::TcpStream;
+use mio::{Events, Poll, Token};
 use sandstile_desk::{Desk, Given, Mail, Said};
 use sandstile_return::Dials;
 use sandstile_timers::Wheel;
@@ -30,8 +34,8 @@
 const MOST_ACCEPTS: usize = 32;
 /// Rounds between desk and hosts before the sockets have their turn.
 const ROUNDS: usize = 8;
-/// Seconds after an accept that failed for want of something: without a pause this would spin.
-const PAUSE: f64 = 0.05;
+/// Seconds for which a connection that could not be set up is tried again.
+const SETUP_PATIENCE: f64 = 2.0;
 /// Seconds after SIGTERM in which it serves on: new connections come for 0.4 s at most, and clients learn of the end
 /// only by their connections.
 const WINDOW: f64 = 0.5;
@@ -40,13 +44,11 @@
 const BELL: Token = Token(0);
 const DOOR: Token = Token(1);
 
-/// The listening socket. What is beyond the budget waits there.
-struct Door {
-    listener: Option<TcpListener>,
-    ready: bool,
-    paused_until: f64,
-    /// Takes in what has connected by now, then closes.
-    closing: bool,
+/// A connection that was accepted and could not be set up yet.
+struct Unserved {
+    stream: TcpStream,
+    waited_since: f64,
+    give_up_at: f64,
 }
 
 /// What the main thread has the carrier do.
@@ -60,7 +62,12 @@
     poll: Poll,
     bell: Arc<Bell>,
     tools: Tools,
-    door: Door,
+    /// What is beyond the budget waits in its queue.
+    listener: Listener,
+    unserved: Option<Unserved>,
+    /// Takes in what has connected by now, then ends.
+    closing: bool,
+    accept_failures: Limiter<AcceptFailure>,
     clients: Clients,
     hosts: Hosts,
     desk: Desk,
@@ -135,10 +142,8 @@
             members,
             last_word,
         } = parts;
-        listener.set_nonblocking(true)?;
-        let mut listener = TcpListener::from_std(listener);
         let registry = poll.registry().try_clone()?;
-        registry.register(&mut listener, DOOR, Interest::READABLE)?;
+        let listener = Listener::new(&registry, DOOR, listener, clock.now())?;
         let (to_desk, mail) = carried(&bell);
         let (timers, queue) = (Wheel::from(clock.now()), VecDeque::new());
         let mut hosts = Hosts::new(to_desk.clone(), counters.clone(), log.clone(), dial_limit, idle_close);
@@ -152,12 +157,10 @@
             poll,
             bell,
             tools: Tools { registry, clock, budget, counters, log, timers, queue, scratch },
-            door: Door {
-                listener: Some(listener),
-                ready: true,
-                paused_until: f64::NEG_INFINITY,
-                closing: false,
-            },
+            listener,
+            unserved: None,
+            closing: false,
+            accept_failures: Limiter::default(),
             clients: Clients::new(workloads, to_desk),
             hosts,
             desk,
@@ -180,7 +183,7 @@
             for event in &events {
                 match event.token() {
                     BELL => {}
-                    DOOR => self.door.ready = true,
+                    DOOR => self.listener.told(),
                     members::LETTERS => self.members.iter_mut().for_each(|m| m.told()),
                     token if Control::is_its(token) => {
                         self.members.iter_mut().filter_map(|m| m.control.as_mut()).for_each(Control::told);
@@ -222,12 +225,12 @@
             Some(Duration::ZERO)
         } else {
             // Once the window has closed there is nothing left to wake for: a time that has passed would spin.
-            let window = if self.door.closing { f64::INFINITY } else { self.ends_at };
+            let window = if self.closing { f64::INFINITY } else { self.ends_at };
             let mut due = self.desk.due(self.tools.clock.now()).min(window).min(self.hosts.due());
             due = due.min(self.members.as_ref().map_or(f64::INFINITY, |m| m.due()));
             due = due.min(self.tools.timers.earliest().unwrap_or(f64::INFINITY));
-            if self.door.ready && self.door.paused_until > self.tools.clock.now() {
-                due = due.min(self.door.paused_until);
+            if self.has_room() {
+                due = due.min(self.listener.due());
             }
             due.is_finite().then(|| self.tools.clock.until(due))
         };
@@ -270,7 +273,9 @@
                 worked = true;
             }
             while self.hosts.wanting(self.tools.clock.now()) && self.claim(Holder::Link) {
-                self.hosts.dial(&mut self.tools);
+                if self.hosts.dial(&mut self.tools) == Dialled::DescriptorsSpent {
+                    self.make_room();
+                }
                 worked = true;
             }
             while let Some(given) = self.desk.next_answer().or_else(|| self.answers.try_recv()) {
@@ -292,9 +297,10 @@
                 n => self.hosts.timer((n - 3) / 2, at, &mut self.tools),
             }
         }
-        if self.ends_at <= now && !self.door.closing {
+        if self.ends_at <= now && !self.closing {
             // All that has connected by now is taken in, as far as there is room.
-            (self.door.closing, self.door.ready) = (true, true);
+            self.closing = true;
+            self.listener.told();
             self.accept();
             self.clients.dismiss(&mut self.tools);
         }
@@ -323,12 +329,14 @@
         }
     }
 
+    /// Whether one more client fits.
+    fn has_room(&self) -> bool {
+        self.unserved.is_some() || self.tools.budget.could(Holder::Client)
+    }
+
     /// Whether a connection could be taken in now, should one wait.
     fn accepts(&self) -> bool {
-        self.door.listener.is_some()
-            && self.door.ready
-            && self.tools.budget.could(Holder::Client)
-            && self.door.paused_until <= self.tools.clock.now()
+        self.listener.wants(self.tools.clock.now()) && self.has_room()
     }
 
     fn accept(&mut self) {
@@ -336,47 +344,79 @@
             if !self.accepts() {
                 break;
             }
-            let Some(listener) = &self.door.listener else { return };
-            match listener.accept() {
-                Ok((stream, _)) => {
-                    self.tools.counters.connections.add();
-                    if !self.claim(Holder::Client) {
-                        // Those that were to go had just asked something: it is one more for a moment.
-                        self.tools.budget.take(Holder::Client);
-                    }
-                    if let Some(key) = self.tools.budget.surplus() {
-                        self.clients.leave(key, &mut self.tools);
-                    }
-                    if let Err(e) = self.clients.accept(stream, &mut self.tools) {
-                        self.tools.budget.release(Holder::Client);
-                        warn!(self.tools.log, "client not served: {e}");
-                    }
+            let Some(next) = self.unserved.take().or_else(|| self.accept_next()) else { continue };
+            self.serve(next);
+        }
+        if !self.has_room() {
+            self.listener.hold_up();
+        }
+    }
+
+    /// The next connection of the queue, counted in the budget.
+    fn accept_next(&mut self) -> Option<Unserved> {
+        let now = self.tools.clock.now();
+        match self.listener.accept(now) {
+            Accepted::Connection(stream, waited_since) => {
+                self.tools.counters.connections.add();
+                if !self.claim(Holder::Client) {
+                    // Those that were to go had just asked something: it is one more for a moment.
+                    self.tools.budget.take(Holder::Client);
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                    self.door.ready = false;
-                    if self.door.closing {
-                        self.door.listener = None;
-                    }
+                if let Some(key) = self.tools.budget.surplus() {
+                    self.clients.leave(key, &mut self.tools);
                 }
-                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
-                Err(e) => {
-                    // Out of descriptors or memory all the same.
-                    warn!(self.tools.log, "accept: {e}");
-                    match self.tools.budget.oldest() {
-                        Some((Holder::Link, key)) => {
-                            self.hosts.leave(key, Ending::IdleEvicted, &mut self.tools);
-                        }
-                        Some((_, key)) => self.clients.leave(key, &mut self.tools),
-                        None => {}
-                    }
-                    self.door.paused_until = self.tools.clock.now() + PAUSE;
+                Some(Unserved { stream, waited_since, give_up_at: now + SETUP_PATIENCE })
+            }
+            Accepted::Empty => {
+                if self.closing {
+                    self.listener.close();
                 }
+                None
+            }
+            Accepted::Failed(failure, error) => {
+                self.accept_failed(now, failure, &error);
+                None
             }
         }
     }
 
+    fn accept_failed(&mut self, now: f64, failure: AcceptFailure, error: &io::Error) {
+        self.tools.counters.accept_errors.add();
+        if self.accept_failures.admits(now, failure) {
+            warn!(self.tools.log, "accept: {error}"; "failure" => ?failure);
+        }
+        if failure == AcceptFailure::DescriptorsSpent {
+            self.make_room();
+        }
+    }
+
+    /// The oldest idle connection goes: the platform gives fewer descriptors than were promised.
+    fn make_room(&mut self) {
+        match self.tools.budget.oldest() {
+            Some((Holder::Link, key)) => self.hosts.leave(key, Ending::IdleEvicted, &mut self.tools),
+            Some((_, key)) => self.clients.leave(key, &mut self.tools),
+            None => {}
+        }
+    }
+
+    /// Hands a connection over to the clients, or keeps it for another try.
+    fn serve(&mut self, next: Unserved) {
+        let now = self.tools.clock.now();
+        let Unserved { stream, waited_since, give_up_at } = next;
+        let Err((stream, error)) = self.clients.accept(stream, waited_since, &mut self.tools) else { return };
+        if now < give_up_at {
+            self.accept_failed(now, AcceptFailure::MachineShort, &error);
+            self.listener.pause(now);
+            self.unserved = Some(Unserved { stream, waited_since, give_up_at });
+        } else {
+            self.tools.budget.release(Holder::Client);
+            self.tools.counters.closed(Closing::ClientSetupFailed);
+            warn!(self.tools.log, "client not served: {error}");
+        }
+    }
+
     fn over(&self) -> bool {
-        self.door.closing && self.door.listener.is_none() && self.clients.is_empty()
+        self.closing && !self.listener.is_open() && self.unserved.is_none() && self.clients.is_empty()
     }
 
     /// All is answered: what is remembered of sessions is whole, and is put down as that.
--- a/crates/sandstile-router/src/clients.rs
+++ b/crates/sandstile-router/src/clients.rs
@@ -77,14 +77,24 @@
         self.seats.is_empty()
     }
 
-    /// Takes a connection that is counted in the budget.
-    pub fn accept(&mut self, stream: TcpStream, tools: &mut Tools) -> io::Result<()> {
-        stream.set_nodelay(true)?;
+    /// Takes a connection that is counted in the budget and may have waited since then; one that can't be set up now
+    /// is handed back.
+    pub fn accept(
+        &mut self,
+        stream: TcpStream,
+        waited_since: f64,
+        tools: &mut Tools,
+    ) -> Result<(), (TcpStream, io::Error)> {
+        // Without it answers may come a little later, which is better than none.
+        if let Err(e) = stream.set_nodelay(true) {
+            debug!(tools.log, "client without TCP_NODELAY: {e}");
+        }
         let entry = self.seats.vacant_entry();
         let key = entry.key();
         let mut wire = Wire::new(&tools.registry, stream, token(key), true)?;
         // Most bring their first statement along.
         wire.look();
+        wire.moved(tools.clock.now());
         self.accepted += 1;
         let (now, number) = (tools.clock.now(), self.accepted);
         debug!(tools.log, "client accepted"; "client" => number, "peer" => ?wire.stream().peer_addr().ok());
@@ -97,7 +107,7 @@
             reads: 0,
             closing: None,
             error: None,
-            line: Client::new(now),
+            line: Client::waiting_since(waited_since, now),
             wire,
             queued: false,
             armed: f64::INFINITY,
@@ -135,6 +145,7 @@
     pub fn timer(&mut self, key: usize, at: f64, tools: &mut Tools) {
         let Some(seat) = self.seats.get_mut(key).filter(|seat| seat.armed == at) else { return };
         seat.armed = f64::INFINITY;
+        seat.wire.look_again(tools.clock.now());
         if seat.line.due() <= tools.clock.now() {
             seat.wire.look();
         }
@@ -183,6 +194,7 @@
             match seat.wire.write(seat.line.out()) {
                 Moved::Bytes(put) => {
                     seat.line.wrote(put);
+                    seat.wire.moved(now);
                     moved = true;
                 }
                 Moved::Ended => {}
@@ -197,6 +209,10 @@
             match seat.wire.read(&mut tools.scratch[..wants]) {
                 Moved::Bytes(got) => {
                     seat.reads += 1;
+                    if seat.wire.unannounced() {
+                        tools.counters.found_by_look.add();
+                    }
+                    seat.wire.moved(now);
                     seat.line.bytes(now, &tools.scratch[..got]);
                     moved = true;
                 }
@@ -209,6 +225,7 @@
                     gone(seat.line.closed(), &self.desk);
                     break;
                 }
+                Moved::Nothing if wants > 0 => seat.line.drained(),
                 Moved::Nothing => {}
             }
             let remarks = &mut self.remarks;
@@ -277,7 +294,9 @@
     fn settle(&mut self, key: usize, more: bool, tools: &mut Tools) {
         let seat = &mut self.seats[key];
         let rests = seat.line.rests();
-        let leaves = (seat.leaves || self.dismissed) && rests.is_some() && !more;
+        // As the router ends, a command that has begun is waited for, its time allowing: it may be whole by the close.
+        let begun = self.dismissed && seat.line.unanswered_bytes() > 0;
+        let leaves = (seat.leaves || self.dismissed) && rests.is_some() && !more && !begun;
         if seat.line.ended() || (leaves && seat.looked) {
             return self.close(key, tools);
         }
@@ -291,7 +310,7 @@
             }
             seat.idle = rests.map(|(holder, spell)| (tools.budget.rests(holder, key), spell));
         }
-        let due = seat.line.due();
+        let due = seat.line.due().min(seat.wire.look_due());
         if due < seat.armed {
             seat.armed = due;
             tools.timers.push(due, token(key));
@@ -304,7 +323,9 @@
     /// Counts why a connection ends, and logs it: each where all is logged, else the unusual ones, at most one of a
     /// kind in a second.
     fn log_closing(&mut self, seat: &Seat, tools: &Tools) {
-        let why = seat.closing.unwrap_or(seat.line.closing());
+        let broken = seat.closing == Some(Closing::ClientBroken);
+        let own_end = seat.line.ended() && !broken;
+        let why = seat.closing.filter(|_| !own_end).unwrap_or(seat.line.closing());
         tools.counters.closed(why);
         let now = tools.clock.now();
         debug!(tools.log, "client closed: {why:?}"; "client" => seat.number, "answered" => seat.line.answered());
--- a/crates/sandstile-router/src/control.rs
+++ b/crates/sandstile-router/src/control.rs
@@ -1,5 +1,6 @@
 //! Operators ask a running router over a UNIX socket: whoever connects is told all at once, and the connection ends. Beside the
 //! carrier's loop; one that reads slowly waits alone, and not for ever.
+use crate::errno::uninterrupted;
 use mio::net::{UnixListener, UnixStream};
 use mio::{Interest, Registry, Token};
 use std::io::{self, Write};
@@ -18,6 +19,12 @@
     until: f64,
 }
 
+/// Whether nobody listens at this socket: only a refused connection proves that.
+pub fn is_abandoned(path: &Path) -> bool {
+    let tried = uninterrupted(|| std::os::unix::net::UnixStream::connect(path));
+    matches!(tried, Err(e) if e.kind() == io::ErrorKind::ConnectionRefused)
+}
+
 pub struct Control {
     path: PathBuf,
     listener: UnixListener,
@@ -33,8 +40,8 @@
             if !std::os::unix::fs::FileTypeExt::is_socket(&found.file_type()) {
                 return Err(format!("members: {}: there is something else", path.display()));
             }
-            if std::os::unix::net::UnixStream::connect(path).is_ok() {
-                return Err(format!("members: {}: another process listens there", path.display()));
+            if !is_abandoned(path) {
+                return Err(format!("members: {}: another process may listen there", path.display()));
             }
             std::fs::remove_file(path).map_err(told)?;
         }
@@ -64,10 +71,20 @@
 
     /// Takes in who asks, and writes on to those that read slowly.
     pub fn turn(&mut self, registry: &Registry, now: f64, report: impl Fn() -> String) {
-        while std::mem::take(&mut self.ready) {
+        for _ in 0..ASKERS {
+            if !self.ready {
+                break;
+            }
             let Some(place) = self.askers.iter().position(Option::is_none) else { break };
-            let Ok((mut stream, _)) = self.listener.accept() else { break };
-            self.ready = true;
+            let mut stream = match self.listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    self.ready = false;
+                    break;
+                }
+                // Somebody may still wait there.
+                Err(_) => continue,
+            };
             if registry.register(&mut stream, Token(FIRST + place), Interest::WRITABLE).is_ok() {
                 let left = (report() + "\n").into_bytes();
                 self.askers[place] = Some(Asker { stream, left, until: now + PATIENCE });
--- a/crates/sandstile-router/src/counters.rs
+++ b/crates/sandstile-router/src/counters.rs
@@ -36,6 +36,10 @@
     pub hosts: Count,
     /// Statements that were read only once their client had ended its sending.
     pub read_too_late: Count,
+    /// Reads that found bytes of which no readiness had told.
+    pub found_by_look: Count,
+    /// Dials begun again after this machine's own trouble.
+    pub dials_repeated: Count,
     /// Calls of `accept` that failed, but for an empty queue.
     pub accept_errors: Count,
     endings: [Count; ending::ALL.len()],
@@ -89,6 +93,8 @@
             ("letters_refused", &self.letters_refused),
             ("read_too_late", &self.read_too_late),
             ("accept_errors", &self.accept_errors),
+            ("found_by_look", &self.found_by_look),
+            ("dials_repeated", &self.dials_repeated),
             ("further_executions", &self.desk.further_executions),
         ];
         write!(f, "counters")?;
--- a/crates/sandstile-router/src/discovery.rs
+++ b/crates/sandstile-router/src/discovery.rs
@@ -75,6 +75,8 @@
 /// The agent is on this machine, where a connection comes up at once or not at all; what a new one has to tell
 /// counts as told 4 s after the new configuration.
 const DIAL: Duration = Duration::from_secs(1);
+/// A new address is seen by then, though the watch of the former one goes on.
+const MOVED_LOOK: Duration = Duration::from_millis(500);
 /// About so long between calls: the agent is on this machine and answers for free, but a loop must not spin.
 pub const PAUSE: Duration = Duration::from_millis(200);
 const MOST_CAUSES: usize = 256;
@@ -143,11 +145,15 @@
         // Only what is whole counts as heard: bytes that drip would hide a silence.
         let mut heard = Instant::now();
         loop {
+            if self.agent.address() != address {
+                // The watch could not be ended from outside: its copy may not have been to be had.
+                return Ok(());
+            }
             let left = SILENCE.saturating_sub(heard.elapsed());
             if left.is_zero() {
                 return Err(format!("silent for {} s", SILENCE.as_secs()));
             }
-            stream.set_read_timeout(Some(left)).map_err(|e| e.to_string())?;
+            stream.set_read_timeout(Some(left.min(MOVED_LOOK))).map_err(|e| e.to_string())?;
             let got = match stream.read(&mut bytes) {
                 Ok(0) => return Ok(()),
                 Ok(got) => got,
--- a/crates/sandstile-router/src/exchange.rs
+++ b/crates/sandstile-router/src/exchange.rs
@@ -1,6 +1,7 @@
 //! Instances tell each other what sessions have seen: each dials those that our own file names and tells them, and
 //! listens to whoever dials it. Plain threads round the frames of `sandstile-exchange`; off without our own file.
 use crate::charter::Exchange;
+use crate::errno::uninterrupted;
 use crate::mailbox::{narrow, Post};
 use crate::threads;
 use crate::words::{Telling, Word};
@@ -123,7 +124,7 @@
 
 /// A listener says nothing after its greeting.
 fn there(stream: &TcpStream) -> bool {
-    let look = stream.set_nonblocking(true).and_then(|()| stream.peek(&mut [0]));
+    let look = stream.set_nonblocking(true).and_then(|()| uninterrupted(|| stream.peek(&mut [0])));
     let back = stream.set_nonblocking(false);
     matches!(look, Err(e) if e.kind() == io::ErrorKind::WouldBlock) && back.is_ok()
 }
@@ -174,7 +175,7 @@
     // A stranger has to prove itself soon; one that has may be silent for as long as nobody writes.
     stream.set_read_timeout(Some(PATIENCE))?;
     loop {
-        let n = stream.read(&mut bytes)?;
+        let n = uninterrupted(|| stream.read(&mut bytes))?;
         if n == 0 {
             return Ok(());
         }
@@ -233,7 +234,7 @@
         if let Some((nonce, to, _)) = read_greeting(&buf).map_err(wrong)? {
             break (nonce, to);
         }
-        let n = stream.read(&mut bytes)?;
+        let n = uninterrupted(|| stream.read(&mut bytes))?;
         if n == 0 {
             return Ok(false);
         }
--- a/crates/sandstile-router/src/hosts.rs
+++ b/crates/sandstile-router/src/hosts.rs
@@ -2,6 +2,7 @@
 use crate::budget::{Holder, Rest};
 use crate::counters::Counters;
 use crate::ending::{Ending, Outcome};
+use crate::errno::{accept_failure, is_local, is_unreachable, AcceptFailure};
 use crate::job::{Errand, Job};
 use crate::link::{Event, Link};
 use crate::mailbox::Post;
@@ -39,6 +40,18 @@
     began: Option<f64>,
     /// It has waited for its turn, and was counted for that.
     held: bool,
+    /// Until when its dial is begun again, once one has failed for this machine's own trouble.
+    local_until: Option<f64>,
+}
+
+impl Seat {
+    /// When its socket is to be looked at though nothing was told: not one that rests, which is looked at before use.
+    fn look_due(&self) -> f64 {
+        match &self.wire {
+            Some(wire) if !self.line.idle() => wire.look_due(),
+            _ => f64::INFINITY,
+        }
+    }
 }
 
 pub struct Hosts {
@@ -55,6 +68,8 @@
     pub dials: Option<Dials>,
     /// When the next that waits for its turn may; infinite where none does.
     turn_at: f64,
+    /// No dial begins before: the last one failed for this machine's own trouble.
+    paused_until: f64,
     /// Seconds for a connection to come up, or for an answer that has begun to go on: what the network of this
     /// deployment needs at most.
     dial_limit: f64,
@@ -63,8 +78,19 @@
     rest_limit: f64,
 }
 
-/// ENOMEM, ENFILE, EMFILE and ENOBUFS on the platform: no socket is to be had here, which is not the host's fault.
-const OUT_OF: [i32; 4] = [12, 23, 24, 105];
+/// Seconds for which a dial that failed for this machine's own trouble is begun again before its statement is told, and
+/// seconds between those tries.
+const LOCAL_PATIENCE: f64 = 0.05;
+const LOCAL_PAUSE: f64 = 0.005;
+
+/// What one dial came to here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Dialled {
+    Begun,
+    Failed,
+    /// This process may have no more descriptors: something idle is to go.
+    DescriptorsSpent,
+}
 
 /// Tokens of links are odd; those of hosts, for timers alone, lie above all others.
 pub fn token(key: usize) -> Token {
@@ -91,6 +117,7 @@
             events: VecDeque::new(),
             dials: None,
             turn_at: f64::INFINITY,
+            paused_until: f64::NEG_INFINITY,
             dial_limit,
             rest_limit: idle_close * 0.75,
         }
@@ -158,7 +185,9 @@
         self.counters.dialled.add();
         let line = Link::wanted(tools.clock.now() + self.dial_limit, self.dial_limit);
         let (armed, idle, began, held) = (f64::INFINITY, None, None, false);
-        let key = self.seats.insert(Seat { host, line, wire: None, queued: false, armed, idle, began, held });
+        let seat =
+            Seat { host, line, wire: None, queued: false, armed, idle, began, held, local_until: None };
+        let key = self.seats.insert(seat);
         self.host(host).pool.dialled(key);
         self.wanted.push_back((key, address));
     }
@@ -231,6 +260,10 @@
         // Its time may be over by now, and its name another's.
         let stands = |seat: &Seat| seat.wire.is_none() && !seat.line.dialling();
         self.turn_at = f64::INFINITY;
+        if now < self.paused_until {
+            self.turn_at = if self.wanted.is_empty() { f64::INFINITY } else { self.paused_until };
+            return false;
+        }
         let Some(dials) = &mut self.dials else {
             while let Some((key, _)) = self.wanted.front() {
                 if self.seats.get(*key).is_some_and(stands) {
@@ -279,14 +312,20 @@
     }
 
     /// Dials it; a descriptor has been counted for it.
-    pub fn dial(&mut self, tools: &mut Tools) {
-        let Some((key, address)) = self.wanted.pop_front() else { return };
+    pub fn dial(&mut self, tools: &mut Tools) -> Dialled {
+        let Some((key, address)) = self.wanted.pop_front() else { return Dialled::Failed };
         let dialled = TcpStream::connect(address).and_then(|stream| {
-            stream.set_nodelay(true)?;
-            Wire::new(&tools.registry, stream, token(key), false)
+            // Without it statements may go out a little later.
+            let _ = stream.set_nodelay(true);
+            Wire::new(&tools.registry, stream, token(key), false).map_err(|(_, e)| e)
         });
         let now = tools.clock.now();
         let seat = &mut self.seats[key];
+        if let Some(e) = dialled.as_ref().err().filter(|e| is_local(e)) {
+            if now < *seat.local_until.get_or_insert(now + LOCAL_PATIENCE) {
+                return self.dial_again(key, address, e, tools);
+            }
+        }
         if let Some(dials) = &mut self.dials {
             seat.line.dialled_by(now + self.dial_limit);
             seat.began = Some(now);
@@ -295,19 +334,42 @@
             seat.line.dialled();
         }
         match dialled {
-            Ok(wire) => {
+            Ok(mut wire) => {
+                wire.moved(now);
                 seat.wire = Some(wire);
                 self.arm(key, tools);
+                Dialled::Begun
             }
             Err(e) => {
                 tools.budget.release(Holder::Link);
                 let event = seat.line.failed(dial_ending(&e));
                 self.events.extend(event.map(|event| (key, event)));
                 self.act(tools);
+                Dialled::Failed
             }
         }
     }
 
+    /// This machine's own trouble says nothing of the host, and no statement is given up for its first moment.
+    fn dial_again(
+        &mut self,
+        key: usize,
+        address: SocketAddr,
+        error: &std::io::Error,
+        tools: &mut Tools,
+    ) -> Dialled {
+        tools.budget.release(Holder::Link);
+        tools.counters.dials_repeated.add();
+        let host = self.seats[key].host;
+        debug!(self.host(host).log, "dialled again soon: {error}");
+        self.wanted.push_front((key, address));
+        self.paused_until = tools.clock.now() + LOCAL_PAUSE;
+        match accept_failure(error) {
+            AcceptFailure::DescriptorsSpent => Dialled::DescriptorsSpent,
+            _ => Dialled::Failed,
+        }
+    }
+
     pub fn told(&mut self, key: usize, event: &mio::event::Event, tools: &mut Tools) {
         let Some(seat) = self.seats.get_mut(key) else { return };
         let Some(wire) = &mut seat.wire else { return };
@@ -334,8 +396,11 @@
     pub fn timer(&mut self, key: usize, at: f64, tools: &mut Tools) {
         let Some(seat) = self.seats.get_mut(key).filter(|seat| seat.armed == at) else { return };
         seat.armed = f64::INFINITY;
-        if seat.line.due() <= tools.clock.now() {
+        let now = tools.clock.now();
+        let (time_up, look) = (seat.line.due() <= now, seat.look_due() <= now);
+        if time_up || look {
             if let Some(wire) = &mut seat.wire {
+                wire.look_again(now);
                 wire.look();
             }
             self.run(key, tools);
@@ -376,7 +441,7 @@
 
     fn arm(&mut self, key: usize, tools: &mut Tools) {
         let seat = &mut self.seats[key];
-        let due = seat.line.due();
+        let due = seat.line.due().min(seat.look_due());
         if due < seat.armed {
             seat.armed = due;
             tools.timers.push(due, token(key));
@@ -431,6 +496,7 @@
             match wire.write(seat.line.out()) {
                 Moved::Bytes(put) => {
                     seat.line.wrote(put);
+                    wire.moved(tools.clock.now());
                     moved = true;
                 }
                 Moved::Ended | Moved::Broken(_) => event = event.or(seat.line.closed(&mut tools.budget)),
@@ -441,6 +507,10 @@
                 match wire.read(&mut tools.scratch[..wants]) {
                     Moved::Bytes(got) => {
                         let now = tools.clock.now();
+                        if wire.unannounced() {
+                            tools.counters.found_by_look.add();
+                        }
+                        wire.moved(now);
                         event = seat.line.bytes(now, &tools.scratch[..got], &mut tools.budget);
                         moved = true;
                     }
@@ -575,8 +645,9 @@
 
 fn dial_ending(e: &std::io::Error) -> Ending {
     match e.kind() {
-        ErrorKind::TimedOut | ErrorKind::WouldBlock => Ending::DialTimedOut,
-        _ if e.raw_os_error().is_some_and(|n| OUT_OF.contains(&n)) => Ending::NoRoom,
+        ErrorKind::TimedOut => Ending::DialTimedOut,
+        _ if is_unreachable(e) => Ending::DialUnreachable,
+        _ if is_local(e) => Ending::NoRoom,
         _ => Ending::DialRefused,
     }
 }
--- a/crates/sandstile-router/src/kept.rs
+++ b/crates/sandstile-router/src/kept.rs
@@ -2,6 +2,7 @@
 //! `sandstile-keeper`; here it meets outlets to other instances, the disk's thread and whoever asks over a socket. Off without our own file.
 use crate::charter::State as Plan;
 use crate::clock::Clock;
+use crate::control::is_abandoned;
 use crate::mailbox::{mailbox, Mailbox, Post};
 use crate::threads;
 use crate::words::{Shown, Telling, Word};
@@ -21,7 +22,7 @@
 use slog::{info, warn, Logger};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::os::unix::net::{UnixListener, UnixStream};
+use std::os::unix::net::UnixListener;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
@@ -469,8 +470,8 @@
 fn door(path: &Path) -> Result<UnixListener, String> {
     let told = |e: std::io::Error| format!("state: {}: {e}", path.display());
     if std::fs::symlink_metadata(path).is_ok() {
-        if UnixStream::connect(path).is_ok() {
-            return Err(format!("state: {}: another process listens there", path.display()));
+        if !is_abandoned(path) {
+            return Err(format!("state: {}: another process may listen there", path.display()));
         }
         std::fs::remove_file(path).map_err(told)?;
     }
--- /dev/null
+++ b/crates/sandstile-router/src/listener.rs
@@ -0,0 +1,138 @@
+//! The clients' listening socket. A connection that waits in its queue counts as taken, so nothing but an empty queue
+//! ends the looking: no error of `accept` does, and an empty queue is looked at again in bounded time, for readiness is
+//! told once and a failed call may have used that up.
+use crate::errno::{accept_failure, AcceptFailure};
+use mio::net::{TcpListener, TcpStream};
+use mio::{Interest, Registry, Token};
+use std::io::{self, ErrorKind};
+
+/// Seconds between looks that nothing but the time calls for.
+const LOOK_EVERY: f64 = 0.05;
+/// Seconds from a failure of the machine to the next try: the first, and the longest, each twice the one before.
+const FIRST_PAUSE: f64 = 0.001;
+const LONGEST_PAUSE: f64 = 0.02;
+/// Transient failures in a row after which there is a pause as well, or a lasting one would spin.
+const MOST_TRANSIENT: u32 = 8;
+
+/// What one try came to.
+#[derive(Debug)]
+pub enum Accepted {
+    /// A connection, and since when at the latest it may have waited, in seconds.
+    Connection(TcpStream, f64),
+    /// Nothing waits now.
+    Empty,
+    Failed(AcceptFailure, io::Error),
+}
+
+/// The listening socket and what is known of its queue.
+#[derive(Debug)]
+pub struct Listener {
+    /// `None` once it is closed.
+    socket: Option<TcpListener>,
+    /// The queue may hold something.
+    ready: bool,
+    paused_until: f64,
+    pause: f64,
+    failures: u32,
+    /// When the queue was last found empty.
+    empty_at: f64,
+    /// Since then connections may have waited: something other than an empty queue ended a look.
+    held_up: bool,
+}
+
+impl Listener {
+    /// Registers the socket; what waits there is looked at first thing.
+    pub fn new(
+        registry: &Registry,
+        token: Token,
+        socket: std::net::TcpListener,
+        now: f64,
+    ) -> io::Result<Listener> {
+        socket.set_nonblocking(true)?;
+        let mut socket = TcpListener::from_std(socket);
+        registry.register(&mut socket, token, Interest::READABLE)?;
+        Ok(Listener {
+            socket: Some(socket),
+            ready: true,
+            paused_until: f64::NEG_INFINITY,
+            pause: FIRST_PAUSE,
+            failures: 0,
+            empty_at: now,
+            held_up: false,
+        })
+    }
+
+    /// Readiness was told.
+    pub fn told(&mut self) {
+        self.ready = true;
+    }
+
+    /// Whether a try is due at `now`.
+    pub fn wants(&self, now: f64) -> bool {
+        self.socket.is_some() && now >= self.paused_until && (self.ready || now >= self.empty_at + LOOK_EVERY)
+    }
+
+    /// When a try is due that no readiness calls for; infinite where never.
+    pub fn due(&self) -> f64 {
+        match (&self.socket, self.ready) {
+            (None, _) => f64::INFINITY,
+            (Some(_), true) => self.paused_until,
+            (Some(_), false) => self.empty_at + LOOK_EVERY,
+        }
+    }
+
+    /// There is no room for what may wait: it waits on, and its time runs.
+    pub fn hold_up(&mut self) {
+        self.held_up |= self.ready;
+    }
+
+    pub fn accept(&mut self, now: f64) -> Accepted {
+        let Some(socket) = &self.socket else { return Accepted::Empty };
+        match socket.accept() {
+            Ok((stream, _)) => {
+                self.recover();
+                let announced = self.ready && !self.held_up;
+                let waited_since = if announced { now } else { self.empty_at };
+                Accepted::Connection(stream, waited_since)
+            }
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                self.recover();
+                (self.ready, self.held_up, self.empty_at) = (false, false, now);
+                Accepted::Empty
+            }
+            Err(e) => {
+                let failure = accept_failure(&e);
+                self.fail(now, failure);
+                Accepted::Failed(failure, e)
+            }
+        }
+    }
+
+    fn recover(&mut self) {
+        (self.pause, self.failures) = (FIRST_PAUSE, 0);
+    }
+
+    /// After a failure the queue counts as holding something, whatever was told.
+    fn fail(&mut self, now: f64, failure: AcceptFailure) {
+        (self.ready, self.held_up) = (true, true);
+        self.failures += 1;
+        if failure != AcceptFailure::Transient || self.failures > MOST_TRANSIENT {
+            self.paused_until = now + self.pause;
+            self.pause = (2.0 * self.pause).min(LONGEST_PAUSE);
+        }
+    }
+
+    /// Waits before the next try: what came last could not be set up.
+    pub fn pause(&mut self, now: f64) {
+        self.fail(now, AcceptFailure::MachineShort);
+    }
+
+    pub fn is_open(&self) -> bool {
+        self.socket.is_some()
+    }
+
+    /// Nobody is let in any more.
+    pub fn close(&mut self) {
+        self.socket = None;
+    }
+}
--- a/crates/sandstile-router/src/mailbox.rs
+++ b/crates/sandstile-router/src/mailbox.rs
@@ -4,6 +4,7 @@
 //!
 //! A reader is a thread of its own, which is parked while there is nothing, or an actor that the carrier's thread
 //! carries, which is woken by a bell; within that thread mail is a push and a pop, and no bell is rung.
+use crate::errno::uninterrupted;
 use crossbeam_channel::{bounded, unbounded, Receiver, RecvTimeoutError, Sender, TryRecvError};
 use mio::Waker;
 use std::sync::atomic::{fence, AtomicBool, Ordering::SeqCst};
@@ -34,9 +35,9 @@
 
     fn ring(&self) {
         fence(SeqCst);
-        if self.asleep.swap(false, SeqCst) {
-            // The carrier would sleep for ever on mail that it was not told of.
-            self.waker.wake().expect("a bell that rings");
+        if self.asleep.swap(false, SeqCst) && uninterrupted(|| self.waker.wake()).is_err() {
+            // Not woken: whoever rings next tries again, and the carrier's own times wake it meanwhile.
+            self.asleep.store(true, SeqCst);
         }
     }
 }
--- a/crates/sandstile-router/src/wire.rs
+++ b/crates/sandstile-router/src/wire.rs
@@ -1,17 +1,26 @@
 //! A socket on the readiness loop, and what is known of it between events. Readiness is told once, at its edge: it
-//! stands until the platform says that there is nothing more.
+//! stands until the platform says that there is nothing more. Nothing rests on that word alone: a socket that waits is
+//! looked at again, each time after twice as long, so that news that was never told costs no more than the wait before.
 use mio::event::Event;
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::Shutdown;
 
+/// Seconds from the last bytes to the first look that no readiness calls for.
+const FIRST_LOOK: f64 = 0.025;
+
 pub struct Wire {
     stream: TcpStream,
     readable: bool,
     writable: bool,
     /// The other side has ended its sending: reads go on until they have met that end.
     ending: bool,
+    /// Readiness that was told has not been used up.
+    announced: bool,
+    /// When it is looked at next, and after how many seconds that is.
+    look_at: f64,
+    look_gap: f64,
 }
 
 /// What a read or a write came to.
@@ -26,9 +35,26 @@
 }
 
 impl Wire {
-    pub fn new(registry: &Registry, mut stream: TcpStream, token: Token, writable: bool) -> io::Result<Wire> {
-        registry.register(&mut stream, token, Interest::READABLE | Interest::WRITABLE)?;
-        Ok(Wire { stream, readable: false, writable, ending: false })
+    /// Registers the socket; one that can't be registered now is handed back.
+    pub fn new(
+        registry: &Registry,
+        mut stream: TcpStream,
+        token: Token,
+        writable: bool,
+    ) -> Result<Wire, (TcpStream, io::Error)> {
+        match registry.register(&mut stream, token, Interest::READABLE | Interest::WRITABLE) {
+            Ok(()) => Ok(Wire {
+                stream,
+                readable: false,
+                writable,
+                ending: false,
+                announced: true,
+                look_at: f64::INFINITY,
+                look_gap: FIRST_LOOK,
+            }),
+            // Made anew: the library takes one whose registration failed for registered.
+            Err(e) => Err((TcpStream::from_std(stream.into()), e)),
+        }
     }
 
     pub fn stream(&self) -> &TcpStream {
@@ -38,6 +64,7 @@
     pub fn told(&mut self, event: &Event) {
         // A connection that broke is found out by whichever comes first.
         let broken = event.is_error();
+        self.announced = true;
         self.ending |= event.is_read_closed() || broken;
         self.readable |= event.is_readable() || self.ending;
         self.writable |= event.is_writable() || event.is_write_closed() || broken;
@@ -48,6 +75,31 @@
         self.readable = true;
     }
 
+    /// Bytes went one way or the other at `now`: the next look is soon.
+    pub fn moved(&mut self, now: f64) {
+        self.look_gap = FIRST_LOOK;
+        self.look_at = now + self.look_gap;
+    }
+
+    /// When it is to be looked at though nothing was told.
+    pub fn look_due(&self) -> f64 {
+        self.look_at
+    }
+
+    /// Has the next read and write try, where a look is due at `now`.
+    pub fn look_again(&mut self, now: f64) {
+        if now >= self.look_at {
+            (self.readable, self.writable) = (true, true);
+            self.look_gap *= 2.0;
+            self.look_at = now + self.look_gap;
+        }
+    }
+
+    /// Whether the bytes that were read just now came without a word of readiness.
+    pub fn unannounced(&self) -> bool {
+        !self.announced
+    }
+
     pub fn readable(&self) -> bool {
         self.readable
     }
@@ -77,7 +129,7 @@
                 Ok(got) => return Moved::Bytes(got),
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                    self.readable = false;
+                    (self.readable, self.announced) = (false, false);
                     return Moved::Nothing;
                 }
                 Err(e) => return Moved::Broken(e.raw_os_error()),
--- a/crates/sandstile-shim/preload/lib.rs
+++ b/crates/sandstile-shim/preload/lib.rs
@@ -4,8 +4,8 @@
 // What callers owe these functions is what the C library's manual says of those of the same names.
 #![allow(clippy::missing_safety_doc)]
 use libc::{
-    c_char, c_int, c_void, clockid_t, epoll_event, mode_t, nfds_t, pollfd, size_t, sockaddr, socklen_t,
-    ssize_t, timespec,
+    c_char, c_int, c_void, clockid_t, epoll_event, mode_t, nfds_t, pollfd, size_t, sockaddr, sockaddr_in,
+    socklen_t, ssize_t, timespec,
 };
 use std::ffi::CStr;
 use std::mem::{transmute_copy, zeroed};
@@ -28,6 +28,8 @@
     most: u64,
     from_ms: u64,
     until_ms: u64,
+    /// 0 for any.
+    port: u16,
     seen: AtomicU64,
     struck: AtomicU64,
 }
@@ -42,7 +44,7 @@
 
 fn parse(text: &str) -> Option<Rule> {
     let words: Vec<&str> = text.split(' ').collect();
-    let [call, fault, value, chance, skip, most, from_ms, until_ms] = words[..] else { return None };
+    let [call, fault, value, chance, skip, most, from_ms, until_ms, port] = words[..] else { return None };
     let fault = match fault {
         "short" => Fault::Short(value.parse().ok()?),
         "errno" => Fault::Errno(value.parse().ok()?),
@@ -58,6 +60,7 @@
         most: most.parse().ok()?,
         from_ms: from_ms.parse().ok()?,
         until_ms: until_ms.parse().ok()?,
+        port: port.parse().ok()?,
         seen: AtomicU64::new(0),
         struck: AtomicU64::new(0),
     })
@@ -126,13 +129,18 @@
 
 /// The fault that this call meets now, if any. A hold-up is served here, and the call goes on.
 fn fault(call: &str) -> Option<Fault> {
+    fault_at(call, || 0)
+}
+
+/// The same for a call on a socket whose other side has this port.
+fn fault_at(call: &str, port: impl Fn() -> u16) -> Option<Fault> {
     let plan = PLAN.get()?;
     if !plan.rules.iter().any(|r| r.call == call) {
         return None;
     }
     let now_ms = monotonic_ms() - plan.began_ms;
     let mut met = None;
-    for rule in plan.rules.iter().filter(|r| r.call == call) {
+    for rule in plan.rules.iter().filter(|r| r.call == call && (r.port == 0 || r.port == port())) {
         if met.is_some() || !rule.strikes(now_ms) {
             continue;
         }
@@ -162,6 +170,26 @@
     }
 }
 
+fn port_of(address: &sockaddr) -> u16 {
+    if c_int::from(address.sa_family) != libc::AF_INET {
+        return 0;
+    }
+    let at: *const sockaddr_in = (&raw const *address).cast();
+    u16::from_be(unsafe { (*at).sin_port })
+}
+
+/// The port of a socket's other side; 0 where there is none.
+fn peer_port(fd: c_int) -> u16 {
+    unsafe {
+        let mut at: sockaddr_in = zeroed();
+        let mut length = size_of::<sockaddr_in>() as socklen_t;
+        match libc::getpeername(fd, (&raw mut at).cast(), &mut length) {
+            0 => port_of(&*(&raw const at).cast()),
+            _ => 0,
+        }
+    }
+}
+
 /// Errors that only a connection that is over can have.
 fn ends(number: c_int) -> bool {
     matches!(
@@ -176,7 +204,7 @@
 pub unsafe extern "C" fn recv(fd: c_int, into: *mut c_void, length: size_t, flags: c_int) -> ssize_t {
     let call = if flags & libc::MSG_PEEK != 0 { "peek" } else { "recv" };
     let mut length = length;
-    match fault(call).filter(|_| is_internet(fd)) {
+    match fault_at(call, || peer_port(fd)).filter(|_| is_internet(fd)) {
         Some(Fault::Errno(number)) => {
             if ends(number) {
                 libc::shutdown(fd, libc::SHUT_RDWR);
@@ -195,7 +223,7 @@
 #[no_mangle]
 pub unsafe extern "C" fn send(fd: c_int, from: *const c_void, length: size_t, flags: c_int) -> ssize_t {
     let mut length = length;
-    match fault("send").filter(|_| is_internet(fd)) {
+    match fault_at("send", || peer_port(fd)).filter(|_| is_internet(fd)) {
         Some(Fault::Errno(number)) => {
             if ends(number) {
                 libc::shutdown(fd, libc::SHUT_RDWR);
@@ -277,7 +305,7 @@
 /// An interrupted connect goes on by itself, as the platform has it.
 #[no_mangle]
 pub unsafe extern "C" fn connect(fd: c_int, address: *const sockaddr, length: socklen_t) -> c_int {
-    let met = fault("connect").filter(|_| is_internet(fd));
+    let met = fault_at("connect", || port_of(&*address)).filter(|_| is_internet(fd));
     if let Some(Fault::Errno(number)) = met.filter(|f| *f != Fault::Errno(libc::EINTR)) {
         fail(number);
         return -1;
--- a/crates/sandstile-shim/src/lib.rs
+++ b/crates/sandstile-shim/src/lib.rs
@@ -114,12 +114,14 @@
     most: u64,
     from_ms: u64,
     until_ms: u64,
+    /// 0 for any.
+    port: u16,
 }
 
 impl Rule {
     /// Strikes every time.
     pub fn new(call: Call, fault: Fault) -> Rule {
-        Rule { call, fault, chance: 1.0, skip: 0, most: u64::MAX, from_ms: 0, until_ms: u64::MAX }
+        Rule { call, fault, chance: 1.0, skip: 0, most: u64::MAX, from_ms: 0, until_ms: u64::MAX, port: 0 }
     }
 
     /// The call fails with this error number.
@@ -148,6 +150,13 @@
     }
 }
 
+impl Rule {
+    /// Strikes only sockets whose other side has this port: for `Recv`, `Peek`, `Send` and `Connect`.
+    pub fn port(self, port: u16) -> Rule {
+        Rule { port, ..self }
+    }
+}
+
 impl fmt::Display for Rule {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         let (fault, value) = match self.fault {
@@ -156,8 +165,8 @@
             Fault::HoldMs(ms) => ("hold", ms as i64),
             Fault::StepMs(ms) => ("step", ms),
         };
-        let Rule { chance, skip, most, from_ms, until_ms, .. } = self;
-        write!(f, "{} {fault} {value} {chance} {skip} {most} {from_ms} {until_ms}", self.call.name())
+        let Rule { chance, skip, most, from_ms, until_ms, port, .. } = self;
+        write!(f, "{} {fault} {value} {chance} {skip} {most} {from_ms} {until_ms} {port}", self.call.name())
     }
 }
 
