Disk and log errors, and a stepped wall clock, cost no promise

A host's start told by a stepped clock made it warm at once or cold for an hour (policy members, since); a session's position ahead of this clock was cut to now (token_age). Changed so that what was promised stands and the router serves.

--- a/crates/sandstile-desk/src/desk.rs
+++ b/crates/sandstile-desk/src/desk.rs
@@ -223,7 +223,8 @@
                     }),
                     time_left: asked.until - now,
                     wait: asked.wait,
-                    token_age: asked.after.map(|at| (now - at).max(0.0)),
+                    // Below 0 where the clock of whoever gave the position runs ahead: the position itself stands.
+                    token_age: asked.after.map(|at| now - at),
                     retry: asked.retry,
                     reach,
                 };
--- a/crates/sandstile-journal/src/lib.rs
+++ b/crates/sandstile-journal/src/lib.rs
@@ -162,6 +162,8 @@
     medium: M,
     bytes: u64,
     pending: Vec<u8>,
+    /// The folder of this path has yet to be synced, for the file's name to be on the disk.
+    folder: Option<PathBuf>,
 }
 
 /// The file beside the journal in which its successor is written.
@@ -211,16 +213,32 @@
         }
         journal.sync()?;
         fs::rename(&new, path)?;
-        sync_folder(path)?;
+        // From here on this is the journal, whatever comes next: one that went on with the former file would write to
+        // a file without a name. The name itself is on the disk with the next sync at the latest.
+        if sync_folder(path).is_err() {
+            journal.folder = Some(path.to_path_buf());
+        }
         Ok(journal)
     }
 }
 
+/// Makes the journal at `path` one that nobody takes for whole, where there is one: removed, or emptied, or put aside.
+/// An error says that it stands as it was.
+pub fn invalidate(path: &Path) -> io::Result<()> {
+    let removed = match fs::remove_file(path) {
+        Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(()),
+        other => other,
+    };
+    removed
+        .or_else(|_| OpenOptions::new().write(true).open(path)?.set_len(0))
+        .or_else(|_| fs::rename(path, path.with_extension("given-up")))
+}
+
 impl<M: Medium> Journal<M> {
     /// Begins one on an empty medium.
     pub fn begin(mut medium: M) -> Result<Journal<M>, Wrong> {
         medium.write_all(&head(VERSION))?;
-        Ok(Journal { medium, bytes: HEAD as u64, pending: Vec::new() })
+        Ok(Journal { medium, bytes: HEAD as u64, pending: Vec::new(), folder: None })
     }
 
     /// Adds what a session has seen; it is on the disk after the next `sync`.
@@ -245,7 +263,12 @@
 
     pub fn sync(&mut self) -> io::Result<()> {
         self.write()?;
-        self.medium.sync()
+        self.medium.sync()?;
+        if let Some(path) = &self.folder {
+            sync_folder(path)?;
+            self.folder = None;
+        }
+        Ok(())
     }
 
     /// Hands what was added to the platform, which keeps it through the end of this process but not of the machine.
--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -27,6 +27,9 @@
 /// A replica that refused a read as too far behind takes reads of any age for so long, or eight turns: for
 /// a spell of lag. With a shorter memory routers disagree on which ones, and each takes up another log.
 const LAGS: f64 = 20.0;
+/// A host's start is told sooner than this: an older one, told of a host that was there before, is of a clock that
+/// was stepped, and counts from when it is told.
+const NEWS: f64 = 30.0;
 /// A probe's claim to be primary spares the other members probes for so long: a failover takes longer.
 const STANDS: f64 = 1.0;
 
@@ -80,6 +83,7 @@
 #[derive(Default)]
 pub struct Instance {
     now: f64,
+    began: f64,
     chance: Chance,
     terms: Terms,
     kinds: Vec<Kind>,
@@ -129,6 +133,7 @@
         };
         Instance {
             now,
+            began: now,
             chance: Chance(Rand32::new(seed)),
             terms: terms.clone(),
             kinds: terms.workloads.iter().map(kind).collect(),
@@ -161,14 +166,20 @@
             }
             let host = &mut self.hosts[m.host];
             (host.group, host.zone, host.listed) = (m.group, m.zone, m.readiness);
-            if m.since > host.fresh_since {
+            // A list's times are of the clock of whoever wrote it, which may have been stepped.
+            let news = m.since > host.listed_since;
+            host.listed_since = host.listed_since.max(m.since);
+            let old_news = host.was_listed && m.since < now - NEWS && self.began < now - NEWS;
+            let started = if old_news { now } else { m.since.min(now) };
+            host.was_listed = true;
+            if news && started > host.fresh_since {
                 // A machine that replaces another is behind by seconds and cold, whatever it answers first.
                 // Credit begins where it would stand in the long run: of hundreds of routers each earns one
                 // in the whole cold time, and none knows who is primary. The rest is for two probes.
                 let lucky = f64::from(self.chance.0.rand_float()) < self.cold_ease * self.terms.cold_from;
                 let credit = if lucky { 1.0 } else { 0.2 };
                 (host.fresh_since, host.credit, host.seen_draining, host.mute) =
-                    (m.since, credit, false, false);
+                    (started, credit, false, false);
             }
             self.cold_until = self.cold_until.max(host.fresh_since + self.cold_s);
             host.seen_draining |= m.readiness == Readiness::Draining;
--- a/crates/sandstile-policy/src/state.rs
+++ b/crates/sandstile-policy/src/state.rs
@@ -57,6 +57,9 @@
     pub listed: Readiness,
     pub seen_draining: bool,
     pub fresh_since: f64,
+    /// The start that the list named last; and whether the host was on a list before.
+    pub listed_since: f64,
+    pub was_listed: bool,
     /// It has told its role, as all members do and none that a list invents.
     pub heard: bool,
     pub credit: f64,
--- a/crates/sandstile-router/src/main.rs
+++ b/crates/sandstile-router/src/main.rs
@@ -3,7 +3,7 @@
 use sandstile_router::clock::Clock;
 use sandstile_router::counters::Counters;
 use sandstile_router::launch::Launch;
-use sandstile_router::signals::Wishes;
+use sandstile_router::signals::{print_counters, Wishes};
 use sandstile_router::{ask, keys, router};
 use slog::{o, Drain, Level, Logger};
 use std::path::{Path, PathBuf};
@@ -30,6 +30,9 @@
 signals: SIGUSR1 prints the counters; SIGHUP reads the configuration again and follows the discovery that it
 names; SIGTERM answers what was taken, then exits with 0";
 
+/// Lines of log that may wait to be written: a start logs two for each database host.
+const LOG_LINES_WAITING: usize = 2048;
+
 fn main() -> ExitCode {
     match run() {
         Ok(()) => ExitCode::SUCCESS,
@@ -164,9 +167,10 @@
         std::process::abort();
     }));
     let decorator = slog_term::PlainDecorator::new(std::io::stderr());
-    let lines = slog_term::FullFormat::new(decorator).build().fuse();
+    // A full disk or a closed pipe behind the log must not end a router.
+    let lines = slog_term::FullFormat::new(decorator).build().ignore_res();
     // A log that nobody reads must hold up no actor.
-    let (drain, guard) = slog_async::Async::new(lines).build_with_guard();
+    let (drain, guard) = slog_async::Async::new(lines).chan_size(LOG_LINES_WAITING).build_with_guard();
     let level = if verbose { Level::Debug } else { Level::Info };
     let log = Logger::root(drain.filter_level(level).fuse(), o!("router" => launch.name.clone()));
     let counters = Arc::new(Counters::default());
@@ -174,7 +178,7 @@
     let again = || Launch::again(|name| std::env::var(name).ok());
     let ended = router::serve(launch, charter, again, counters.clone(), log, &mut wishes);
     drop(guard);
-    eprintln!("{counters}");
+    print_counters(&counters);
     ended
 }
 
--- a/crates/sandstile-router/src/sessions.rs
+++ b/crates/sandstile-router/src/sessions.rs
@@ -11,7 +11,7 @@
 use sandstile_desk::{Answer, Asked, Ending, Fact, Given, Outcome, Source};
 use sandstile_exchange::Heard;
 use sandstile_journal::pace::Pace;
-use sandstile_journal::Journal;
+use sandstile_journal::{Found, Journal, Wrong};
 use sandstile_policy::terms::Reach;
 use sandstile_sessions::floor::{Floor, Ground};
 use sandstile_sessions::mark::{Mark, Seen, Term};
@@ -19,10 +19,10 @@
 use sandstile_sessions::token::{KeyRing, Token};
 use slog::{info, warn, Logger};
 use std::collections::BTreeMap;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// What one statement wants of all this.
 struct Wish {
@@ -110,7 +110,7 @@
         let mut journal = None;
         if let Some(path) = &plan.journal {
             let told = |e| format!("{}: {e}", path.display());
-            let (opened, found) = Journal::open(path, now - plan.horizon).map_err(told)?;
+            let (opened, found) = open_journal(path, now - plan.horizon, log).map_err(told)?;
             found.marks.iter().for_each(|(key, seen)| store.merge(*key, seen));
             // Nothing can be missing: each write was on the disk before anybody was told of it, or the last writer
             // ended in order. A first journal knows of nothing before it.
@@ -122,8 +122,7 @@
                 "ended" => found.ended, "spoilt" => found.spoilt);
             let (post, entries) = mailbox();
             let (file, durability, log) = (path.clone(), plan.durability, log.clone());
-            let scribe =
-                Scribe { journal: Some(opened), answers, path: file, durability, clock: *clock, log };
+            let scribe = Scribe { journal: opened, answers, path: file, durability, clock: *clock, log };
             thread::Builder::new()
                 .name("journal".to_string())
                 .spawn(move || scribe.run(&entries))
@@ -435,6 +434,25 @@
     }
 }
 
+/// Takes up the journal at `path`. A disk that takes no writes at this moment keeps no router from serving: what the
+/// journal holds is taken up, and the file is made one that nobody takes for whole later, for it will lack this life's
+/// writes.
+fn open_journal(path: &Path, since: f64, log: &Logger) -> Result<(Option<Journal>, Found), Wrong> {
+    let error = match Journal::open(path, since) {
+        Ok((journal, found)) => return Ok((Some(journal), found)),
+        Err(Wrong::Io(error)) => error,
+        Err(wrong) => return Err(wrong),
+    };
+    let found = match std::fs::read(path) {
+        Ok(bytes) => sandstile_journal::read(&bytes)?,
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => Found::default(),
+        Err(e) => return Err(e.into()),
+    };
+    sandstile_journal::invalidate(path)?;
+    warn!(log, "sessions are kept without a journal: {error}");
+    Ok((None, found))
+}
+
 enum Entry {
     Seen { key: Key, seen: Seen, then: Option<Given> },
     End(Post<()>),
@@ -451,6 +469,9 @@
     log: Logger,
 }
 
+/// For so long it is tried to make a journal invalid, with pauses between.
+const INVALIDATE_PATIENCE: Duration = Duration::from_millis(200);
+const INVALIDATE_PAUSE: Duration = Duration::from_millis(10);
 /// A journal that has grown beyond this is written anew, each session once.
 const LONGEST: u64 = 64 << 20;
 
@@ -511,9 +532,22 @@
     fn tried(&mut self, act: impl FnOnce(&mut Journal) -> std::io::Result<()>) {
         let Some(journal) = &mut self.journal else { return };
         if let Err(e) = act(journal) {
-            let removed = std::fs::remove_file(&self.path).is_ok();
-            warn!(self.log, "the journal of sessions is given up: {e}"; "removed" => removed);
+            warn!(self.log, "the journal of sessions is given up: {e}");
             self.journal = None;
+            self.invalidate();
+        }
+    }
+
+    /// Nobody is to find the file whole later. Answers wait for that, for as long as they may.
+    fn invalidate(&self) {
+        let give_up_at = Instant::now() + INVALIDATE_PATIENCE;
+        while let Err(e) = sandstile_journal::invalidate(&self.path) {
+            if Instant::now() >= give_up_at {
+                warn!(self.log, "the journal of sessions could not be made invalid: {e}; remove it by hand";
+                    "file" => %self.path.display());
+                return;
+            }
+            thread::sleep(INVALIDATE_PAUSE);
         }
     }
 
--- a/crates/sandstile-router/src/signals.rs
+++ b/crates/sandstile-router/src/signals.rs
@@ -3,7 +3,7 @@
 use crate::counters::Counters;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator::{Handle, Signals};
-use std::io;
+use std::io::{self, Write};
 use std::sync::Arc;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -12,6 +12,11 @@
     End,
 }
 
+/// Writes the counters to standard error; one that can't be written to loses them, and nothing else.
+pub fn print_counters(counters: &Counters) {
+    let _ = writeln!(io::stderr(), "{counters}");
+}
+
 /// Yields each wish that operators have for the router.
 pub struct Wishes {
     signals: Signals,
@@ -40,7 +45,7 @@
     pub fn await_one(&mut self) -> Option<Wish> {
         loop {
             match self.signals.forever().next()? {
-                SIGUSR1 => eprintln!("{}", self.counters),
+                SIGUSR1 => print_counters(&self.counters),
                 SIGHUP => return Some(Wish::Reload),
                 _ => return Some(Wish::End),
             }
