--- a/crates/sandstile-lab/src/lib.rs
+++ b/crates/sandstile-lab/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod returns;
 pub mod scale_out;
 pub mod sights;
+pub mod soak;
--- a/crates/sandstile-lab/src/main.rs
+++ b/crates/sandstile-lab/src/main.rs
@@ -3,6 +3,7 @@
 use sandstile_emulator::Clock;
 use sandstile_lab::{
     capacity, copies, experiment, hunt, members, processes, recordings, rehearse, report, returns, scale_out,
+    soak,
 };
 use sandstile_scenario::Script;
 use std::path::{Path, PathBuf};
@@ -144,6 +145,26 @@
         #[arg(long)]
         plant: bool,
     },
+    /// Play real routers under faults drawn by seed, system calls among them; exits with 1 where a rule is broken
+    Soak {
+        /// The seed of the first run
+        #[arg(long)]
+        seed: u64,
+        #[arg(long, default_value_t = 1)]
+        runs: u64,
+        /// Short runs of few processes
+        #[arg(long)]
+        quick: bool,
+        /// The router's program; the one beside this program if absent
+        #[arg(long)]
+        router: Option<PathBuf>,
+        /// The library that makes system calls fail; the one among the examples beside this program if absent
+        #[arg(long)]
+        shim: Option<PathBuf>,
+        /// Where logs and journals go
+        #[arg(long, default_value = "target/soak")]
+        out: PathBuf,
+    },
     /// How a return grows with the number of routers, in virtual time: a table and charts
     Returns {
         /// Where the table and the charts go
@@ -305,6 +326,11 @@
                 Ok(ExitCode::from(u8::from((found.failed > 0) != plant)))
             })
         }
+        Command::Soak { seed, runs, quick, router, shim, out } => beside(router).and_then(|router| {
+            let shim = shim.map_or_else(|| sandstile_shim::library(&router), Ok)?;
+            let broken = soak::soak(&soak::Wanted { router, shim, out, seed, runs, quick })?;
+            Ok(ExitCode::from(u8::from(broken > 0)))
+        }),
         Command::Returns { out, quick } => returns::grow(&out, quick).map(|text| {
             println!("{text}");
             ExitCode::SUCCESS
--- /dev/null
+++ b/crates/sandstile-soak/src/agent.rs
@@ -0,0 +1,174 @@
+//! A stand-in for discovery's agent: lists as watches, which can fall silent or be reset.
+use crate::host;
+use crate::record::{Happened, Recorder};
+use std::fmt::Write as _;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+const LOOK: Duration = Duration::from_millis(10);
+/// Seconds between empty lines while nothing changes.
+const HEARTBEAT: f64 = 2.0;
+
+#[derive(Clone, Debug)]
+struct Entry {
+    address: SocketAddr,
+    primary: bool,
+    leaving: bool,
+    since_ms: u128,
+    /// The version in which it changed last.
+    index: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    entries: Vec<Entry>,
+    index: u64,
+    silent_until: f64,
+    resets: u64,
+}
+
+/// Handle to the running agent.
+#[derive(Clone)]
+pub struct Agent {
+    state: Arc<Mutex<State>>,
+    recorder: Recorder,
+}
+
+impl Agent {
+    pub fn start(address: SocketAddr, hosts: &[SocketAddr], recorder: Recorder) -> io::Result<Agent> {
+        let entry = |(n, at): (usize, &SocketAddr)| Entry {
+            address: *at,
+            primary: n == 0,
+            leaving: false,
+            since_ms: 0,
+            index: 1,
+        };
+        let entries = hosts.iter().enumerate().map(entry).collect();
+        let state = Arc::new(Mutex::new(State { entries, index: 1, ..State::default() }));
+        let agent = Agent { state, recorder };
+        let listener = TcpListener::bind(address)?;
+        let served = agent.clone();
+        listener.set_nonblocking(true)?;
+        thread::spawn(move || {
+            while !served.recorder.is_over() {
+                let Ok((stream, _)) = listener.accept() else {
+                    thread::sleep(LOOK);
+                    continue;
+                };
+                let agent = served.clone();
+                thread::spawn(move || agent.serve(&stream));
+            }
+        });
+        Ok(agent)
+    }
+
+    /// The whole list, in the form of a configuration's `known`.
+    pub fn known(&self) -> String {
+        list(&self.state.lock().expect("state"), 0)
+    }
+
+    fn change(&self, host: usize, what: Happened, change: impl FnOnce(&mut Entry)) {
+        let mut state = self.state.lock().expect("state");
+        state.index += 1;
+        let index = state.index;
+        let entry = &mut state.entries[host];
+        entry.index = index;
+        change(entry);
+        let told_in = state.silent_until - self.recorder.now();
+        let recorder = self.recorder.clone();
+        thread::spawn(move || {
+            thread::sleep(Duration::from_secs_f64(told_in.max(0.0)));
+            recorder.happened(what);
+        });
+    }
+
+    pub fn drain(&self, host: usize) {
+        self.change(host, Happened::HostDrains { host }, |entry| entry.leaving = true);
+    }
+
+    /// The host has started anew just now, and takes statements.
+    pub fn restarted(&self, host: usize) {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis());
+        self.change(host, Happened::HostCold { host }, |entry| {
+            (entry.since_ms, entry.leaving) = (now, false);
+        });
+    }
+
+    pub fn fall_silent(&self, ms: u64) {
+        let until = self.recorder.now() + ms as f64 / 1e3;
+        self.state.lock().expect("state").silent_until = until;
+    }
+
+    pub fn reset_watches(&self) {
+        self.state.lock().expect("state").resets += 1;
+    }
+
+    fn serve(&self, mut stream: &TcpStream) {
+        let Some(mut told) = self.asked(stream) else { return };
+        let resets = self.state.lock().expect("state").resets;
+        let (mut greeted, mut said_at) = (false, self.recorder.now());
+        loop {
+            thread::sleep(LOOK);
+            let now = self.recorder.now();
+            let text = {
+                let state = self.state.lock().expect("state");
+                if state.resets != resets || self.recorder.is_over() {
+                    return;
+                }
+                if now < state.silent_until {
+                    continue;
+                }
+                let text = match state.index > told || !greeted {
+                    true => Some(list(&state, told)),
+                    false => (now >= said_at + HEARTBEAT).then(|| "\n".to_string()),
+                };
+                told = state.index;
+                text
+            };
+            let Some(text) = text else { continue };
+            let head = if greeted { "" } else { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" };
+            let chunk = format!("{head}{:x}\r\n{text}\r\n", text.len());
+            if stream.write_all(chunk.as_bytes()).is_err() {
+                return;
+            }
+            (greeted, said_at) = (true, now);
+        }
+    }
+
+    /// The version that a watch starts from; `None` where nothing sensible was asked.
+    fn asked(&self, mut stream: &TcpStream) -> Option<u64> {
+        stream.set_nonblocking(false).ok()?;
+        stream.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
+        let (mut head, mut byte) = (Vec::new(), [0]);
+        while !head.ends_with(b"\r\n\r\n") {
+            stream.read_exact(&mut byte).ok()?;
+            head.push(byte[0]);
+        }
+        let text = String::from_utf8(head).ok()?;
+        let since = text.split_once("since=").map_or("0", |(_, rest)| rest);
+        since.split(|c: char| !c.is_ascii_digit()).next()?.parse().ok()
+    }
+}
+
+/// The entries that changed after this version, or all of them for 0.
+fn list(state: &State, since: u64) -> String {
+    let mut entries = String::new();
+    for (number, entry) in state.entries.iter().enumerate().filter(|(_, e)| e.index > since) {
+        let comma = if entries.is_empty() { "" } else { "," };
+        let (status, mode) = (
+            if entry.leaving { "leaving" } else { "active" },
+            if entry.primary { "read-write" } else { "read-only" },
+        );
+        let _ = write!(
+            entries,
+            r#"{comma}{{"name":"{}","address":"{}","zone":"a","type":"m","group":1,"status":"{status}","weight":1.0,"since_ms":{},"mode":"{mode}"}}"#,
+            host::name(number),
+            entry.address,
+            entry.since_ms,
+        );
+    }
+    format!("{{\"index\":{},\"snapshot\":{},\"endpoints\":[{entries}]}}\n", state.index, since == 0)
+}
--- /dev/null
+++ b/crates/sandstile-soak/src/host.rs
@@ -0,0 +1,246 @@
+//! A stand-in for a database host: one thread a connection, with moods that events turn on for a while.
+use crate::record::{Arrival, Recorder};
+use sandstile_pgwire as pg;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+/// Seconds for which hosts drop repeats of a deduplicated statement.
+pub const DEDUP_WINDOW_S: f64 = 0.8;
+const WORK_MS: u64 = 4;
+const READ_LOOK: Duration = Duration::from_millis(20);
+
+/// Until when each mood lasts, in seconds of the run.
+#[derive(Debug, Default)]
+struct Moods {
+    hangs_until: f64,
+    down_until: f64,
+    resets_until: f64,
+    turns_away_until: f64,
+}
+
+/// What all members of a group share: which deduplicated statements ran when.
+pub type Repeats = Arc<Mutex<BTreeMap<String, f64>>>;
+
+struct Inner {
+    number: usize,
+    address: SocketAddr,
+    primary: bool,
+    pieces: bool,
+    moods: Mutex<Moods>,
+    repeats: Repeats,
+    recorder: Recorder,
+}
+
+/// Handle to a running host.
+#[derive(Clone)]
+pub struct Host(Arc<Inner>);
+
+impl Host {
+    /// Listens at `address` until the process ends.
+    pub fn start(
+        number: usize,
+        address: SocketAddr,
+        pieces: bool,
+        repeats: Repeats,
+        recorder: Recorder,
+    ) -> io::Result<Host> {
+        let listener = TcpListener::bind(address)?;
+        let primary = number == 0;
+        let moods = Mutex::default();
+        let host = Host(Arc::new(Inner { number, address, primary, pieces, moods, repeats, recorder }));
+        let served = host.clone();
+        thread::spawn(move || served.listen(listener));
+        Ok(host)
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.0.address
+    }
+
+    fn turn(&self, ms: u64, mood: impl FnOnce(&mut Moods, f64)) {
+        let until = self.0.recorder.now() + ms as f64 / 1e3;
+        mood(&mut self.0.moods.lock().expect("moods"), until);
+    }
+
+    pub fn hang(&self, ms: u64) {
+        self.turn(ms, |moods, until| moods.hangs_until = until);
+    }
+
+    pub fn go_down(&self, ms: u64) {
+        self.turn(ms, |moods, until| moods.down_until = until);
+    }
+
+    pub fn reset(&self, ms: u64) {
+        self.turn(ms, |moods, until| moods.resets_until = until);
+    }
+
+    pub fn turn_away(&self, ms: u64) {
+        self.turn(ms, |moods, until| moods.turns_away_until = until);
+    }
+
+    fn is(&self, mood: impl Fn(&Moods) -> f64) -> bool {
+        self.0.recorder.now() < mood(&self.0.moods.lock().expect("moods"))
+    }
+
+    fn is_down(&self) -> bool {
+        self.is(|moods| moods.down_until)
+    }
+
+    fn listen(&self, first: TcpListener) {
+        let mut listener = Some(first);
+        while !self.0.recorder.is_over() {
+            if self.is_down() {
+                listener = None;
+                thread::sleep(READ_LOOK);
+                continue;
+            }
+            let Some(open) = &listener else {
+                listener = TcpListener::bind(self.0.address).ok();
+                thread::sleep(Duration::from_millis(1));
+                continue;
+            };
+            let _ = open.set_nonblocking(true);
+            match open.accept() {
+                Ok((stream, _)) => {
+                    let host = self.clone();
+                    thread::spawn(move || {
+                        let _ = host.serve(&stream);
+                        let _ = stream.shutdown(Shutdown::Both);
+                    });
+                }
+                Err(_) => thread::sleep(Duration::from_millis(1)),
+            }
+        }
+    }
+
+    fn serve(&self, mut stream: &TcpStream) -> io::Result<()> {
+        stream.set_nonblocking(false)?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(READ_LOOK))?;
+        let (mut buf, mut bytes, mut greeted) = (Vec::new(), [0; 8192], false);
+        loop {
+            if self.is_down() || self.0.recorder.is_over() {
+                return Ok(());
+            }
+            match stream.read(&mut bytes) {
+                Ok(0) => return Ok(()),
+                Ok(got) => buf.extend_from_slice(&bytes[..got]),
+                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => continue,
+                Err(e) => return Err(e),
+            }
+            let wrong = |e: pg::BadFrame| io::Error::other(e.0);
+            if !greeted {
+                let Some((_, length)) = pg::startup(&buf).map_err(wrong)? else { continue };
+                buf.drain(..length);
+                greeted = true;
+                let mut out = Vec::new();
+                pg::welcome(&mut out);
+                self.say(stream, &out)?;
+            }
+            while let Some((tag, body)) = pg::frame(&buf).map_err(wrong)? {
+                let text = String::from_utf8_lossy(&buf[body.clone()]).into_owned();
+                buf.drain(..body.end);
+                if tag != b'Q' || !self.answer(stream, &text)? {
+                    return Ok(());
+                }
+            }
+        }
+    }
+
+    /// `false` where the connection is to end.
+    fn answer(&self, stream: &TcpStream, text: &str) -> io::Result<bool> {
+        let mut out = Vec::new();
+        if text.starts_with("SHOW") {
+            self.row(&mut out);
+            return self.say(stream, &out).map(|()| true);
+        }
+        let turned_away = self.is(|moods| moods.turns_away_until);
+        let ran = !turned_away && !self.is_repeat(text);
+        self.0.recorder.arrival(Arrival {
+            id: field(text, "id").unwrap_or_default().to_string(),
+            host: self.0.number,
+            at: self.0.recorder.now(),
+            told: field(text, "d").and_then(|d| d.parse::<f64>().ok()).map(|ms| ms / 1e3),
+            ran,
+        });
+        if turned_away {
+            pg::error(&mut out, false, "53300", "turned away", None);
+            self.end(&mut out);
+            return self.say(stream, &out).map(|()| true);
+        }
+        thread::sleep(Duration::from_millis(WORK_MS));
+        while self.is(|moods| moods.hangs_until) && !self.is_down() && !self.0.recorder.is_over() {
+            thread::sleep(READ_LOOK);
+        }
+        self.row(&mut out);
+        if self.is(|moods| moods.resets_until) {
+            self.say(stream, &out[..out.len() / 2])?;
+            return Ok(false);
+        }
+        if self.is_down() {
+            return Ok(false);
+        }
+        self.say(stream, &out).map(|()| true)
+    }
+
+    /// Whether this is a repeat that the group drops; else it counts as run from now.
+    fn is_repeat(&self, text: &str) -> bool {
+        if field(text, "c") != Some("once") {
+            return false;
+        }
+        let now = self.0.recorder.now();
+        let mut repeats = self.0.repeats.lock().expect("repeats");
+        let id = field(text, "id").unwrap_or_default().to_string();
+        let dropped = repeats.get(&id).is_some_and(|ran| now < ran + DEDUP_WINDOW_S);
+        if !dropped {
+            repeats.insert(id, now);
+        }
+        dropped
+    }
+
+    fn row(&self, out: &mut Vec<u8>) {
+        let value: &[u8] = if self.0.primary { b"primary" } else { b"replica" };
+        pg::put(out, b'T', &[b"\0\x01payload\0", &[0; 18]]);
+        pg::put(out, b'D', &[&[0, 1], &(value.len() as u32).to_be_bytes(), value]);
+        pg::put(out, b'C', &[b"SELECT 1\0"]);
+        self.end(out);
+    }
+
+    fn end(&self, out: &mut Vec<u8>) {
+        let mode: &[u8] = if self.0.primary { b"read-write" } else { b"read-only" };
+        pg::put(out, b'S', &[b"mode\0", mode, b"\0"]);
+        pg::ready(out);
+    }
+
+    fn say(&self, mut stream: &TcpStream, bytes: &[u8]) -> io::Result<()> {
+        if !self.0.pieces {
+            return stream.write_all(bytes);
+        }
+        for piece in bytes.chunks(23) {
+            stream.write_all(piece)?;
+            thread::yield_now();
+        }
+        Ok(())
+    }
+}
+
+/// A field of a statement's comment.
+fn field<'a>(text: &'a str, name: &str) -> Option<&'a str> {
+    let comment = text.split_once("/*")?.1.split_once("*/")?.0;
+    let pairs = comment.split(',').filter_map(|pair| pair.trim().split_once('='));
+    pairs.filter(|(key, _)| *key == name).map(|(_, value)| value).next()
+}
+
+/// The names of all hosts, for lists.
+pub fn names(hosts: usize) -> BTreeSet<String> {
+    (0..hosts).map(name).collect()
+}
+
+/// The name of one host.
+pub fn name(number: usize) -> String {
+    format!("s-{number}")
+}
--- /dev/null
+++ b/crates/sandstile-soak/src/run.rs
@@ -0,0 +1,320 @@
+//! Plays a plan: starts the stand-ins and the routers, lets the events strike, and hands over what was seen.
+use crate::agent::Agent;
+use crate::client::{Client, Door};
+use crate::host::{Host, Repeats};
+use crate::judge::{judge, Finding};
+use crate::plan::{Event, Plan, KILL_AFTER};
+use crate::process::{Programs, Router};
+use crate::record::{Effect, End, Happened, Recorder, Request, Seen};
+use nix::sys::signal::Signal;
+use sandstile_pgwire as pg;
+use std::io::{self, Read, Write};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+/// New connections still come for so long after SIGTERM.
+const CONNECTS_ON: Duration = Duration::from_millis(300);
+/// A started router is ready within this, or counts as crashed.
+const READY_WITHIN: Duration = Duration::from_secs(10);
+const LOOK: Duration = Duration::from_millis(5);
+/// Within this, stand-ins let go of their addresses.
+const LET_GO: Duration = Duration::from_millis(100);
+/// An idle crowd stays for so long.
+const CROWD_STAYS: Duration = Duration::from_secs(3);
+
+/// What a run came to.
+#[derive(Debug)]
+pub struct Outcome {
+    pub seen: Seen,
+    pub findings: Vec<Finding>,
+}
+
+impl Outcome {
+    /// What befell processes and hosts, and each request that was not served, in the order of their times.
+    pub fn timeline(&self) -> String {
+        let happened = self.seen.happened.iter().map(|(at, what)| (*at, format!("{what:?}")));
+        let unserved = |r: &&Request| !matches!(r.end, End::Answered { code: None, .. });
+        let requests = self.seen.requests.iter().filter(unserved).map(|r| (r.written_at, format!("{r:?}")));
+        let mut lines: Vec<(f64, String)> = happened.chain(requests).collect();
+        lines.sort_by(|one, other| one.0.total_cmp(&other.0));
+        lines.iter().map(|(at, line)| format!("{at:.3} {line}\n")).collect()
+    }
+
+    /// One line of counts.
+    pub fn summary(&self) -> String {
+        let count = |is: fn(&End) -> bool| self.seen.requests.iter().filter(|r| is(&r.end)).count();
+        let served = count(|e| matches!(e, End::Answered { code: None, .. }));
+        let refused = count(|e| matches!(e, End::Answered { code: Some(_), .. }));
+        let crossed = count(|e| matches!(e, End::Closed { .. }));
+        let writes = self.seen.requests.iter().filter(|r| r.effect != Effect::Idempotent).count();
+        let lives = self.seen.happened.iter().filter(|(_, w)| matches!(w, Happened::Started { .. })).count();
+        format!(
+            "{} requests ({writes} writes), {served} served, {refused} refused or failed, {crossed} closed, {} executions, {lives} lives, {} broken",
+            self.seen.requests.len(),
+            self.seen.arrivals.len(),
+            self.findings.len(),
+        )
+    }
+}
+
+/// Runs that can go on side by side.
+const BLOCKS: u16 = 30 * 256;
+
+/// Addresses of this run alone, on loopback.
+fn address(block: u16, kind: u8, number: usize) -> SocketAddr {
+    let last = 1 + u8::try_from(number).unwrap_or(u8::MAX - 1);
+    let [high, low] = (block % BLOCKS).to_be_bytes();
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, 64 + high * 4 + kind, low, last)), 6432)
+}
+
+/// A router slot: its present process, if any.
+struct Slot {
+    router: Mutex<Option<Router>>,
+}
+
+struct Stage {
+    plan: Plan,
+    programs: Programs,
+    recorder: Recorder,
+    hosts: Vec<Host>,
+    agent: Agent,
+    agent_at: SocketAddr,
+    doors: Arc<Vec<Door>>,
+    slots: Vec<Slot>,
+}
+
+/// Plays a plan; `block` keeps the addresses of runs side by side apart.
+pub fn play(plan: &Plan, programs: &Programs, block: u16) -> io::Result<Outcome> {
+    let stage = Arc::new(Stage::set(plan, programs, block)?);
+    let over = Arc::new(AtomicBool::new(false));
+    if !plan.at_once {
+        (0..plan.routers).try_for_each(|number| stage.start(number, 0))?;
+    }
+    let clients = stage.clients(&over);
+    if plan.at_once {
+        let starting: Vec<_> = (0..plan.routers)
+            .map(|number| {
+                let stage = stage.clone();
+                thread::spawn(move || stage.start(number, 0))
+            })
+            .collect();
+        for start in starting {
+            start.join().expect("a start")?;
+        }
+    }
+    let restarts = stage.strike_all();
+    over.store(true, SeqCst);
+    clients.into_iter().for_each(|client| client.join().expect("a client"));
+    restarts.into_iter().for_each(|restart| restart.join().expect("a restart"));
+    (0..plan.routers).for_each(|number| stage.end(number));
+    stage.recorder.end();
+    thread::sleep(LET_GO);
+    let seen = stage.recorder.take();
+    let findings = judge(plan, &seen);
+    Ok(Outcome { seen, findings })
+}
+
+impl Stage {
+    fn set(plan: &Plan, programs: &Programs, block: u16) -> io::Result<Stage> {
+        let recorder = Recorder::begin();
+        let repeats = Repeats::default();
+        let hosts = (0..plan.hosts)
+            .map(|n| Host::start(n, address(block, 0, n), plan.pieces, repeats.clone(), recorder.clone()))
+            .collect::<io::Result<Vec<Host>>>()?;
+        let addresses: Vec<SocketAddr> = hosts.iter().map(Host::address).collect();
+        let agent_at = address(block, 1, 0);
+        let agent = Agent::start(agent_at, &addresses, recorder.clone())?;
+        let door = |n| Door {
+            address: address(block, 2, n),
+            open: AtomicBool::new(false),
+            life: AtomicUsize::new(0),
+        };
+        let doors = Arc::new((0..plan.routers).map(door).collect());
+        let slots = (0..plan.routers).map(|_| Slot { router: Mutex::new(None) }).collect();
+        let (plan, programs) = (plan.clone(), programs.clone());
+        Ok(Stage { plan, programs, recorder, hosts, agent, agent_at, doors, slots })
+    }
+
+    fn clients(&self, over: &Arc<AtomicBool>) -> Vec<JoinHandle<()>> {
+        let client = |number| Client {
+            number,
+            seed: self.plan.seed,
+            pieces: self.plan.pieces && number % 2 == 0,
+            doors: self.doors.clone(),
+            over: over.clone(),
+            recorder: self.recorder.clone(),
+        };
+        (0..self.plan.clients).map(client).map(|client| thread::spawn(move || client.run())).collect()
+    }
+
+    /// Starts a life and waits until it answers an empty query, as the front does.
+    fn start(&self, number: usize, life: usize) -> io::Result<()> {
+        let door = &self.doors[number];
+        let at = (door.address, self.agent_at);
+        let known = self.agent.known();
+        let router = Router::start(&self.plan, &self.programs, number, life, at, &known, &self.recorder)?;
+        *self.slots[number].router.lock().expect("a slot") = Some(router);
+        let give_up_at = Instant::now() + READY_WITHIN;
+        while !answers(door.address) {
+            let ended =
+                self.slots[number].router.lock().expect("a slot").as_mut().is_some_and(Router::has_ended);
+            if ended || Instant::now() >= give_up_at {
+                let code = None;
+                self.recorder.happened(Happened::Ended { router: number, life, code });
+                return Ok(());
+            }
+            thread::sleep(LOOK);
+        }
+        door.life.store(life, SeqCst);
+        door.open.store(true, SeqCst);
+        Ok(())
+    }
+
+    /// Lets each event strike at its time; yields what still goes on behind the last.
+    fn strike_all(self: &Arc<Self>) -> Vec<JoinHandle<()>> {
+        let began = Instant::now();
+        let mut going_on = Vec::new();
+        for (at, event) in &self.plan.events {
+            thread::sleep(at.saturating_sub(began.elapsed()));
+            self.recorder.happened(Happened::Struck(*event));
+            going_on.extend(self.strike(*event));
+        }
+        thread::sleep(self.plan.length.saturating_sub(began.elapsed()));
+        going_on
+    }
+
+    fn strike(self: &Arc<Self>, event: Event) -> Option<JoinHandle<()>> {
+        match event {
+            Event::Hang { host, ms } => self.hosts[host].hang(ms),
+            Event::Down { host, ms } => self.hosts[host].go_down(ms),
+            Event::Reset { host, ms } => self.hosts[host].reset(ms),
+            Event::TurnAway { host, ms } => self.hosts[host].turn_away(ms),
+            Event::Drain { host } => self.agent.drain(host),
+            Event::AgentSilent { ms } => self.agent.fall_silent(ms),
+            Event::AgentReset => self.agent.reset_watches(),
+            Event::Replace { host, ms } => {
+                self.hosts[host].go_down(ms);
+                let stage = self.clone();
+                return Some(thread::spawn(move || {
+                    thread::sleep(Duration::from_millis(ms));
+                    stage.agent.restarted(host);
+                }));
+            }
+            Event::Restart { router } => {
+                let stage = self.clone();
+                return Some(thread::spawn(move || stage.restart(router)));
+            }
+            Event::Kill { router } => {
+                let stage = self.clone();
+                return Some(thread::spawn(move || stage.kill(router)));
+            }
+            Event::HoldUp { router, ms } => {
+                self.signal(router, Signal::SIGSTOP);
+                thread::sleep(Duration::from_millis(ms));
+                self.signal(router, Signal::SIGCONT);
+            }
+            Event::Signals { router, count } => {
+                for n in 0..count {
+                    self.signal(router, if n % 2 == 0 { Signal::SIGHUP } else { Signal::SIGUSR1 });
+                    thread::sleep(Duration::from_millis(3));
+                }
+            }
+            Event::Crowd { router, clients } => self.crowd(router, clients),
+        }
+        None
+    }
+
+    fn signal(&self, number: usize, signal: Signal) {
+        if let Some(router) = &*self.slots[number].router.lock().expect("a slot") {
+            router.signal(signal);
+        }
+    }
+
+    fn crowd(&self, router: usize, clients: u64) {
+        let at = self.doors[router].address;
+        thread::spawn(move || {
+            let connect = |_| TcpStream::connect_timeout(&at, Duration::from_millis(200)).ok();
+            let crowd: Vec<TcpStream> = (0..clients).filter_map(connect).collect();
+            thread::sleep(CROWD_STAYS);
+            drop(crowd);
+        });
+    }
+
+    /// Takes the process out of its slot, unless somebody else restarts it just now.
+    fn take(&self, number: usize) -> Option<Router> {
+        if !self.doors[number].open.load(SeqCst) {
+            return None;
+        }
+        self.slots[number].router.lock().expect("a slot").take()
+    }
+
+    fn restart(&self, number: usize) {
+        let Some(mut router) = self.take(number) else { return };
+        let life = router.life;
+        self.finish(number, &mut router);
+        drop(router);
+        self.start(number, life + 1).expect("a process that starts");
+    }
+
+    /// SIGTERM, and SIGKILL at the earliest time if it is still there.
+    fn finish(&self, number: usize, router: &mut Router) {
+        router.measure();
+        let told_at = Instant::now();
+        router.terminate();
+        thread::sleep(CONNECTS_ON);
+        self.doors[number].open.store(false, SeqCst);
+        loop {
+            if router.has_ended() {
+                break;
+            }
+            if told_at.elapsed() >= KILL_AFTER {
+                router.kill();
+                break;
+            }
+            thread::sleep(LOOK);
+        }
+        router.examine();
+    }
+
+    fn kill(&self, number: usize) {
+        let Some(mut router) = self.take(number) else { return };
+        self.doors[number].open.store(false, SeqCst);
+        let life = router.life;
+        router.kill();
+        router.examine();
+        drop(router);
+        self.start(number, life + 1).expect("a process that starts");
+    }
+
+    /// At the end of the run: all that was taken has been answered by now.
+    fn end(&self, number: usize) {
+        let router = self.slots[number].router.lock().expect("a slot").take();
+        if let Some(mut router) = router {
+            if !router.has_ended() {
+                self.finish(number, &mut router);
+            }
+        }
+    }
+}
+
+/// Whether a router answers an empty query.
+fn answers(at: SocketAddr) -> bool {
+    let Ok(mut stream) = TcpStream::connect_timeout(&at, Duration::from_millis(200)) else { return false };
+    let mut bytes = pg::hello();
+    pg::query(&mut bytes, b"");
+    let _ = stream.set_read_timeout(Some(Duration::from_millis(500)));
+    if stream.write_all(&bytes).is_err() {
+        return false;
+    }
+    let (mut got, mut piece) = (Vec::new(), [0; 512]);
+    while !got.windows(5).any(|w| w == b"I\0\0\0\x04") {
+        match stream.read(&mut piece) {
+            Ok(n) if n > 0 => got.extend_from_slice(&piece[..n]),
+            _ => return false,
+        }
+    }
+    true
+}
