A connection that has just come is not closed to make room for another

Cause: a failure of accept with EMFILE, and the surplus of resting connections, closed the oldest idle connection, which may have been accepted in the same instant (carrier.rs accept, budget.surplus). Change: a connection is on record as idle only after 0.1 s of rest; a command that has begun on one that is closed for room gets 53300 first; EMFILE closes something idle only after four failures in a row.

--- a/crates/sandstile-lines/src/client.rs
+++ b/crates/sandstile-lines/src/client.rs
@@ -277,7 +277,7 @@
                 State::Saying { then_ends, .. } if self.written == self.out.len() => {
                     (self.out, self.written) = (Vec::new(), 0);
                     if then_ends {
-                        self.end(Closing::ClientBadInput);
+                        self.state = State::Ended;
                         continue;
                     }
                     if self.holder == Holder::Client {
@@ -358,11 +358,24 @@
     /// Says what is wrong and ends the connection, for what follows can't be trusted.
     fn bad(&mut self, now: f64, code: &str, what: &'static str, remarks: &mut Vec<Remark>) {
         remarks.push(Remark::BadInput(what));
+        self.closing = Closing::ClientBadInput;
         self.out.clear();
         pg::error(&mut self.out, true, code, what, None);
         self.say(now + REST, true);
     }
 
+    /// Refuses the command that has begun and ends the connection, for others need its descriptor: what was read is
+    /// not to go without an answer.
+    pub fn turn_away(&mut self, now: f64) {
+        if self.state != State::Open || self.buf.is_empty() {
+            return;
+        }
+        self.closing = Closing::ClientEvicted;
+        self.out.clear();
+        pg::error(&mut self.out, true, "53300", "too many connections: trying again is harmless", None);
+        self.say(now + REST, true);
+    }
+
     /// Says what is wrong with one statement. Where commands end is still sure, and those behind it are to be
     /// answered: an end here would lose them.
     fn unreadable(&mut self, now: f64, code: &str, what: &'static str, remarks: &mut Vec<Remark>) {
--- a/crates/sandstile-router/src/carrier.rs
+++ b/crates/sandstile-router/src/carrier.rs
@@ -34,6 +34,8 @@
 const MOST_ACCEPTS: usize = 32;
 /// Rounds between desk and hosts before the sockets have their turn.
 const ROUNDS: usize = 8;
+/// Failures of `accept` in a row after which something idle is closed for it.
+const FAILURES_TO_EVICT: u32 = 4;
 /// Seconds for which a connection that could not be set up is tried again.
 const SETUP_PATIENCE: f64 = 2.0;
 /// Seconds after SIGTERM in which it serves on: new connections come for 0.4 s at most, and clients learn of the end
@@ -385,7 +387,8 @@
         if self.accept_failures.admits(now, failure) {
             warn!(self.tools.log, "accept: {error}"; "failure" => ?failure);
         }
-        if failure == AcceptFailure::DescriptorsSpent {
+        // Once may be a moment's trouble; the budget keeps this process well below its limit.
+        if failure == AcceptFailure::DescriptorsSpent && self.listener.failures() >= FAILURES_TO_EVICT {
             self.make_room();
         }
     }
--- a/crates/sandstile-router/src/clients.rs
+++ b/crates/sandstile-router/src/clients.rs
@@ -33,11 +33,16 @@
     armed: f64,
     /// Its record in the budget, and the spell of waiting that this stands for.
     idle: Option<(Rest, u64)>,
+    /// The spell of waiting that it is in, and since when.
+    resting: Option<((Holder, u64), f64)>,
     /// Told to go: it does so as soon as it waits, and a last look found nothing more.
     leaves: bool,
     looked: bool,
 }
 
+/// Seconds for which a connection waits before it may be closed to make room for another.
+const SETTLED: f64 = 0.1;
+
 pub struct Clients {
     seats: Slab<Seat>,
     workloads: Vec<Workload>,
@@ -112,6 +117,7 @@
             queued: false,
             armed: f64::INFINITY,
             idle: None,
+            resting: None,
             leaves: false,
             looked: false,
         });
@@ -168,6 +174,11 @@
         (seat.leaves, seat.looked, seat.closing) = (true, true, Some(why));
         seat.wire.look();
         self.run(key, tools);
+        let Some(seat) = self.seats.get_mut(key).filter(|_| !self.dismissed) else { return };
+        if seat.line.unanswered_bytes() > 0 {
+            seat.line.turn_away(tools.clock.now());
+            self.run(key, tools);
+        }
     }
 
     /// All that wait go, and from now on each as soon as it waits.
@@ -304,13 +315,21 @@
             seat.wire.look();
         }
         seat.looked = leaves;
-        if seat.idle.map(|((holder, _), spell)| (holder, spell)) != rests {
+        if seat.resting.map(|(spell, _)| spell) != rests {
             if let Some((rest, _)) = seat.idle.take() {
                 tools.budget.strike(rest);
             }
-            seat.idle = rests.map(|(holder, spell)| (tools.budget.rests(holder, key), spell));
+            seat.resting = rests.map(|spell| (spell, tools.clock.now()));
+        }
+        let mut due = seat.line.due().min(seat.wire.look_due());
+        if let (Some(((holder, spell), since)), None) = (seat.resting, seat.idle) {
+            // One that has only just come to wait may be about to ask: it is not closed for another's sake.
+            if tools.clock.now() >= since + SETTLED {
+                seat.idle = Some((tools.budget.rests(holder, key), spell));
+            } else {
+                due = due.min(since + SETTLED);
+            }
         }
-        let due = seat.line.due().min(seat.wire.look_due());
         if due < seat.armed {
             seat.armed = due;
             tools.timers.push(due, token(key));
--- a/crates/sandstile-router/src/listener.rs
+++ b/crates/sandstile-router/src/listener.rs
@@ -127,6 +127,11 @@
         self.fail(now, AcceptFailure::MachineShort);
     }
 
+    /// Failures since the last try that went well.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
     pub fn is_open(&self) -> bool {
         self.socket.is_some()
     }
