--- a/crates/sandstile-router/src/carrier.rs
+++ b/crates/sandstile-router/src/carrier.rs
@@ -357,7 +357,7 @@
     /// The next connection of the queue, counted in the budget.
     fn accept_next(&mut self) -> Option<Unserved> {
         let now = self.tools.clock.now();
-        match self.listener.accept(now) {
+        match self.listener.accept(&self.tools.registry, now) {
             Accepted::Connection(stream, waited_since) => {
                 self.tools.counters.connections.add();
                 if !self.claim(Holder::Client) {
--- a/crates/sandstile-router/src/listener.rs
+++ b/crates/sandstile-router/src/listener.rs
@@ -29,6 +29,7 @@
 pub struct Listener {
     /// `None` once it is closed.
     socket: Option<TcpListener>,
+    token: Token,
     /// The queue may hold something.
     ready: bool,
     paused_until: f64,
@@ -53,6 +54,7 @@
         registry.register(&mut socket, token, Interest::READABLE)?;
         Ok(Listener {
             socket: Some(socket),
+            token,
             ready: true,
             paused_until: f64::NEG_INFINITY,
             pause: FIRST_PAUSE,
@@ -86,8 +88,9 @@
         self.held_up |= self.ready;
     }
 
-    pub fn accept(&mut self, now: f64) -> Accepted {
-        let Some(socket) = &self.socket else { return Accepted::Empty };
+    /// Takes the next connection of the queue.
+    pub fn accept(&mut self, registry: &Registry, now: f64) -> Accepted {
+        let Some(socket) = &mut self.socket else { return Accepted::Empty };
         match socket.accept() {
             Ok((stream, _)) => {
                 self.recover();
@@ -101,6 +104,8 @@
                 Accepted::Empty
             }
             Err(e) => {
+                // The failed call may have used up what was told: whatever waits is to be told anew.
+                let _ = registry.reregister(socket, self.token, Interest::READABLE);
                 let failure = accept_failure(&e);
                 self.fail(now, failure);
                 Accepted::Failed(failure, e)
--- /dev/null
+++ b/crates/sandstile-soak/tests/planted.rs
@@ -0,0 +1,88 @@
+//! The judge finds what is planted, and a seed draws the same plan each time.
+use sandstile_soak::judge::{judge, Rule};
+use sandstile_soak::plan::{Event, Plan};
+use sandstile_soak::record::{Arrival, Effect, End, Happened, Request, Seen};
+
+fn request(effect: Effect, end: End) -> Request {
+    let id = "a1".to_string();
+    Request { id, router: 0, life: 0, effect, wait: 0.5, written_at: 2.0, fresh: false, end }
+}
+
+fn answered(at: f64) -> End {
+    End::Answered { code: None, at }
+}
+
+fn arrival(at: f64, told: f64) -> Arrival {
+    Arrival { id: "a1".to_string(), host: 1, at, told: Some(told), ran: true }
+}
+
+/// The rules that this breaks, beside an ordinary request that keeps them all.
+fn broken(request: Request, arrivals: &[Arrival], happened: &[(f64, Happened)]) -> Vec<Rule> {
+    let good = Request { id: "good".to_string(), end: answered(2.1), ..request.clone() };
+    let good = Request { effect: Effect::Idempotent, ..good };
+    let seen =
+        Seen { requests: vec![request, good], arrivals: arrivals.to_vec(), happened: happened.to_vec() };
+    judge(&Plan::draw(1, true), &seen).iter().map(|f| f.rule).collect()
+}
+
+#[test]
+fn answers_that_come_late_in_part_or_never_are_lost_and_crossings_are_not() {
+    let read = |end| broken(request(Effect::Idempotent, end), &[], &[]);
+    assert!(read(answered(2.9)).is_empty());
+    assert!(read(End::Closed { at: 2.05 }).is_empty(), "it crossed the close of a resting connection");
+    for end in [answered(3.2), End::Silent, End::CutShort { at: 2.1 }, End::Closed { at: 2.3 }] {
+        assert_eq!(read(end), [Rule::Lost]);
+    }
+    let fresh = Request { fresh: true, ..request(Effect::Idempotent, End::Closed { at: 2.01 }) };
+    assert_eq!(broken(fresh.clone(), &[], &[]), [Rule::Lost]);
+    let killed = [(2.0, Happened::Killed { router: 0, life: 0 })];
+    assert!(broken(fresh, &[], &killed).is_empty());
+}
+
+#[test]
+fn what_was_taken_before_a_kill_behind_a_term_is_owed() {
+    let told_and_killed = |told: f64| {
+        let happened =
+            [(told, Happened::Told { router: 0, life: 0 }), (3.0, Happened::Killed { router: 0, life: 0 })];
+        broken(request(Effect::Idempotent, End::Silent), &[], &happened)
+    };
+    assert_eq!(told_and_killed(1.3), [Rule::Lost], "it came 0.7 s after SIGTERM");
+    assert!(told_and_killed(1.2).is_empty(), "it came later than that");
+}
+
+#[test]
+fn attempts_deadlines_and_repeats_are_held_against_their_client() {
+    let left = request(Effect::Idempotent, End::Left { at: 2.1 });
+    assert!(broken(left.clone(), &[arrival(2.2, 0.3)], &[]).is_empty());
+    assert_eq!(broken(left, &[arrival(2.35, 0.1)], &[]), [Rule::AfterLeaving]);
+    let read = request(Effect::Idempotent, answered(2.2));
+    assert_eq!(broken(read, &[arrival(2.4, 0.45)], &[]), [Rule::Deadline]);
+    let write = request(Effect::NonIdempotent, answered(2.2));
+    assert_eq!(broken(write, &[arrival(2.0, 0.5), arrival(2.1, 0.4)], &[]), [Rule::Duplicate]);
+    let rejected = End::Answered { code: Some("53300".to_string()), at: 2.2 };
+    let rejected = request(Effect::NonIdempotent, rejected);
+    assert_eq!(broken(rejected, &[arrival(2.0, 0.5)], &[]), [Rule::Duplicate]);
+}
+
+#[test]
+fn drains_starts_and_processes_are_held_against_the_routers() {
+    let read = || request(Effect::Idempotent, answered(2.2));
+    let drained = [(1.0, Happened::HostDrains { host: 1 })];
+    assert_eq!(broken(read(), &[arrival(2.0, 0.5)], &drained), [Rule::Drain]);
+    let silent = [drained[0].clone(), (1.5, Happened::Struck(Event::AgentSilent { ms: 500 }))];
+    assert!(broken(read(), &[arrival(2.0, 0.5)], &silent).is_empty(), "it may be told within 6 s");
+    let cold = [(1.9, Happened::HostCold { host: 1 })];
+    let many: Vec<Arrival> = (0..40).map(|n| Arrival { id: format!("b{n}"), ..arrival(2.0, 0.5) }).collect();
+    assert_eq!(broken(read(), &many, &cold), [Rule::SlowStart]);
+    let ended = [(2.0, Happened::Ended { router: 0, life: 0, code: Some(0) })];
+    assert_eq!(broken(read(), &[], &ended), [Rule::Crash]);
+    let grown = [(2.0, Happened::Memory { router: 0, life: 0, kilobytes: 100_000 })];
+    assert_eq!(broken(read(), &[], &grown), [Rule::Growth]);
+}
+
+#[test]
+fn a_seed_draws_the_same_plan_each_time_and_seeds_differ() {
+    let text = |seed| format!("{:?}", Plan::draw(seed, false));
+    assert_eq!(text(7), text(7));
+    assert_ne!(text(7), text(8));
+}
