--- a/crates/sandstile-soak/src/record.rs
+++ b/crates/sandstile-soak/src/record.rs
@@ -2,7 +2,11 @@
 use crate::plan::Event;
 use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Instant;
+use std::thread;
+use std::time::{Duration, Instant};
+
+const STALL_LOOK: Duration = Duration::from_millis(5);
+const LEAST_STALL_S: f64 = 0.02;
 
 /// What a statement may do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -106,6 +110,8 @@
     pub requests: Vec<Request>,
     pub arrivals: Vec<Arrival>,
     pub happened: Vec<(f64, Happened)>,
+    /// When this process woke late, and by how many seconds: what it saw then is off by as much.
+    pub stalls: Vec<(f64, f64)>,
 }
 
 /// Shared by all threads of a run.
@@ -143,6 +149,19 @@
         self.seen().happened.push((at, what));
     }
 
+    /// Notes how late this process wakes, until the run is over.
+    pub fn watch_stalls(&self) {
+        while !self.is_over() {
+            let due = self.now() + STALL_LOOK.as_secs_f64();
+            thread::sleep(STALL_LOOK);
+            let late = self.now() - due;
+            if late > LEAST_STALL_S {
+                let at = self.now();
+                self.seen().stalls.push((at, late));
+            }
+        }
+    }
+
     /// The run is over: stand-ins let go of their addresses.
     pub fn end(&self) {
         self.over.store(true, SeqCst);
--- a/crates/sandstile-soak/src/run.rs
+++ b/crates/sandstile-soak/src/run.rs
@@ -93,6 +93,8 @@
     if !plan.at_once {
         (0..plan.routers).try_for_each(|number| stage.start(number, 0))?;
     }
+    let recorder = stage.recorder.clone();
+    thread::spawn(move || recorder.watch_stalls());
     let clients = stage.clients(&over);
     if plan.at_once {
         let starting: Vec<_> = (0..plan.routers)
