--- a/crates/sandstile-policy/tests/rules.rs
+++ b/crates/sandstile-policy/tests/rules.rs
@@ -399,6 +399,34 @@
     assert!(!spilled(&mut w), "late answers keep reads off");
 }
 
+/// A start that a list tells with a stepped clock counts from when it is told: an hour back it made the host warm at once,
+/// an hour ahead it kept it cold for that hour.
+#[test]
+fn a_start_told_by_a_stepped_clock_counts_from_when_it_is_told() {
+    let reads_at_it = |step: f64, later: f64| {
+        let mut w = World::new(terms(0b110_0111), 3);
+        w.now += 100.0;
+        w.list[0].since = w.now + step;
+        w.policy.members(w.now, &w.list);
+        // Held against the true start.
+        w.list[0].since = w.now;
+        w.step(later);
+        let before = w.sends().len();
+        for _ in 0..60 {
+            w.arrive(4, 1.0);
+            w.step(0.005);
+            let (stmt, _) = *w.sends().last().expect("a send");
+            w.end(stmt, 0, Verdict::Completed, Some(false), 0.0);
+        }
+        w.sends()[before..].iter().filter(|s| s.1 == 0).count()
+    };
+    let warm = reads_at_it(0.0, 20.0);
+    for step in [-3600.0, 3600.0] {
+        assert!(reads_at_it(step, 0.0) < warm / 2, "{step}: cold at first");
+        assert_eq!(reads_at_it(step, 20.0), warm, "{step}: warm after its time");
+    }
+}
+
 /// Refused and repeated sends to a warm peer outnumber what it can do, and a cold host got its share of them. And: of
 /// hundreds of routers none had a send for a fresh host until it was warm, for each began without credit.
 #[test]
--- a/crates/sandstile-router/src/hosts.rs
+++ b/crates/sandstile-router/src/hosts.rs
@@ -1,8 +1,9 @@
 //! The database hosts: for each the pool of its links, and for each link its socket beside its state machine.
 use crate::budget::{Holder, Rest};
 use crate::counters::Counters;
+use crate::dialling::{dial_ending, is_up};
 use crate::ending::{Ending, Outcome};
-use crate::errno::{accept_failure, is_local, is_unreachable, AcceptFailure};
+use crate::errno::{accept_failure, is_local, AcceptFailure};
 use crate::job::{Errand, Job};
 use crate::link::{Event, Link};
 use crate::mailbox::Post;
@@ -16,7 +17,6 @@
 use slab::Slab;
 use slog::{debug, info, o, Logger};
 use std::collections::{BTreeMap, VecDeque};
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -480,7 +480,7 @@
                 if !wire.writable() {
                     break;
                 }
-                event = match up(wire.stream()) {
+                event = match is_up(wire.stream()) {
                     Ok(true) => {
                         seat.line.connected();
                         None
@@ -630,24 +630,3 @@
         }
     }
 }
-
-/// Whether a dial is up; the platform says so by letting it be written to, and then whether it came to anything.
-fn up(stream: &TcpStream) -> Result<bool, Ending> {
-    if let Some(e) = stream.take_error().map_err(|e| dial_ending(&e))? {
-        return Err(dial_ending(&e));
-    }
-    match stream.peer_addr() {
-        Ok(_) => Ok(true),
-        Err(e) if e.kind() == ErrorKind::NotConnected => Ok(false),
-        Err(e) => Err(dial_ending(&e)),
-    }
-}
-
-fn dial_ending(e: &std::io::Error) -> Ending {
-    match e.kind() {
-        ErrorKind::TimedOut => Ending::DialTimedOut,
-        _ if is_unreachable(e) => Ending::DialUnreachable,
-        _ if is_local(e) => Ending::NoRoom,
-        _ => Ending::DialRefused,
-    }
-}
--- a/crates/sandstile-router/src/lib.rs
+++ b/crates/sandstile-router/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod control;
 pub mod counters;
+pub mod dialling;
 pub mod discovery;
 pub mod errno;
 pub mod exchange;
--- a/crates/sandstile-router/tests/crossings.rs
+++ b/crates/sandstile-router/tests/crossings.rs
@@ -7,16 +7,6 @@
 use std::sync::atomic::Ordering::SeqCst;
 use std::time::{Duration, Instant};
 
-fn value(got: &Got) -> &[u8] {
-    got.value.as_deref().unwrap_or(b"-")
-}
-
-fn count(text: &str, name: &str) -> u64 {
-    let line = text.lines().rev().find(|l| l.starts_with("counters")).expect("counters");
-    let pair = line.split(' ').find_map(|p| p.strip_prefix(&format!("{name}="))).expect("a counter");
-    pair.parse().expect("a number")
-}
-
 /// A pipelined statement's client counts its time from the sending, whatever stood before it on the connection.
 #[test]
 fn a_pipelined_statement_is_told_within_the_time_from_its_own_sending() {
--- a/crates/sandstile-router/tests/program.rs
+++ b/crates/sandstile-router/tests/program.rs
@@ -9,16 +9,6 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-fn value(got: &Got) -> &[u8] {
-    got.value.as_deref().unwrap_or(b"-")
-}
-
-fn count(text: &str, name: &str) -> u64 {
-    let line = text.lines().rev().find(|l| l.starts_with("counters")).expect("counters");
-    let pair = line.split(' ').find_map(|p| p.strip_prefix(&format!("{name}="))).expect("a counter");
-    pair.parse().expect("a number")
-}
-
 #[test]
 fn statements_go_by_the_design_and_come_back_as_the_hosts_bytes() {
     let odd: &[u8] = &[0, 255, 92, 39, 0, 10];
--- a/crates/sandstile-router/tests/readiness.rs
+++ b/crates/sandstile-router/tests/readiness.rs
@@ -11,12 +11,6 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-fn count(text: &str, name: &str) -> u64 {
-    let line = text.lines().rev().find(|l| l.starts_with("counters")).expect("counters");
-    let pair = line.split(' ').find_map(|p| p.strip_prefix(&format!("{name}="))).expect("a counter");
-    pair.parse().expect("a number")
-}
-
 /// Clients that never stop asking for nothing, and a host that answers at length, have their turns and no more.
 #[test]
 fn lines_with_endless_work_hold_up_nobody() {
--- a/crates/sandstile-router/tests/stand_ins/mod.rs
+++ b/crates/sandstile-router/tests/stand_ins/mod.rs
@@ -391,6 +391,20 @@
     pub empty: bool,
 }
 
+/// The value that came back, or a dash.
+#[allow(dead_code)]
+pub fn value(got: &Got) -> &[u8] {
+    got.value.as_deref().unwrap_or(b"-")
+}
+
+/// A counter of the last line of counters in a log.
+#[allow(dead_code)]
+pub fn count(text: &str, name: &str) -> u64 {
+    let line = text.lines().rev().find(|l| l.starts_with("counters")).expect("counters");
+    let pair = line.split(' ').find_map(|p| p.strip_prefix(&format!("{name}="))).expect("a counter");
+    pair.parse().expect("a number")
+}
+
 pub struct Client {
     pub stream: TcpStream,
     buf: Vec<u8>,
--- a/crates/sandstile-router/tests/system_calls.rs
+++ b/crates/sandstile-router/tests/system_calls.rs
@@ -20,12 +20,6 @@
     Router::up(command, address, file)
 }
 
-fn counter(text: &str, name: &str) -> u64 {
-    let line = text.lines().rev().find(|l| l.starts_with("counters")).expect("counters");
-    let pair = line.split(' ').find_map(|p| p.strip_prefix(&format!("{name}="))).expect("a counter");
-    pair.parse().expect("a number")
-}
-
 /// Asks with the startup and the statement in one write, as most clients begin; the answer to the statement, and how
 /// long it took.
 fn first_statement(router: &Router, text: &str) -> (Got, Duration) {
@@ -108,7 +102,7 @@
         let (got, took) = first_statement(&router, &write(800));
         assert_eq!(got.value.as_deref(), Some(&b"primary"[..]), "{name}: {got:?} after {took:?}");
         let (ok, log) = router.end();
-        assert!(ok && counter(&log, "DialRefused") == 0, "{name}: {log}");
+        assert!(ok && count(&log, "DialRefused") == 0, "{name}: {log}");
     };
     for errno in [ENOBUFS, ENFILE, EMFILE, ENOMEM, EADDRNOTAVAIL, ENETUNREACH, EINTR, EAGAIN] {
         let primary = Host::start(true);
