--- a/crates/sandstile-soak/src/client.rs
+++ b/crates/sandstile-soak/src/client.rs
@@ -37,6 +37,8 @@
     pub number: usize,
     pub seed: u64,
     pub pieces: bool,
+    /// It keeps to one router, as its session does.
+    pub stays: bool,
     pub doors: Arc<Vec<Door>>,
     pub over: Arc<AtomicBool>,
     pub recorder: Recorder,
@@ -47,7 +49,7 @@
     pub fn run(self) {
         let mut draw = Rand64::new(u128::from(self.seed) << 32 | self.number as u128);
         let mut connection: Option<Connection> = None;
-        let mut asked = 0;
+        let (mut asked, mut wrote) = (0, None);
         while !self.over.load(SeqCst) {
             thread::sleep(Duration::from_millis(draw.rand_range(5..45)));
             if connection.is_none() {
@@ -56,14 +58,15 @@
             let Some(mut open) = connection.take() else { continue };
             asked += 1;
             let id = format!("{:x}{:04x}{asked:06x}", self.seed, self.number);
-            if self.ask(&mut open, &id, &mut draw) {
+            if self.ask(&mut open, &id, &mut draw, &mut wrote) {
                 connection = Some(open);
             }
         }
     }
 
     fn connect(&self, draw: &mut Rand64) -> Option<Connection> {
-        let router = draw.rand_range(0..self.doors.len() as u64) as usize;
+        let drawn = draw.rand_range(0..self.doors.len() as u64) as usize;
+        let router = if self.stays { self.number % self.doors.len() } else { drawn };
         let door = &self.doors[router];
         if !door.open.load(SeqCst) {
             return None;
@@ -74,16 +77,20 @@
     }
 
     /// One statement; `true` where the connection goes on.
-    fn ask(&self, open: &mut Connection, id: &str, draw: &mut Rand64) -> bool {
+    fn ask(&self, open: &mut Connection, id: &str, draw: &mut Rand64, wrote: &mut Option<u64>) -> bool {
         let (class, effect) = match draw.rand_range(0..10) {
             0 | 1 => ("book", Effect::NonIdempotent),
             2 => ("once", Effect::Deduplicated),
+            3 | 4 if self.stays => ("own", Effect::Idempotent),
             _ => ("look", Effect::Idempotent),
         };
         let wait_ms = draw.rand_range(250..1001);
         let verb = match effect {
-            Effect::Idempotent => "SELECT payload FROM entries WHERE ref = 'k'",
-            _ => "INSERT INTO entries (ref, payload) VALUES ('k', '\\x9f') RETURNING payload",
+            Effect::Idempotent => format!("SELECT payload FROM entries WHERE ref = 's{}'", self.number),
+            _ => format!(
+                "INSERT INTO entries (ref, payload) VALUES ('s{}', '\\x9f') RETURNING payload",
+                self.number
+            ),
         };
         let text = format!("/* id={id},c={class},d={wait_ms},cluster=1 */ {verb}");
         let mut bytes = if open.fresh { pg::hello() } else { Vec::new() };
@@ -94,12 +101,28 @@
         }
         let (written_at, wait) = (self.recorder.now(), wait_ms as f64 / 1e3);
         let leaves = (draw.rand_range(0..40) == 0).then(|| written_at + draw.rand_float() * 0.2);
-        let end = self.await_end(open, written_at + wait + GRACE_S + LISTENS_ON_S, leaves);
+        let mut position = None;
+        let end = self.await_end(open, written_at + wait + GRACE_S + LISTENS_ON_S, leaves, &mut position);
+        let wrote_before = wrote.filter(|_| class == "own");
+        if effect != Effect::Idempotent {
+            *wrote = position.max(*wrote);
+        }
         let goes_on = matches!(&end, End::Answered { .. });
         let (router, life, fresh) = (open.router, open.life, open.fresh);
         open.fresh = false;
         let id = id.to_string();
-        self.recorder.request(Request { id, router, life, effect, wait, written_at, fresh, end });
+        self.recorder.request(Request {
+            id,
+            router,
+            life,
+            effect,
+            wait,
+            written_at,
+            fresh,
+            end,
+            position,
+            wrote_before,
+        });
         goes_on
     }
 
@@ -114,7 +137,13 @@
         Ok(())
     }
 
-    fn await_end(&self, open: &mut Connection, until: f64, leaves: Option<f64>) -> End {
+    fn await_end(
+        &self,
+        open: &mut Connection,
+        until: f64,
+        leaves: Option<f64>,
+        position: &mut Option<u64>,
+    ) -> End {
         let mut greeting = open.fresh;
         let (mut code, mut any, mut bytes) = (None, false, [0; 4096]);
         loop {
@@ -123,6 +152,11 @@
                 let tag = open.buf[0];
                 let error =
                     (tag == b'E').then(|| pg::sqlstate(&open.buf[5..end]).map(str::to_string)).flatten();
+                if tag == b'D' {
+                    // One column: its count and its length come first.
+                    let value = open.buf.get(11..end).map(String::from_utf8_lossy);
+                    *position = value.and_then(|text| text.parse().ok());
+                }
                 open.buf.drain(..end);
                 any |= !greeting;
                 if let Some(error) = error {
--- a/crates/sandstile-soak/src/host.rs
+++ b/crates/sandstile-soak/src/host.rs
@@ -6,11 +6,13 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Seconds for which hosts drop repeats of a deduplicated statement.
 pub const DEDUP_WINDOW_S: f64 = 0.8;
 const WORK_MS: u64 = 4;
+/// Replicas stand so far behind their primary.
+const LAG_MS: u64 = 250;
 const READ_LOOK: Duration = Duration::from_millis(20);
 
 /// Until when each mood lasts, in seconds of the run.
@@ -202,8 +204,15 @@
         dropped
     }
 
+    /// How far its log has come, in Unix milliseconds: its answers' values and their positions.
+    fn position(&self) -> u64 {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
+        now - if self.0.primary { 0 } else { LAG_MS }
+    }
+
     fn row(&self, out: &mut Vec<u8>) {
-        let value: &[u8] = if self.0.primary { b"primary" } else { b"replica" };
+        let position = self.position().to_string();
+        let value = position.as_bytes();
         pg::put(out, b'T', &[b"\0\x01payload\0", &[0; 18]]);
         pg::put(out, b'D', &[&[0, 1], &(value.len() as u32).to_be_bytes(), value]);
         pg::put(out, b'C', &[b"SELECT 1\0"]);
@@ -213,6 +222,8 @@
     fn end(&self, out: &mut Vec<u8>) {
         let mode: &[u8] = if self.0.primary { b"read-write" } else { b"read-only" };
         pg::put(out, b'S', &[b"mode\0", mode, b"\0"]);
+        pg::put(out, b'S', &[b"timeline\0", b"1\0"]);
+        pg::put(out, b'S', &[b"wal_time\0", self.position().to_string().as_bytes(), b"\0"]);
         pg::ready(out);
     }
 
--- a/crates/sandstile-soak/src/judge.rs
+++ b/crates/sandstile-soak/src/judge.rs
@@ -36,6 +36,8 @@
     Deadline,
     /// Executed again, or rejected, though it may have run.
     Duplicate,
+    /// A session's read answered from before its own write.
+    Stale,
     /// Sent to a host that is told to drain.
     Drain,
     /// A cold host got more than it bears.
@@ -98,6 +100,7 @@
         found.extend(after_leaving(request, attempts, seen));
         found.extend(deadline(request, attempts, seen));
         found.extend(duplicate(request, attempts));
+        found.extend(stale(request));
     }
     found.extend(drain(seen));
     found.extend(slow_start(plan, seen));
@@ -194,6 +197,14 @@
     None
 }
 
+fn stale(request: &Request) -> Option<Finding> {
+    let (position, wrote) = (request.position?, request.wrote_before?);
+    if position >= wrote {
+        return None;
+    }
+    finding(Rule::Stale, format!("read at {position}, wrote at {wrote}: {request:?}"))
+}
+
 /// From when a drain has to be heeded by all.
 fn heeded_at(told: f64, seen: &Seen) -> f64 {
     let troubled = seen.happened.iter().any(|(at, what)| {
--- a/crates/sandstile-soak/src/plan.rs
+++ b/crates/sandstile-soak/src/plan.rs
@@ -8,6 +8,8 @@
 pub const LONGEST_DEADLINE_MS: u64 = 1000;
 /// SIGKILL comes so long after SIGTERM: the longest deadline and 0.7 s.
 pub const KILL_AFTER: Duration = Duration::from_millis(LONGEST_DEADLINE_MS + 700);
+/// The port of database hosts, and of nobody else that a router dials.
+pub const HOST_PORT: u16 = 5433;
 /// Seconds in which a start counts as cold, and the share of its capacity that a host has right after it.
 pub const COLD_S: f64 = 2.0;
 pub const COLD_FROM: f64 = 0.2;
@@ -159,6 +161,12 @@
     if draw.one_in(3) {
         rules.push(Rule::new(Call::Send, Fault::HoldMs(draw.between(20, 150))).chance(0.002));
     }
+    if draw.one_in(2) {
+        // On links to hosts alone: a client whose connection dies like that waits for no answer.
+        let errno = draw.pick(&[ETIMEDOUT, EHOSTUNREACH, ECONNRESET]);
+        let call = draw.pick(&[Call::Recv, Call::Send]);
+        rules.push(Rule::fails(call, errno).chance(0.01).port(HOST_PORT));
+    }
     if lasting {
         rules.extend(disk(draw, length_ms));
     }
--- a/crates/sandstile-soak/src/process.rs
+++ b/crates/sandstile-soak/src/process.rs
@@ -29,7 +29,9 @@
     recorder: Recorder,
 }
 
-fn settings(routers: usize) -> String {
+fn settings(plan: &Plan) -> String {
+    // Where routers keep sessions, hosts judge no read.
+    let guards = if plan.lasting { "off" } else { "reject" };
     let class = |name: &str, effect: &str| {
         format!(
             r#"{{"name":"{name}","aimMs":300,"deadlineMs":{LONGEST_DEADLINE_MS},"credit":1.0,"lateWorth":0.3,"effect":"{effect}","dedupScope":"group","windowMs":{}}}"#,
@@ -37,13 +39,15 @@
         )
     };
     format!(
-        r#"{{"classes":[{},{},{}],"peersTotal":{routers},"tickMs":5.0,"discovery":"pushed",
+        r#"{{"classes":[{},{},{},{}],"peersTotal":{},"tickMs":5.0,"discovery":"pushed",
         "allowed":{{"mostTries":4,"mayCancel":true,"probes":true,"retryAfter":true,"maxRetryAfterMs":200.0,"dialTimeoutMs":250.0,"idleCloseMs":30000.0}},
         "rules":{{"coldFrom":{COLD_FROM},"coldMs":{},"tipMultiple":2.0}},
-        "specifics":{{"consistency":["loose","update","update"],"maxAgeMs":[0.0,0.0,0.0],"guards":"reject","tokens":"router"}}}}"#,
+        "specifics":{{"consistency":["loose","update","update","own_writes"],"maxAgeMs":[0.0,0.0,0.0,0.0],"guards":"{guards}","answersStamped":true,"tokens":"router"}}}}"#,
         class("look", "idempotent"),
         class("book", "at_most_once"),
         class("once", "deduplicated"),
+        class("own", "idempotent"),
+        plan.routers,
         COLD_S * 1e3,
     )
 }
@@ -64,7 +68,7 @@
         let seed = plan.seed.wrapping_mul(31).wrapping_add((number * 1000 + life) as u64);
         let text = format!(
             r#"{{"name":"n{number}","listen":"{address}","discovery":"{agent}","seed":"{seed:x}","limits":{{"cores":1.0,"memory_mb":192,"sockets":96}},"known":{known},"settings":{}}}"#,
-            settings(plan.routers)
+            settings(plan)
         );
         fs::write(&config, text)?;
         let log = programs.dir.join(format!("{name}-{life}.log"));
--- a/crates/sandstile-soak/src/record.rs
+++ b/crates/sandstile-soak/src/record.rs
@@ -49,6 +49,9 @@
     /// The first request on its connection.
     pub fresh: bool,
     pub end: End,
+    /// The position that the answer was read at, and the one that the session had written before; milliseconds.
+    pub position: Option<u64>,
+    pub wrote_before: Option<u64>,
 }
 
 /// One execution's arrival at a host.
--- a/crates/sandstile-soak/src/run.rs
+++ b/crates/sandstile-soak/src/run.rs
@@ -3,7 +3,7 @@
 use crate::client::{Client, Door};
 use crate::host::{Host, Repeats};
 use crate::judge::{judge, Finding};
-use crate::plan::{Event, Plan, KILL_AFTER};
+use crate::plan::{Event, Plan, HOST_PORT, KILL_AFTER};
 use crate::process::{Programs, Router};
 use crate::record::{Effect, End, Happened, Recorder, Request, Seen};
 use nix::sys::signal::Signal;
@@ -63,11 +63,17 @@
 /// Runs that can go on side by side.
 const BLOCKS: u16 = 30 * 256;
 
+/// Kinds of addresses.
+const HOSTS: u8 = 0;
+const AGENT: u8 = 1;
+const ROUTERS: u8 = 2;
+
 /// Addresses of this run alone, on loopback.
 fn address(block: u16, kind: u8, number: usize) -> SocketAddr {
     let last = 1 + u8::try_from(number).unwrap_or(u8::MAX - 1);
     let [high, low] = (block % BLOCKS).to_be_bytes();
-    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, 64 + high * 4 + kind, low, last)), 6432)
+    let port = if kind == HOSTS { HOST_PORT } else { 6432 };
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, 64 + high * 4 + kind, low, last)), port)
 }
 
 /// A router slot: its present process, if any.
@@ -124,13 +130,13 @@
         let recorder = Recorder::begin();
         let repeats = Repeats::default();
         let hosts = (0..plan.hosts)
-            .map(|n| Host::start(n, address(block, 0, n), plan.pieces, repeats.clone(), recorder.clone()))
+            .map(|n| Host::start(n, address(block, HOSTS, n), plan.pieces, repeats.clone(), recorder.clone()))
             .collect::<io::Result<Vec<Host>>>()?;
         let addresses: Vec<SocketAddr> = hosts.iter().map(Host::address).collect();
-        let agent_at = address(block, 1, 0);
+        let agent_at = address(block, AGENT, 0);
         let agent = Agent::start(agent_at, &addresses, recorder.clone())?;
         let door = |n| Door {
-            address: address(block, 2, n),
+            address: address(block, ROUTERS, n),
             open: AtomicBool::new(false),
             life: AtomicUsize::new(0),
         };
@@ -145,6 +151,7 @@
             number,
             seed: self.plan.seed,
             pieces: self.plan.pieces && number % 2 == 0,
+            stays: self.plan.lasting,
             doors: self.doors.clone(),
             over: over.clone(),
             recorder: self.recorder.clone(),
--- a/crates/sandstile-soak/tests/planted.rs
+++ b/crates/sandstile-soak/tests/planted.rs
@@ -5,7 +5,19 @@
 
 fn request(effect: Effect, end: End) -> Request {
     let id = "a1".to_string();
-    Request { id, router: 0, life: 0, effect, wait: 0.5, written_at: 2.0, fresh: false, end }
+    let (position, wrote_before) = (None, None);
+    Request {
+        id,
+        router: 0,
+        life: 0,
+        effect,
+        wait: 0.5,
+        written_at: 2.0,
+        fresh: false,
+        end,
+        position,
+        wrote_before,
+    }
 }
 
 fn answered(at: f64) -> End {
@@ -19,7 +31,7 @@
 /// The rules that this breaks, beside an ordinary request that keeps them all.
 fn broken(request: Request, arrivals: &[Arrival], happened: &[(f64, Happened)]) -> Vec<Rule> {
     let good = Request { id: "good".to_string(), end: answered(2.1), ..request.clone() };
-    let good = Request { effect: Effect::Idempotent, ..good };
+    let good = Request { effect: Effect::Idempotent, position: None, ..good };
     let (requests, arrivals, happened) = (vec![request, good], arrivals.to_vec(), happened.to_vec());
     let seen = Seen { requests, arrivals, happened, stalls: Vec::new() };
     judge(&Plan::draw(1, true), &seen).iter().map(|f| f.rule).collect()
@@ -57,6 +69,9 @@
     assert_eq!(broken(left, &[arrival(2.35, 0.1)], &[]), [Rule::AfterLeaving]);
     let read = request(Effect::Idempotent, answered(2.2));
     assert_eq!(broken(read, &[arrival(2.4, 0.45)], &[]), [Rule::Deadline]);
+    let own =
+        Request { position: Some(7), wrote_before: Some(8), ..request(Effect::Idempotent, answered(2.2)) };
+    assert_eq!(broken(own, &[], &[]), [Rule::Stale]);
     let write = request(Effect::NonIdempotent, answered(2.2));
     assert_eq!(broken(write, &[arrival(2.0, 0.5), arrival(2.1, 0.4)], &[]), [Rule::Duplicate]);
     let rejected = End::Answered { code: Some("53300".to_string()), at: 2.2 };
