--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
-.PHONY: help build test lint run check
+.PHONY: help build test lint run check soak
 
 help:
-	@echo "make build | test | lint | run | check   (run and check want LB_CONFIG)"
+	@echo "make build | test | lint | run | check | soak   (run and check want LB_CONFIG)"
 
 build:
 	cargo build --release --locked
@@ -9,6 +9,10 @@
 test:
 	cargo test --workspace --locked
 
+soak: build
+	cargo build --release --locked --package sandstile-shim --examples
+	target/release/sandstile-lab soak --seed 1 --runs 4
+
 lint:
 	cargo fmt --all --check
 	cargo clippy --workspace --all-targets --locked -- -D warnings
--- a/crates/sandstile-shim/preload/lib.rs
+++ b/crates/sandstile-shim/preload/lib.rs
@@ -31,7 +31,7 @@
     /// 0 for any.
     port: u16,
     seen: AtomicU64,
-    struck: AtomicU64,
+    applied: AtomicU64,
 }
 
 struct Plan {
@@ -62,7 +62,7 @@
         until_ms: until_ms.parse().ok()?,
         port: port.parse().ok()?,
         seen: AtomicU64::new(0),
-        struck: AtomicU64::new(0),
+        applied: AtomicU64::new(0),
     })
 }
 
@@ -116,14 +116,14 @@
 }
 
 impl Rule {
-    fn strikes(&self, now_ms: u64) -> bool {
+    fn applies(&self, now_ms: u64) -> bool {
         if now_ms < self.from_ms || now_ms >= self.until_ms {
             return false;
         }
         if self.seen.fetch_add(1, SeqCst) < self.skip || (self.chance < 1.0 && chance() >= self.chance) {
             return false;
         }
-        self.struck.fetch_add(1, SeqCst) < self.most
+        self.applied.fetch_add(1, SeqCst) < self.most
     }
 }
 
@@ -141,7 +141,7 @@
     let now_ms = monotonic_ms() - plan.began_ms;
     let mut met = None;
     for rule in plan.rules.iter().filter(|r| r.call == call && (r.port == 0 || r.port == port())) {
-        if met.is_some() || !rule.strikes(now_ms) {
+        if met.is_some() || !rule.applies(now_ms) {
             continue;
         }
         match rule.fault {
@@ -414,7 +414,7 @@
     own!(c"rename", Rename)(from, to)
 }
 
-/// The step that the wall clock has taken, once a rule has struck.
+/// The step that the wall clock has taken, once a rule has applied.
 static STEP_MS: AtomicU64 = AtomicU64::new(0);
 
 #[no_mangle]
--- a/crates/sandstile-shim/src/lib.rs
+++ b/crates/sandstile-shim/src/lib.rs
@@ -119,7 +119,7 @@
 }
 
 impl Rule {
-    /// Strikes every time.
+    /// Applies every time.
     pub fn new(call: Call, fault: Fault) -> Rule {
         Rule { call, fault, chance: 1.0, skip: 0, most: u64::MAX, from_ms: 0, until_ms: u64::MAX, port: 0 }
     }
@@ -129,7 +129,7 @@
         Rule::new(call, Fault::Errno(errno))
     }
 
-    /// Strikes with this probability, 0 to 1.
+    /// Applies with this probability, 0 to 1.
     pub fn chance(self, chance: f64) -> Rule {
         Rule { chance, ..self }
     }
@@ -139,19 +139,19 @@
         Rule { skip, ..self }
     }
 
-    /// Strikes so many times at the most.
+    /// Applies so many times at the most.
     pub fn times(self, most: u64) -> Rule {
         Rule { most, ..self }
     }
 
-    /// Strikes from then until then, in milliseconds since the process began.
+    /// Applies from then until then, in milliseconds since the process began.
     pub fn between(self, from_ms: u64, until_ms: u64) -> Rule {
         Rule { from_ms, until_ms, ..self }
     }
 }
 
 impl Rule {
-    /// Strikes only sockets whose other side has this port: for `Recv`, `Peek`, `Send` and `Connect`.
+    /// Applies only sockets whose other side has this port: for `Recv`, `Peek`, `Send` and `Connect`.
     pub fn port(self, port: u16) -> Rule {
         Rule { port, ..self }
     }
--- a/crates/sandstile-soak/src/client.rs
+++ b/crates/sandstile-soak/src/client.rs
@@ -17,7 +17,7 @@
 
 /// A router as clients find it.
 #[derive(Debug)]
-pub struct Door {
+pub struct Endpoint {
     pub address: SocketAddr,
     /// New connections come only while this holds.
     pub open: AtomicBool,
@@ -39,7 +39,7 @@
     pub pieces: bool,
     /// It keeps to one router, as its session does.
     pub stays: bool,
-    pub doors: Arc<Vec<Door>>,
+    pub endpoints: Arc<Vec<Endpoint>>,
     pub over: Arc<AtomicBool>,
     pub recorder: Recorder,
 }
@@ -65,15 +65,15 @@
     }
 
     fn connect(&self, draw: &mut Rand64) -> Option<Connection> {
-        let drawn = draw.rand_range(0..self.doors.len() as u64) as usize;
-        let router = if self.stays { self.number % self.doors.len() } else { drawn };
-        let door = &self.doors[router];
-        if !door.open.load(SeqCst) {
+        let drawn = draw.rand_range(0..self.endpoints.len() as u64) as usize;
+        let router = if self.stays { self.number % self.endpoints.len() } else { drawn };
+        let endpoint = &self.endpoints[router];
+        if !endpoint.open.load(SeqCst) {
             return None;
         }
-        let stream = TcpStream::connect_timeout(&door.address, Duration::from_millis(500)).ok()?;
+        let stream = TcpStream::connect_timeout(&endpoint.address, Duration::from_millis(500)).ok()?;
         stream.set_nodelay(true).ok()?;
-        Some(Connection { stream, router, life: door.life.load(SeqCst), fresh: true, buf: Vec::new() })
+        Some(Connection { stream, router, life: endpoint.life.load(SeqCst), fresh: true, buf: Vec::new() })
     }
 
     /// One statement; `true` where the connection goes on.
--- a/crates/sandstile-soak/src/host.rs
+++ b/crates/sandstile-soak/src/host.rs
@@ -1,4 +1,4 @@
-//! A stand-in for a database host: one thread a connection, with moods that events turn on for a while.
+//! A stand-in for a database host: one thread a connection, with faults that events turn on for a while.
 use crate::record::{Arrival, Recorder};
 use sandstile_pgwire as pg;
 use std::collections::{BTreeMap, BTreeSet};
@@ -15,9 +15,9 @@
 const LAG_MS: u64 = 250;
 const READ_LOOK: Duration = Duration::from_millis(20);
 
-/// Until when each mood lasts, in seconds of the run.
+/// Until when each fault lasts, in seconds of the run.
 #[derive(Debug, Default)]
-struct Moods {
+struct ActiveFaults {
     hangs_until: f64,
     down_until: f64,
     resets_until: f64,
@@ -32,7 +32,7 @@
     address: SocketAddr,
     primary: bool,
     pieces: bool,
-    moods: Mutex<Moods>,
+    faults: Mutex<ActiveFaults>,
     repeats: Repeats,
     recorder: Recorder,
 }
@@ -52,8 +52,8 @@
     ) -> io::Result<Host> {
         let listener = TcpListener::bind(address)?;
         let primary = number == 0;
-        let moods = Mutex::default();
-        let host = Host(Arc::new(Inner { number, address, primary, pieces, moods, repeats, recorder }));
+        let faults = Mutex::default();
+        let host = Host(Arc::new(Inner { number, address, primary, pieces, faults, repeats, recorder }));
         let served = host.clone();
         thread::spawn(move || served.listen(listener));
         Ok(host)
@@ -63,33 +63,33 @@
         self.0.address
     }
 
-    fn turn(&self, ms: u64, mood: impl FnOnce(&mut Moods, f64)) {
+    fn turn(&self, ms: u64, fault: impl FnOnce(&mut ActiveFaults, f64)) {
         let until = self.0.recorder.now() + ms as f64 / 1e3;
-        mood(&mut self.0.moods.lock().expect("moods"), until);
+        fault(&mut self.0.faults.lock().expect("faults"), until);
     }
 
     pub fn hang(&self, ms: u64) {
-        self.turn(ms, |moods, until| moods.hangs_until = until);
+        self.turn(ms, |faults, until| faults.hangs_until = until);
     }
 
     pub fn go_down(&self, ms: u64) {
-        self.turn(ms, |moods, until| moods.down_until = until);
+        self.turn(ms, |faults, until| faults.down_until = until);
     }
 
     pub fn reset(&self, ms: u64) {
-        self.turn(ms, |moods, until| moods.resets_until = until);
+        self.turn(ms, |faults, until| faults.resets_until = until);
     }
 
     pub fn turn_away(&self, ms: u64) {
-        self.turn(ms, |moods, until| moods.turns_away_until = until);
+        self.turn(ms, |faults, until| faults.turns_away_until = until);
     }
 
-    fn is(&self, mood: impl Fn(&Moods) -> f64) -> bool {
-        self.0.recorder.now() < mood(&self.0.moods.lock().expect("moods"))
+    fn is(&self, fault: impl Fn(&ActiveFaults) -> f64) -> bool {
+        self.0.recorder.now() < fault(&self.0.faults.lock().expect("faults"))
     }
 
     fn is_down(&self) -> bool {
-        self.is(|moods| moods.down_until)
+        self.is(|faults| faults.down_until)
     }
 
     fn listen(&self, first: TcpListener) {
@@ -160,7 +160,7 @@
             self.row(&mut out);
             return self.say(stream, &out).map(|()| true);
         }
-        let turned_away = self.is(|moods| moods.turns_away_until);
+        let turned_away = self.is(|faults| faults.turns_away_until);
         let ran = !turned_away && !self.is_repeat(text);
         self.0.recorder.arrival(Arrival {
             id: field(text, "id").unwrap_or_default().to_string(),
@@ -175,11 +175,11 @@
             return self.say(stream, &out).map(|()| true);
         }
         thread::sleep(Duration::from_millis(WORK_MS));
-        while self.is(|moods| moods.hangs_until) && !self.is_down() && !self.0.recorder.is_over() {
+        while self.is(|faults| faults.hangs_until) && !self.is_down() && !self.0.recorder.is_over() {
             thread::sleep(READ_LOOK);
         }
         self.row(&mut out);
-        if self.is(|moods| moods.resets_until) {
+        if self.is(|faults| faults.resets_until) {
             self.say(stream, &out[..out.len() / 2])?;
             return Ok(false);
         }
--- a/crates/sandstile-soak/src/judge.rs
+++ b/crates/sandstile-soak/src/judge.rs
@@ -66,7 +66,7 @@
 /// When a life of a router was told to end and was killed.
 #[derive(Clone, Copy, Debug, Default)]
 struct Life {
-    told_at: Option<f64>,
+    terminated_at: Option<f64>,
     killed_at: Option<f64>,
 }
 
@@ -76,7 +76,9 @@
     let mut lives = Lives::new();
     for (at, what) in &seen.happened {
         match what {
-            Happened::Told { router, life } => lives.entry((*router, *life)).or_default().told_at = Some(*at),
+            Happened::Terminated { router, life } => {
+                lives.entry((*router, *life)).or_default().terminated_at = Some(*at)
+            }
             Happened::Killed { router, life } => {
                 lives.entry((*router, *life)).or_default().killed_at = Some(*at);
             }
@@ -124,13 +126,13 @@
     let Some(life) = lives.get(&(request.router, request.life)) else { return false };
     let Some(killed) = life.killed_at.filter(|killed| *killed <= end + SLACK_S) else { return false };
     // After SIGTERM, all that came in time is owed, whenever SIGKILL comes.
-    life.told_at.is_none_or(|told| request.written_at > told + TAKEN_AFTER_TERM_S)
+    life.terminated_at.is_none_or(|told| request.written_at > told + TAKEN_AFTER_TERM_S)
         && killed >= request.written_at - SLACK_S
 }
 
 fn crowded(request: &Request, seen: &Seen) -> bool {
     seen.happened.iter().any(|(at, what)| match what {
-        Happened::Struck(Event::Crowd { router, .. }) => {
+        Happened::Applied(Event::Crowd { router, .. }) => {
             *router == request.router && (*at..at + 4.0).contains(&request.written_at)
         }
         _ => false,
@@ -208,7 +210,7 @@
 /// From when a drain has to be heeded by all.
 fn heeded_at(told: f64, seen: &Seen) -> f64 {
     let troubled = seen.happened.iter().any(|(at, what)| {
-        let trouble = matches!(what, Happened::Struck(Event::AgentSilent { .. } | Event::AgentReset));
+        let trouble = matches!(what, Happened::Applied(Event::AgentSilent { .. } | Event::AgentReset));
         let starts = matches!(what, Happened::Started { .. });
         (trouble || starts) && (at - told).abs() < TOLD_S
     });
@@ -258,11 +260,11 @@
     for (at, what) in &seen.happened {
         let broken = match what {
             Happened::Ended { router, life, code } => {
-                let told = lives.get(&(*router, *life)).and_then(|l| l.told_at);
+                let told = lives.get(&(*router, *life)).and_then(|l| l.terminated_at);
                 (told.is_none() || *code != Some(0)).then_some(Rule::Crash)
             }
             Happened::Killed { router, life } => {
-                let told = lives.get(&(*router, *life)).and_then(|l| l.told_at);
+                let told = lives.get(&(*router, *life)).and_then(|l| l.terminated_at);
                 told.is_some_and(|t| at - t < KILL_AFTER.as_secs_f64() - SLACK_S).then_some(Rule::Crash)
             }
             Happened::Panicked { .. } => Some(Rule::Crash),
--- a/crates/sandstile-soak/src/plan.rs
+++ b/crates/sandstile-soak/src/plan.rs
@@ -14,7 +14,7 @@
 pub const COLD_S: f64 = 2.0;
 pub const COLD_FROM: f64 = 0.2;
 
-/// What befalls a host, discovery or a router.
+/// What happens to a host, discovery or a router.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Event {
     /// The host takes statements and answers none for so long.
--- a/crates/sandstile-soak/src/process.rs
+++ b/crates/sandstile-soak/src/process.rs
@@ -90,7 +90,7 @@
     }
 
     pub fn terminate(&self) {
-        self.recorder.happened(Happened::Told { router: self.number, life: self.life });
+        self.recorder.happened(Happened::Terminated { router: self.number, life: self.life });
         self.signal(Signal::SIGTERM);
     }
 
--- a/crates/sandstile-soak/src/record.rs
+++ b/crates/sandstile-soak/src/record.rs
@@ -73,7 +73,7 @@
         router: usize,
         life: usize,
     },
-    Told {
+    Terminated {
         router: usize,
         life: usize,
     },
@@ -104,7 +104,7 @@
     HostCold {
         host: usize,
     },
-    Struck(Event),
+    Applied(Event),
 }
 
 /// All that was seen.
--- a/crates/sandstile-soak/src/run.rs
+++ b/crates/sandstile-soak/src/run.rs
@@ -1,6 +1,6 @@
-//! Plays a plan: starts the stand-ins and the routers, lets the events strike, and hands over what was seen.
+//! Plays a plan: starts the stand-ins and the routers, applies the events, and hands over what was seen.
 use crate::agent::Agent;
-use crate::client::{Client, Door};
+use crate::client::{Client, Endpoint};
 use crate::host::{Host, Repeats};
 use crate::judge::{judge, Finding};
 use crate::plan::{Event, Plan, HOST_PORT, KILL_AFTER};
@@ -33,7 +33,7 @@
 }
 
 impl Outcome {
-    /// What befell processes and hosts, and each request that was not served, in the order of their times.
+    /// What happened to processes and hosts, and each request that was not served, in the order of their times.
     pub fn timeline(&self) -> String {
         let happened = self.seen.happened.iter().map(|(at, what)| (*at, format!("{what:?}")));
         let unserved = |r: &&Request| !matches!(r.end, End::Answered { code: None, .. });
@@ -81,52 +81,52 @@
     router: Mutex<Option<Router>>,
 }
 
-struct Stage {
+struct Fleet {
     plan: Plan,
     programs: Programs,
     recorder: Recorder,
     hosts: Vec<Host>,
     agent: Agent,
     agent_at: SocketAddr,
-    doors: Arc<Vec<Door>>,
+    endpoints: Arc<Vec<Endpoint>>,
     slots: Vec<Slot>,
 }
 
 /// Plays a plan; `block` keeps the addresses of runs side by side apart.
 pub fn play(plan: &Plan, programs: &Programs, block: u16) -> io::Result<Outcome> {
-    let stage = Arc::new(Stage::set(plan, programs, block)?);
+    let fleet = Arc::new(Fleet::set(plan, programs, block)?);
     let over = Arc::new(AtomicBool::new(false));
     if !plan.at_once {
-        (0..plan.routers).try_for_each(|number| stage.start(number, 0))?;
+        (0..plan.routers).try_for_each(|number| fleet.start(number, 0))?;
     }
-    let recorder = stage.recorder.clone();
+    let recorder = fleet.recorder.clone();
     thread::spawn(move || recorder.watch_stalls());
-    let clients = stage.clients(&over);
+    let clients = fleet.clients(&over);
     if plan.at_once {
         let starting: Vec<_> = (0..plan.routers)
             .map(|number| {
-                let stage = stage.clone();
-                thread::spawn(move || stage.start(number, 0))
+                let fleet = fleet.clone();
+                thread::spawn(move || fleet.start(number, 0))
             })
             .collect();
         for start in starting {
             start.join().expect("a start")?;
         }
     }
-    let restarts = stage.strike_all();
+    let restarts = fleet.apply_events();
     over.store(true, SeqCst);
     clients.into_iter().for_each(|client| client.join().expect("a client"));
     restarts.into_iter().for_each(|restart| restart.join().expect("a restart"));
-    (0..plan.routers).for_each(|number| stage.end(number));
-    stage.recorder.end();
+    (0..plan.routers).for_each(|number| fleet.end(number));
+    fleet.recorder.end();
     thread::sleep(LET_GO);
-    let seen = stage.recorder.take();
+    let seen = fleet.recorder.take();
     let findings = judge(plan, &seen);
     Ok(Outcome { seen, findings })
 }
 
-impl Stage {
-    fn set(plan: &Plan, programs: &Programs, block: u16) -> io::Result<Stage> {
+impl Fleet {
+    fn set(plan: &Plan, programs: &Programs, block: u16) -> io::Result<Fleet> {
         let recorder = Recorder::begin();
         let repeats = Repeats::default();
         let hosts = (0..plan.hosts)
@@ -135,15 +135,15 @@
         let addresses: Vec<SocketAddr> = hosts.iter().map(Host::address).collect();
         let agent_at = address(block, AGENT, 0);
         let agent = Agent::start(agent_at, &addresses, recorder.clone())?;
-        let door = |n| Door {
+        let endpoint = |n| Endpoint {
             address: address(block, ROUTERS, n),
             open: AtomicBool::new(false),
             life: AtomicUsize::new(0),
         };
-        let doors = Arc::new((0..plan.routers).map(door).collect());
+        let endpoints = Arc::new((0..plan.routers).map(endpoint).collect());
         let slots = (0..plan.routers).map(|_| Slot { router: Mutex::new(None) }).collect();
         let (plan, programs) = (plan.clone(), programs.clone());
-        Ok(Stage { plan, programs, recorder, hosts, agent, agent_at, doors, slots })
+        Ok(Fleet { plan, programs, recorder, hosts, agent, agent_at, endpoints, slots })
     }
 
     fn clients(&self, over: &Arc<AtomicBool>) -> Vec<JoinHandle<()>> {
@@ -152,7 +152,7 @@
             seed: self.plan.seed,
             pieces: self.plan.pieces && number % 2 == 0,
             stays: self.plan.lasting,
-            doors: self.doors.clone(),
+            endpoints: self.endpoints.clone(),
             over: over.clone(),
             recorder: self.recorder.clone(),
         };
@@ -161,13 +161,13 @@
 
     /// Starts a life and waits until it answers an empty query, as the front does.
     fn start(&self, number: usize, life: usize) -> io::Result<()> {
-        let door = &self.doors[number];
-        let at = (door.address, self.agent_at);
+        let endpoint = &self.endpoints[number];
+        let at = (endpoint.address, self.agent_at);
         let known = self.agent.known();
         let router = Router::start(&self.plan, &self.programs, number, life, at, &known, &self.recorder)?;
         *self.slots[number].router.lock().expect("a slot") = Some(router);
         let give_up_at = Instant::now() + READY_WITHIN;
-        while !answers(door.address) {
+        while !answers(endpoint.address) {
             let ended =
                 self.slots[number].router.lock().expect("a slot").as_mut().is_some_and(Router::has_ended);
             if ended || Instant::now() >= give_up_at {
@@ -177,25 +177,25 @@
             }
             thread::sleep(LOOK);
         }
-        door.life.store(life, SeqCst);
-        door.open.store(true, SeqCst);
+        endpoint.life.store(life, SeqCst);
+        endpoint.open.store(true, SeqCst);
         Ok(())
     }
 
-    /// Lets each event strike at its time; yields what still goes on behind the last.
-    fn strike_all(self: &Arc<Self>) -> Vec<JoinHandle<()>> {
+    /// Applies each event at its time; yields what still goes on behind the last.
+    fn apply_events(self: &Arc<Self>) -> Vec<JoinHandle<()>> {
         let began = Instant::now();
         let mut going_on = Vec::new();
         for (at, event) in &self.plan.events {
             thread::sleep(at.saturating_sub(began.elapsed()));
-            self.recorder.happened(Happened::Struck(*event));
-            going_on.extend(self.strike(*event));
+            self.recorder.happened(Happened::Applied(*event));
+            going_on.extend(self.apply(*event));
         }
         thread::sleep(self.plan.length.saturating_sub(began.elapsed()));
         going_on
     }
 
-    fn strike(self: &Arc<Self>, event: Event) -> Option<JoinHandle<()>> {
+    fn apply(self: &Arc<Self>, event: Event) -> Option<JoinHandle<()>> {
         match event {
             Event::Hang { host, ms } => self.hosts[host].hang(ms),
             Event::Down { host, ms } => self.hosts[host].go_down(ms),
@@ -206,19 +206,19 @@
             Event::AgentReset => self.agent.reset_watches(),
             Event::Replace { host, ms } => {
                 self.hosts[host].go_down(ms);
-                let stage = self.clone();
+                let fleet = self.clone();
                 return Some(thread::spawn(move || {
                     thread::sleep(Duration::from_millis(ms));
-                    stage.agent.restarted(host);
+                    fleet.agent.restarted(host);
                 }));
             }
             Event::Restart { router } => {
-                let stage = self.clone();
-                return Some(thread::spawn(move || stage.restart(router)));
+                let fleet = self.clone();
+                return Some(thread::spawn(move || fleet.restart(router)));
             }
             Event::Kill { router } => {
-                let stage = self.clone();
-                return Some(thread::spawn(move || stage.kill(router)));
+                let fleet = self.clone();
+                return Some(thread::spawn(move || fleet.kill(router)));
             }
             Event::HoldUp { router, ms } => {
                 self.signal(router, Signal::SIGSTOP);
@@ -243,7 +243,7 @@
     }
 
     fn crowd(&self, router: usize, clients: u64) {
-        let at = self.doors[router].address;
+        let at = self.endpoints[router].address;
         thread::spawn(move || {
             let connect = |_| TcpStream::connect_timeout(&at, Duration::from_millis(200)).ok();
             let crowd: Vec<TcpStream> = (0..clients).filter_map(connect).collect();
@@ -254,7 +254,7 @@
 
     /// Takes the process out of its slot, unless somebody else restarts it just now.
     fn take(&self, number: usize) -> Option<Router> {
-        if !self.doors[number].open.load(SeqCst) {
+        if !self.endpoints[number].open.load(SeqCst) {
             return None;
         }
         self.slots[number].router.lock().expect("a slot").take()
@@ -274,7 +274,7 @@
         let told_at = Instant::now();
         router.terminate();
         thread::sleep(CONNECTS_ON);
-        self.doors[number].open.store(false, SeqCst);
+        self.endpoints[number].open.store(false, SeqCst);
         loop {
             if router.has_ended() {
                 break;
@@ -290,7 +290,7 @@
 
     fn kill(&self, number: usize) {
         let Some(mut router) = self.take(number) else { return };
-        self.doors[number].open.store(false, SeqCst);
+        self.endpoints[number].open.store(false, SeqCst);
         let life = router.life;
         router.kill();
         router.examine();
--- a/crates/sandstile-soak/tests/planted.rs
+++ b/crates/sandstile-soak/tests/planted.rs
@@ -54,8 +54,10 @@
 #[test]
 fn what_was_taken_before_a_kill_behind_a_term_is_owed() {
     let told_and_killed = |told: f64| {
-        let happened =
-            [(told, Happened::Told { router: 0, life: 0 }), (3.0, Happened::Killed { router: 0, life: 0 })];
+        let happened = [
+            (told, Happened::Terminated { router: 0, life: 0 }),
+            (3.0, Happened::Killed { router: 0, life: 0 }),
+        ];
         broken(request(Effect::Idempotent, End::Silent), &[], &happened)
     };
     assert_eq!(told_and_killed(1.3), [Rule::Lost], "it came 0.7 s after SIGTERM");
@@ -84,7 +86,7 @@
     let read = || request(Effect::Idempotent, answered(2.2));
     let drained = [(1.0, Happened::HostDrains { host: 1 })];
     assert_eq!(broken(read(), &[arrival(2.0, 0.5)], &drained), [Rule::Drain]);
-    let silent = [drained[0].clone(), (1.5, Happened::Struck(Event::AgentSilent { ms: 500 }))];
+    let silent = [drained[0].clone(), (1.5, Happened::Applied(Event::AgentSilent { ms: 500 }))];
     assert!(broken(read(), &[arrival(2.0, 0.5)], &silent).is_empty(), "it may be told within 6 s");
     let cold = [(1.9, Happened::HostCold { host: 1 })];
     let many: Vec<Arrival> = (0..40).map(|n| Arrival { id: format!("b{n}"), ..arrival(2.0, 0.5) }).collect();
