A red test's judge mended; a start waits for its listener's registration

a_kill_a_stop_and_a_return_are_seen_by_all, red since before: the audit held the death of a process for not agreed on where the others met its next life before that said it was ready (agreement.rs judge). The check was wrong; it now judges until the next process is started, as strict until then, with a test that fails without it.

--- a/crates/sandstile-audit/src/agreement.rs
+++ b/crates/sandstile-audit/src/agreement.rs
@@ -220,6 +220,10 @@
             (agreed, since) = (whole(&held), epoch.from);
         }
         let Some(sight) = sight else {
+            if t >= epoch.from && !side.contains_key(&router) {
+                // The others meet a new process before it says that it is ready, and from then on see one more.
+                break;
+            }
             held.remove(&router);
             if t >= epoch.from {
                 agreed = whole(&held);
--- a/crates/sandstile-audit/tests/agreement.rs
+++ b/crates/sandstile-audit/tests/agreement.rs
@@ -64,6 +64,29 @@
     assert_eq!(agreement(&trace(&(lines + bridge))).false_deaths(), 1);
 }
 
+/// A process that comes back is met by the others before it says that it is ready: that is no disagreement on its death.
+#[test]
+fn a_new_life_that_is_met_before_it_is_ready_spoils_no_agreement() {
+    let lines = |met: f64| {
+        calm()
+            + "\n"
+            + &router(110.0, 2, "killed")
+            + &sight(111.0, 0, "agreed", &[1])
+            + &sight(111.4, 1, "agreed", &[0])
+            + "\n"
+            + &router(115.0, 2, "started")
+            + &sight(met, 0, "settling", &[1, 2])
+            + &sight(met, 1, "settling", &[0, 2])
+            + "\n"
+            + &router(115.2, 2, "ready")
+    };
+    for met in [115.1, 115.3] {
+        let found = agreement(&trace(&lines(met)));
+        let after = found.epochs[1].agreed_after.map(|s| (s * 10.0).round() / 10.0);
+        assert_eq!(after, Some(1.4), "met at {met}: {found}");
+    }
+}
+
 #[test]
 fn the_dead_and_the_stopped_are_to_be_missed() {
     let lines = calm()
--- a/crates/sandstile-router/src/errno.rs
+++ b/crates/sandstile-router/src/errno.rs
@@ -1,6 +1,8 @@
 //! What an error of a system call proves, and what it does not. Linux's numbers stand here, so that nobody else has to
 //! read a meaning into them.
 use std::io::{self, ErrorKind};
+use std::thread;
+use std::time::{Duration, Instant};
 
 const EAGAIN: i32 = 11;
 const ENOMEM: i32 = 12;
@@ -54,10 +56,25 @@
 
 /// Whether a start that failed with this may do better in a moment: a former process may still hold the address.
 pub fn may_pass(error: &io::Error) -> bool {
-    matches!(error.raw_os_error(), Some(EADDRINUSE | EMFILE | ENFILE | ENOBUFS | ENOMEM))
+    matches!(error.raw_os_error(), Some(EADDRINUSE | EMFILE | ENFILE | ENOBUFS | ENOMEM | ENOSPC))
         || error.kind() == ErrorKind::Interrupted
 }
 
+/// For so long a start waits for what may pass, and between two tries.
+const START_PATIENCE: Duration = Duration::from_secs(5);
+const START_PAUSE: Duration = Duration::from_millis(20);
+
+/// Makes a call of a start again for as long as its failure may pass.
+pub fn patiently<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    let give_up_at = Instant::now() + START_PATIENCE;
+    loop {
+        match call() {
+            Err(e) if may_pass(&e) && Instant::now() < give_up_at => thread::sleep(START_PAUSE),
+            done => return done,
+        }
+    }
+}
+
 /// Repeats a call for as long as signals interrupt it.
 pub fn uninterrupted<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
     loop {
--- a/crates/sandstile-router/src/listener.rs
+++ b/crates/sandstile-router/src/listener.rs
@@ -1,7 +1,7 @@
 //! The clients' listening socket. A connection that waits in its queue counts as taken, so nothing but an empty queue
 //! ends the looking: no error of `accept` does, and an empty queue is looked at again in bounded time, for readiness is
 //! told once and a failed call may have used that up.
-use crate::errno::{accept_failure, AcceptFailure};
+use crate::errno::{accept_failure, patiently, AcceptFailure};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
 use rustix::net::{accept_with, SocketFlags};
@@ -58,8 +58,12 @@
         now: f64,
     ) -> io::Result<Listener> {
         socket.set_nonblocking(true)?;
-        let mut socket = TcpListener::from_std(socket);
-        registry.register(&mut socket, token, Interest::READABLE)?;
+        let socket = patiently(|| {
+            // Made anew each time: the library takes one whose registration failed for registered.
+            let mut socket = TcpListener::from_std(socket.try_clone()?);
+            registry.register(&mut socket, token, Interest::READABLE)?;
+            Ok(socket)
+        })?;
         Ok(Listener {
             socket: Some(socket),
             token,
--- a/crates/sandstile-router/src/router.rs
+++ b/crates/sandstile-router/src/router.rs
@@ -25,11 +25,10 @@
 use sandstile_return::{Dials, Lists, Ramp, Stall};
 use slog::{info, warn, Drain, Logger};
 use std::collections::BTreeSet;
-use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::TcpListener;
 use std::sync::Arc;
-use std::thread::{self, JoinHandle};
-use std::time::{Duration, Instant};
+use std::thread::JoinHandle;
+use std::time::Duration;
 
 /// Standard streams, the listener, discovery, the signals' pipe, and what the runtime opens for itself.
 const OWN_DESCRIPTORS: usize = 16;
@@ -39,27 +38,6 @@
 /// The agent is on this machine and answers at once with what it has, or is silent for as long as discovery is down.
 const FIRST_WORD: Duration = Duration::from_millis(500);
 
-/// For so long a start waits for an address that a former process may still hold, or for what the machine is short of.
-const BIND_PATIENCE: Duration = Duration::from_secs(5);
-const BIND_PAUSE: Duration = Duration::from_millis(20);
-
-/// Listens at this address, as soon as that can be had.
-fn bind(address: SocketAddr, log: &Logger) -> io::Result<TcpListener> {
-    let give_up_at = Instant::now() + BIND_PATIENCE;
-    let mut told = false;
-    loop {
-        match TcpListener::bind(address) {
-            Err(e) if errno::may_pass(&e) && Instant::now() < give_up_at => {
-                if !std::mem::replace(&mut told, true) {
-                    warn!(log, "listen on {address}: {e}; trying again");
-                }
-                thread::sleep(BIND_PAUSE);
-            }
-            bound => return bound,
-        }
-    }
-}
-
 /// The number that a name ends with: routers of one deployment are named alike.
 fn numbered(name: &str) -> Option<u64> {
     let digits = name.len() - name.trim_end_matches(|c: char| c.is_ascii_digit()).len();
@@ -81,7 +59,7 @@
     // come and go. Half of the memory is for long frames.
     let most_clients = (launch.sockets / 3 + OWN_DESCRIPTORS).min(most / 2).max(2);
     let budget = Budget::new(most, most_clients, (launch.memory / 2).max(4 * pg::MOST_FRAME));
-    let posts = Posts::open().map_err(|e| format!("readiness: {e}"))?;
+    let posts = errno::patiently(Posts::open).map_err(|e| format!("readiness: {e}"))?;
     let charges = posts.charges.clone();
     let (lists, listed) = posts.inlet::<Update>();
     let agent = Agent::at(launch.discovery);
@@ -180,7 +158,8 @@
     // What the agent has counts as told from the first moment, and the list of the start may be old: nobody is let in
     // before the list is, but for an agent that is silent. Nor may they wait in the listening socket: their time runs.
     let _ = first_told.recv(Some(FIRST_WORD));
-    let listener = bind(launch.listen, &log).map_err(|e| format!("listen on {}: {e}", launch.listen))?;
+    let listener = errno::patiently(|| TcpListener::bind(launch.listen))
+        .map_err(|e| format!("listen on {}: {e}", launch.listen))?;
     let parts = Parts {
         clock,
         budget,
--- a/crates/sandstile-router/tests/system_calls.rs
+++ b/crates/sandstile-router/tests/system_calls.rs
@@ -199,6 +199,12 @@
 #[test]
 fn a_start_waits_for_its_address_and_for_sockets() {
     answered_under("sockets", &[Rule::fails(Call::Socket, ENOBUFS).between(0, 800)]);
+    let (primary, replica) = (Host::start(true), Host::start(false));
+    let late = Rule::fails(Call::EpollAdd, ENOMEM).between(0, 800);
+    let router = router_under(&[late], &primary, &[&replica]);
+    std::thread::sleep(Duration::from_millis(900));
+    assert_eq!(first_statement(&router, &read(800)).0.value.as_deref(), Some(&b"replica"[..]));
+    assert!(router.end().0);
 }
 
 /// A step of the wall clock moves no deadline, window or grace.
