--- a/crates/sandstile-lab/src/main.rs
+++ b/crates/sandstile-lab/src/main.rs
@@ -155,6 +155,9 @@
         /// Short runs of few processes
         #[arg(long)]
         quick: bool,
+        /// Thousands of database hosts, whose list and primaries change
+        #[arg(long)]
+        large: bool,
         /// The router's program; the one beside this program if absent
         #[arg(long)]
         router: Option<PathBuf>,
@@ -326,9 +329,9 @@
                 Ok(ExitCode::from(u8::from((found.failed > 0) != plant)))
             })
         }
-        Command::Soak { seed, runs, quick, router, shim, out } => beside(router).and_then(|router| {
+        Command::Soak { seed, runs, quick, large, router, shim, out } => beside(router).and_then(|router| {
             let shim = shim.map_or_else(|| sandstile_shim::library(&router), Ok)?;
-            let broken = soak::soak(&soak::Wanted { router, shim, out, seed, runs, quick })?;
+            let broken = soak::soak(&soak::Wanted { router, shim, out, seed, runs, quick, large })?;
             Ok(ExitCode::from(u8::from(broken > 0)))
         }),
         Command::Returns { out, quick } => returns::grow(&out, quick).map(|text| {
--- a/crates/sandstile-lab/src/soak.rs
+++ b/crates/sandstile-lab/src/soak.rs
@@ -19,13 +19,16 @@
     pub seed: u64,
     pub runs: u64,
     pub quick: bool,
+    /// Thousands of database hosts.
+    pub large: bool,
 }
 
 /// Plays all runs and prints each; how many broke a rule.
 pub fn soak(wanted: &Wanted) -> Result<u64, String> {
     let mut broken = 0;
     for seed in wanted.seed..wanted.seed + wanted.runs {
-        let plan = Plan::draw(seed, wanted.quick);
+        let draw = if wanted.large { Plan::draw_large } else { Plan::draw };
+        let plan = draw(seed, wanted.quick);
         let dir = wanted.out.join(format!("seed-{seed}"));
         let told = |e: std::io::Error| format!("{}: {e}", dir.display());
         let _ = fs::remove_dir_all(&dir);
--- /dev/null
+++ b/crates/sandstile-router/tests/many_hosts.rs
@@ -0,0 +1,81 @@
+//! Routers before thousands of database hosts, as processes of their own on loopback, judged by what clients saw.
+use sandstile_soak::plan::{Event, Plan};
+use sandstile_soak::process::Programs;
+use sandstile_soak::record::{Effect, End};
+use sandstile_soak::run::{play, Outcome};
+use std::path::Path;
+use std::sync::atomic::{AtomicU16, Ordering::SeqCst};
+use std::time::Duration;
+
+const HOSTS: usize = 3_200;
+const GROUPS: usize = 457;
+
+static NEXT_BLOCK: AtomicU16 = AtomicU16::new(0);
+
+fn outcome(plan: &Plan) -> Outcome {
+    let router = Path::new(env!("CARGO_BIN_EXE_sandstile"));
+    let shim = sandstile_shim::library(router).expect("the shim");
+    let process = std::process::id();
+    let run = NEXT_BLOCK.fetch_add(1, SeqCst);
+    let dir = std::env::temp_dir().join(format!("sandstile-many-hosts-{process}-{run}"));
+    std::fs::create_dir_all(&dir).expect("a place for files");
+    let programs = Programs { router: router.to_path_buf(), shim, dir: dir.clone() };
+    let block = (process as u16).wrapping_mul(8).wrapping_add(run);
+    let outcome = play(plan, &programs, block).expect("a run");
+    println!("{}", outcome.summary());
+    let _ = std::fs::remove_dir_all(dir);
+    outcome
+}
+
+fn assert_clean(outcome: &Outcome) {
+    let findings: Vec<String> = outcome.findings.iter().map(ToString::to_string).collect();
+    assert!(findings.is_empty(), "{} findings, the first:\n{}", findings.len(), findings[0]);
+}
+
+fn large(length: Duration) -> Plan {
+    let sockets = 512;
+    Plan { hosts: HOSTS, groups: GROUPS, sockets, work_ms: 0, ..Plan::calm(42, length) }
+}
+
+/// Guards against writes held for all their time, though their primary is up and their group's reads are served.
+#[test]
+fn writes_to_a_group_met_seldom_are_sent_to_its_primary() {
+    assert_clean(&outcome(&large(Duration::from_secs(8))));
+}
+
+/// Guards against requests refused as over right after their arrival, as the listen queue is never found empty.
+#[test]
+fn a_request_is_as_old_as_itself_and_not_as_the_listen_queue() {
+    let clients = 100;
+    let few = large(Duration::from_secs(5));
+    let plan = Plan { sockets: 160, clients, asks_each: Some(2), pause_ms: 0, ..few };
+    let outcome = outcome(&plan);
+    let refused = |code: &Option<String>| code.as_deref() == Some("53300");
+    let early = outcome.seen.requests.iter().filter(|request| match &request.end {
+        End::Answered { code, at } => refused(code) && *at < request.written_at + 0.5 * request.wait,
+        _ => false,
+    });
+    let early: Vec<_> = early.collect();
+    assert!(
+        early.is_empty(),
+        "{} refused with half of their time left, the first {:?}",
+        early.len(),
+        early[0]
+    );
+    assert_clean(&outcome);
+}
+
+/// Guards against turns that grow with all hosts and groups: a stream of changes holds up all requests.
+#[test]
+fn changes_of_a_long_list_hold_up_no_request_on_a_tenth_of_a_core() {
+    let length = Duration::from_secs(8);
+    let changes = Event::ListChanges { count: 2_000, pause_ms: 3 };
+    let little = Event::LittleProcessor { router: 0, ms: 6_500 };
+    let events = vec![(Duration::from_secs(1), little), (Duration::from_secs(1), changes)];
+    let outcome = outcome(&Plan { clients: 60, events, ..large(length) });
+    let lost = outcome.seen.requests.iter().filter(|request| request.end == End::Silent).count();
+    assert_eq!(lost, 0, "lost requests");
+    let late = |r: &&sandstile_soak::record::Request| r.written_at > 7.0 && r.effect == Effect::Idempotent;
+    assert!(outcome.seen.requests.iter().any(|r| late(&r)), "connections are still taken at the end");
+    assert_clean(&outcome);
+}
--- a/crates/sandstile-soak/src/agent.rs
+++ b/crates/sandstile-soak/src/agent.rs
@@ -8,13 +8,16 @@
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-const LOOK: Duration = Duration::from_millis(10);
+const LOOK: Duration = Duration::from_millis(2);
+/// Seconds for which watches are answered by the whole list, once they were reset for that.
+const WHOLE_S: f64 = 1.0;
 /// Seconds between empty lines while nothing changes.
 const HEARTBEAT: f64 = 2.0;
 
 #[derive(Clone, Debug)]
 struct Entry {
     address: SocketAddr,
+    group: usize,
     primary: bool,
     leaving: bool,
     since_ms: u128,
@@ -28,6 +31,8 @@
     index: u64,
     silent_until: f64,
     resets: u64,
+    /// Watches that begin before this are answered by the whole list.
+    whole_until: f64,
 }
 
 /// Handle to the running agent.
@@ -38,10 +43,17 @@
 }
 
 impl Agent {
-    pub fn start(address: SocketAddr, hosts: &[SocketAddr], recorder: Recorder) -> io::Result<Agent> {
+    /// Hosts are dealt out to the groups in turn.
+    pub fn start(
+        address: SocketAddr,
+        hosts: &[SocketAddr],
+        groups: usize,
+        recorder: Recorder,
+    ) -> io::Result<Agent> {
         let entry = |(n, at): (usize, &SocketAddr)| Entry {
             address: *at,
-            primary: n == 0,
+            group: n % groups,
+            primary: n < groups,
             leaving: false,
             since_ms: 0,
             index: 1,
@@ -106,9 +118,30 @@
         self.state.lock().expect("state").resets += 1;
     }
 
+    /// Watches are reset, and those that follow get the whole list.
+    pub fn tell_whole(&self) {
+        let until = self.recorder.now() + WHOLE_S;
+        let mut state = self.state.lock().expect("state");
+        (state.resets, state.whole_until) = (state.resets + 1, until);
+    }
+
+    /// Tells of one host anew: a change of the list that changes nothing of what routers may do.
+    pub fn touch(&self, host: usize) {
+        let mut state = self.state.lock().expect("state");
+        state.index += 1;
+        let index = state.index;
+        state.entries[host].index = index;
+    }
+
     fn serve(&self, mut stream: &TcpStream) {
         let Some(mut told) = self.asked(stream) else { return };
-        let resets = self.state.lock().expect("state").resets;
+        let resets = {
+            let state = self.state.lock().expect("state");
+            if self.recorder.now() < state.whole_until {
+                told = 0;
+            }
+            state.resets
+        };
         let (mut greeted, mut said_at) = (false, self.recorder.now());
         loop {
             thread::sleep(LOOK);
@@ -164,9 +197,10 @@
         );
         let _ = write!(
             entries,
-            r#"{comma}{{"name":"{}","address":"{}","zone":"a","type":"m","group":1,"status":"{status}","weight":1.0,"since_ms":{},"mode":"{mode}"}}"#,
+            r#"{comma}{{"name":"{}","address":"{}","zone":"a","type":"m","group":{},"status":"{status}","weight":1.0,"since_ms":{},"mode":"{mode}"}}"#,
             host::name(number),
             entry.address,
+            entry.group + 1,
             entry.since_ms,
         );
     }
--- a/crates/sandstile-soak/src/client.rs
+++ b/crates/sandstile-soak/src/client.rs
@@ -39,6 +39,13 @@
     pub pieces: bool,
     /// It keeps to one router, as its session does.
     pub stays: bool,
+    /// It asks this router alone.
+    pub router: Option<usize>,
+    pub groups: usize,
+    /// After so many statements it closes its connection.
+    pub asks_each: Option<u64>,
+    /// The longest pause between two statements, in milliseconds; the shortest is a ninth of it.
+    pub pause_ms: u64,
     pub endpoints: Arc<Vec<Endpoint>>,
     pub over: Arc<AtomicBool>,
     pub recorder: Recorder,
@@ -49,16 +56,17 @@
     pub fn run(self) {
         let mut draw = Rand64::new(u128::from(self.seed) << 32 | self.number as u128);
         let mut connection: Option<Connection> = None;
-        let (mut asked, mut wrote) = (0, None);
+        let (mut asked, mut wrote) = (0_u64, None);
         while !self.over.load(SeqCst) {
-            thread::sleep(Duration::from_millis(draw.rand_range(5..45)));
+            thread::sleep(Duration::from_millis(draw.rand_range(self.pause_ms / 9..self.pause_ms.max(1))));
             if connection.is_none() {
                 connection = self.connect(&mut draw);
             }
             let Some(mut open) = connection.take() else { continue };
             asked += 1;
             let id = format!("{:x}{:04x}{asked:06x}", self.seed, self.number);
-            if self.ask(&mut open, &id, &mut draw, &mut wrote) {
+            let goes_on = self.ask(&mut open, &id, &mut draw, &mut wrote);
+            if goes_on && self.asks_each.is_none_or(|most| asked % most > 0) {
                 connection = Some(open);
             }
         }
@@ -66,7 +74,8 @@
 
     fn connect(&self, draw: &mut Rand64) -> Option<Connection> {
         let drawn = draw.rand_range(0..self.endpoints.len() as u64) as usize;
-        let router = if self.stays { self.number % self.endpoints.len() } else { drawn };
+        let own = if self.stays { self.number % self.endpoints.len() } else { drawn };
+        let router = self.router.unwrap_or(own);
         let endpoint = &self.endpoints[router];
         if !endpoint.open.load(SeqCst) {
             return None;
@@ -85,6 +94,7 @@
             _ => ("look", Effect::Idempotent),
         };
         let wait_ms = draw.rand_range(250..1001);
+        let group = if self.groups > 1 { draw.rand_range(0..self.groups as u64) } else { 0 };
         let verb = match effect {
             Effect::Idempotent => format!("SELECT payload FROM entries WHERE ref = 's{}'", self.number),
             _ => format!(
@@ -92,7 +102,7 @@
                 self.number
             ),
         };
-        let text = format!("/* id={id},c={class},d={wait_ms},cluster=1 */ {verb}");
+        let text = format!("/* id={id},c={class},d={wait_ms},cluster={} */ {verb}", group + 1);
         let mut bytes = if open.fresh { pg::hello() } else { Vec::new() };
         pg::query(&mut bytes, text.as_bytes());
         // A statement that was not written whole was not taken.
@@ -113,6 +123,7 @@
         let id = id.to_string();
         self.recorder.request(Request {
             id,
+            group: group as usize,
             router,
             life,
             effect,
--- a/crates/sandstile-soak/src/host.rs
+++ b/crates/sandstile-soak/src/host.rs
@@ -1,16 +1,18 @@
-//! A stand-in for a database host: one thread a connection, with faults that events turn on for a while.
+//! A stand-in for a database host: one thread a connection, with faults that events turn on for a while. Connections
+//! come from `acceptor`, which listens for all hosts of a run.
+use crate::plan::Plan;
 use crate::record::{Arrival, Recorder};
 use sandstile_pgwire as pg;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Seconds for which hosts drop repeats of a deduplicated statement.
 pub const DEDUP_WINDOW_S: f64 = 0.8;
-const WORK_MS: u64 = 4;
 /// Replicas stand so far behind their primary.
 const LAG_MS: u64 = 250;
 const READ_LOOK: Duration = Duration::from_millis(20);
@@ -30,7 +32,8 @@
 struct Inner {
     number: usize,
     address: SocketAddr,
-    primary: bool,
+    primary: AtomicBool,
+    work: Duration,
     pieces: bool,
     faults: Mutex<ActiveFaults>,
     repeats: Repeats,
@@ -42,21 +45,42 @@
 pub struct Host(Arc<Inner>);
 
 impl Host {
-    /// Listens at `address` until the process ends.
-    pub fn start(
+    /// A host of this address, which serves what it is handed.
+    pub fn new(
         number: usize,
         address: SocketAddr,
-        pieces: bool,
+        plan: &Plan,
         repeats: Repeats,
         recorder: Recorder,
-    ) -> io::Result<Host> {
-        let listener = TcpListener::bind(address)?;
-        let primary = number == 0;
-        let faults = Mutex::default();
-        let host = Host(Arc::new(Inner { number, address, primary, pieces, faults, repeats, recorder }));
-        let served = host.clone();
-        thread::spawn(move || served.listen(listener));
-        Ok(host)
+    ) -> Host {
+        Host(Arc::new(Inner {
+            number,
+            address,
+            primary: AtomicBool::new(number < plan.groups),
+            work: Duration::from_millis(plan.work_ms),
+            pieces: plan.pieces,
+            faults: Mutex::default(),
+            repeats,
+            recorder,
+        }))
+    }
+
+    pub fn is_primary(&self) -> bool {
+        self.0.primary.load(SeqCst)
+    }
+
+    /// Takes this role.
+    pub fn becomes(&self, primary: bool) {
+        self.0.primary.store(primary, SeqCst);
+    }
+
+    /// Serves a connection on a thread of its own.
+    pub fn accepted(&self, stream: TcpStream) {
+        let host = self.clone();
+        thread::spawn(move || {
+            let _ = host.serve(&stream);
+            let _ = stream.shutdown(Shutdown::Both);
+        });
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -88,37 +112,10 @@
         self.0.recorder.now() < fault(&self.0.faults.lock().expect("faults"))
     }
 
-    fn is_down(&self) -> bool {
+    pub fn is_down(&self) -> bool {
         self.is(|faults| faults.down_until)
     }
 
-    fn listen(&self, first: TcpListener) {
-        let mut listener = Some(first);
-        while !self.0.recorder.is_over() {
-            if self.is_down() {
-                listener = None;
-                thread::sleep(READ_LOOK);
-                continue;
-            }
-            let Some(open) = &listener else {
-                listener = TcpListener::bind(self.0.address).ok();
-                thread::sleep(Duration::from_millis(1));
-                continue;
-            };
-            let _ = open.set_nonblocking(true);
-            match open.accept() {
-                Ok((stream, _)) => {
-                    let host = self.clone();
-                    thread::spawn(move || {
-                        let _ = host.serve(&stream);
-                        let _ = stream.shutdown(Shutdown::Both);
-                    });
-                }
-                Err(_) => thread::sleep(Duration::from_millis(1)),
-            }
-        }
-    }
-
     fn serve(&self, mut stream: &TcpStream) -> io::Result<()> {
         stream.set_nonblocking(false)?;
         stream.set_nodelay(true)?;
@@ -161,7 +158,8 @@
             return self.say(stream, &out).map(|()| true);
         }
         let turned_away = self.is(|faults| faults.turns_away_until);
-        let ran = !turned_away && !self.is_repeat(text);
+        let misses = !self.is_primary() && text.contains("INSERT");
+        let ran = !turned_away && !misses && !self.is_repeat(text);
         self.0.recorder.arrival(Arrival {
             id: field(text, "id").unwrap_or_default().to_string(),
             host: self.0.number,
@@ -174,7 +172,12 @@
             self.end(&mut out);
             return self.say(stream, &out).map(|()| true);
         }
-        thread::sleep(Duration::from_millis(WORK_MS));
+        if misses {
+            pg::error(&mut out, false, "25006", "this is a replica", None);
+            self.end(&mut out);
+            return self.say(stream, &out).map(|()| true);
+        }
+        thread::sleep(self.0.work);
         while self.is(|faults| faults.hangs_until) && !self.is_down() && !self.0.recorder.is_over() {
             thread::sleep(READ_LOOK);
         }
@@ -207,7 +210,7 @@
     /// How far its log has come, in Unix milliseconds: its answers' values and their positions.
     fn position(&self) -> u64 {
         let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
-        now - if self.0.primary { 0 } else { LAG_MS }
+        now - if self.is_primary() { 0 } else { LAG_MS }
     }
 
     fn row(&self, out: &mut Vec<u8>) {
@@ -220,7 +223,7 @@
     }
 
     fn end(&self, out: &mut Vec<u8>) {
-        let mode: &[u8] = if self.0.primary { b"read-write" } else { b"read-only" };
+        let mode: &[u8] = if self.is_primary() { b"read-write" } else { b"read-only" };
         pg::put(out, b'S', &[b"mode\0", mode, b"\0"]);
         pg::put(out, b'S', &[b"timeline\0", b"1\0"]);
         pg::put(out, b'S', &[b"wal_time\0", self.position().to_string().as_bytes(), b"\0"]);
--- a/crates/sandstile-soak/src/judge.rs
+++ b/crates/sandstile-soak/src/judge.rs
@@ -48,6 +48,8 @@
     Growth,
     /// Too little was served.
     Service,
+    /// Refused only after more than half of its time, with no attempt, though nothing was in trouble.
+    Unattempted,
 }
 
 /// One breach.
@@ -103,6 +105,7 @@
         found.extend(deadline(request, attempts, seen));
         found.extend(duplicate(request, attempts));
         found.extend(stale(request));
+        found.extend(unattempted(plan, request, attempts.len()));
     }
     found.extend(drain(seen));
     found.extend(slow_start(plan, seen));
@@ -162,6 +165,15 @@
     finding(Rule::Lost, format!("{how} at {ended_at:.3}, {attempts} attempts: {request:?}"))
 }
 
+fn unattempted(plan: &Plan, request: &Request, attempts: usize) -> Option<Finding> {
+    let End::Answered { code: Some(code), at } = &request.end else { return None };
+    let waited = at - request.written_at;
+    if !plan.is_healthy() || attempts > 0 || waited <= request.wait / 2.0 {
+        return None;
+    }
+    finding(Rule::Unattempted, format!("{code} after {waited:.3} s with no attempt: {request:?}"))
+}
+
 fn after_leaving(request: &Request, attempts: &[&Arrival], seen: &Seen) -> Option<Finding> {
     let End::Left { at } = request.end else { return None };
     let late = attempts.iter().find(|a| a.at > at + AFTER_LEAVING_S + slack(seen, at, a.at))?;
--- a/crates/sandstile-soak/src/plan.rs
+++ b/crates/sandstile-soak/src/plan.rs
@@ -43,6 +43,16 @@
     Signals { router: usize, count: u64 },
     /// So many clients connect to the router and ask nothing.
     Crowd { router: usize, clients: u64 },
+    /// So many clients ask one statement each, on connections of their own, again and again for so long.
+    Rush { router: usize, clients: u64, ms: u64 },
+    /// Another member of the group is its primary from now on; discovery does not tell.
+    NewPrimary { group: usize },
+    /// Discovery tells of a change of one host after the other, so many, so far apart.
+    ListChanges { count: u64, pause_ms: u64 },
+    /// Discovery resets all watches and answers the next ones by the whole list.
+    WholeList,
+    /// The router runs a tenth of the time for so long, by SIGSTOP and SIGCONT.
+    LittleProcessor { router: usize, ms: u64 },
 }
 
 /// One run.
@@ -51,9 +61,18 @@
     pub seed: u64,
     pub length: Duration,
     pub routers: usize,
-    /// Database hosts; the first is the primary.
+    /// Database hosts, dealt out to the groups in turn; the first of each group is its primary.
     pub hosts: usize,
+    pub groups: usize,
     pub clients: usize,
+    /// After so many statements a client closes its connection; `None` where it keeps it.
+    pub asks_each: Option<u64>,
+    /// The longest pause of a client between two statements, in milliseconds; the shortest is a ninth of it.
+    pub pause_ms: u64,
+    /// Descriptors that each router may hold.
+    pub sockets: usize,
+    /// Milliseconds that the hosts work on one statement.
+    pub work_ms: u64,
     /// All routers start in one instant, in the midst of the clients; else one after the other before them.
     pub at_once: bool,
     /// Routers journal sessions in a folder that outlives their processes.
@@ -66,6 +85,15 @@
     pub shims: Vec<ShimPlan>,
 }
 
+/// Descriptors that a router may hold where the plan says nothing else.
+const ROUTER_SOCKETS: usize = 96;
+const WORK_MS: u64 = 4;
+const PAUSE_MS: u64 = 45;
+/// Hosts, groups and descriptors of a large fleet.
+const LARGE_HOSTS: usize = 3_200;
+const LARGE_GROUPS: usize = 457;
+const LARGE_SOCKETS: usize = 256;
+
 /// Draws from a seed.
 struct Draw(Rand64);
 
@@ -110,7 +138,12 @@
             length: Duration::from_millis(length_ms),
             routers,
             hosts,
+            groups: 1,
             clients: if quick { 16 } else { 32 },
+            asks_each: None,
+            pause_ms: PAUSE_MS,
+            sockets: ROUTER_SOCKETS,
+            work_ms: WORK_MS,
             at_once,
             lasting,
             pieces,
@@ -120,6 +153,91 @@
     }
 }
 
+impl Plan {
+    /// A plan without faults, for a test to fill.
+    pub fn calm(seed: u64, length: Duration) -> Plan {
+        Plan {
+            seed,
+            length,
+            routers: 1,
+            hosts: 4,
+            groups: 1,
+            clients: 24,
+            asks_each: None,
+            pause_ms: PAUSE_MS,
+            sockets: ROUTER_SOCKETS,
+            work_ms: WORK_MS,
+            at_once: false,
+            lasting: false,
+            pieces: false,
+            events: Vec::new(),
+            shims: vec![ShimPlan { seed, rules: Vec::new() }],
+        }
+    }
+
+    /// The plan of this seed on a fleet of thousands of hosts, with what befalls large lists added.
+    pub fn draw_large(seed: u64, quick: bool) -> Plan {
+        let mut plan = Plan::draw(seed, quick);
+        let mut draw = Draw(Rand64::new(u128::from(seed) ^ 0x1a46_e000));
+        (plan.hosts, plan.groups, plan.sockets) = (LARGE_HOSTS, LARGE_GROUPS, LARGE_SOCKETS);
+        // One of a few hosts is met seldom among thousands: each event on one befalls others as well.
+        let spread = plan.events.clone();
+        for (at, event) in spread {
+            plan.events.extend((0..4).filter_map(|_| event_elsewhere(&mut draw, event)).map(|e| (at, e)));
+        }
+        let last_ms = plan.length.as_millis() as u64 - 2_500;
+        for _ in 0..8 {
+            let at = Duration::from_millis(draw.between(1_200, last_ms));
+            plan.events.push((at, large_event(&mut draw, plan.routers)));
+        }
+        plan.events.sort_by_key(|(at, _)| *at);
+        plan
+    }
+
+    /// Whether hosts, discovery and the machine do all that is asked of them, however much changes.
+    pub fn is_healthy(&self) -> bool {
+        let harmless = |event: &Event| {
+            matches!(
+                event,
+                Event::ListChanges { .. }
+                    | Event::WholeList
+                    | Event::AgentReset
+                    | Event::LittleProcessor { .. }
+                    | Event::HoldUp { .. }
+                    | Event::Signals { .. }
+                    | Event::Rush { .. }
+            )
+        };
+        self.shims.iter().all(|shim| shim.rules.is_empty()) && self.events.iter().all(|(_, e)| harmless(e))
+    }
+}
+
+/// The same at any other host of a large fleet, where the event is of a host.
+fn event_elsewhere(draw: &mut Draw, event: Event) -> Option<Event> {
+    let host = draw.below(LARGE_HOSTS as u64) as usize;
+    let replica = draw.between(LARGE_GROUPS as u64, LARGE_HOSTS as u64 - 1) as usize;
+    match event {
+        Event::Hang { ms, .. } => Some(Event::Hang { host, ms }),
+        Event::Down { ms, .. } => Some(Event::Down { host, ms }),
+        Event::Reset { ms, .. } => Some(Event::Reset { host, ms }),
+        Event::TurnAway { ms, .. } => Some(Event::TurnAway { host, ms }),
+        Event::Drain { .. } => Some(Event::Drain { host: replica }),
+        Event::Replace { ms, .. } => Some(Event::Replace { host: replica, ms }),
+        _ => None,
+    }
+}
+
+fn large_event(draw: &mut Draw, routers: usize) -> Event {
+    let router = draw.below(routers as u64) as usize;
+    match draw.below(6) {
+        0 => Event::Rush { router, clients: draw.between(40, 100), ms: draw.between(500, 2_000) },
+        1 => Event::WholeList,
+        2 => Event::ListChanges { count: draw.between(50, 300), pause_ms: draw.between(1, 5) },
+        3 => Event::LittleProcessor { router, ms: draw.between(500, 2_000) },
+        _ => Event::NewPrimary { group: draw.below(LARGE_GROUPS as u64) as usize },
+    }
+}
+
 fn event(draw: &mut Draw, routers: usize, hosts: usize) -> Event {
     let router = draw.below(routers as u64) as usize;
     let host = draw.below(hosts as u64) as usize;
--- a/crates/sandstile-soak/src/process.rs
+++ b/crates/sandstile-soak/src/process.rs
@@ -67,7 +67,8 @@
         let config = programs.dir.join(format!("{name}.json"));
         let seed = plan.seed.wrapping_mul(31).wrapping_add((number * 1000 + life) as u64);
         let text = format!(
-            r#"{{"name":"n{number}","listen":"{address}","discovery":"{agent}","seed":"{seed:x}","limits":{{"cores":1.0,"memory_mb":192,"sockets":96}},"known":{known},"settings":{}}}"#,
+            r#"{{"name":"n{number}","listen":"{address}","discovery":"{agent}","seed":"{seed:x}","limits":{{"cores":1.0,"memory_mb":192,"sockets":{}}},"known":{known},"settings":{}}}"#,
+            plan.sockets,
             settings(plan)
         );
         fs::write(&config, text)?;
--- a/crates/sandstile-soak/src/record.rs
+++ b/crates/sandstile-soak/src/record.rs
@@ -38,6 +38,7 @@
 #[derive(Clone, Debug)]
 pub struct Request {
     pub id: String,
+    pub group: usize,
     pub router: usize,
     /// The life of the router's process, counted from 0.
     pub life: usize,
--- a/crates/sandstile-soak/src/run.rs
+++ b/crates/sandstile-soak/src/run.rs
@@ -1,4 +1,5 @@
 //! Plays a plan: starts the stand-ins and the routers, applies the events, and hands over what was seen.
+use crate::acceptor::Acceptor;
 use crate::agent::Agent;
 use crate::client::{Client, Endpoint};
 use crate::host::{Host, Repeats};
@@ -22,6 +23,8 @@
 const LOOK: Duration = Duration::from_millis(5);
 /// Within this, stand-ins let go of their addresses.
 const LET_GO: Duration = Duration::from_millis(100);
+/// A router with a tenth of a core runs for a tenth of this and stands for the rest.
+const PROCESSOR_TURN: Duration = Duration::from_millis(20);
 /// An idle crowd stays for so long.
 const CROWD_STAYS: Duration = Duration::from_secs(3);
 
@@ -68,6 +71,12 @@
 const AGENT: u8 = 1;
 const ROUTERS: u8 = 2;
 
+/// Runs of large fleets that can go on side by side, and the addresses of hosts that each has.
+const LARGE_BLOCKS: usize = 512;
+const LARGE_BLOCK: usize = 8_192;
+/// Hosts that one run's own block of addresses has room for.
+const BLOCK_HOSTS: usize = 250;
+
 /// Addresses of this run alone, on loopback.
 fn address(block: u16, kind: u8, number: usize) -> SocketAddr {
     let last = 1 + u8::try_from(number).unwrap_or(u8::MAX - 1);
@@ -76,6 +85,16 @@
     SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, 64 + high * 4 + kind, low, last)), port)
 }
 
+/// The address of a host: those of a large fleet lie in a range of their own.
+fn host_address(block: u16, hosts: usize, number: usize) -> SocketAddr {
+    if hosts <= BLOCK_HOSTS {
+        return address(block, HOSTS, number);
+    }
+    let offset = (usize::from(block) % LARGE_BLOCKS) * LARGE_BLOCK + number;
+    let [_, high, middle, low] = (offset as u32).to_be_bytes();
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, 188 + high, middle, low)), HOST_PORT)
+}
+
 /// A router slot: its present process, if any.
 struct Slot {
     router: Mutex<Option<Router>>,
@@ -90,6 +109,8 @@
     agent_at: SocketAddr,
     endpoints: Arc<Vec<Endpoint>>,
     slots: Vec<Slot>,
+    /// Clients of rushes so far, which numbers the next.
+    rushed: AtomicUsize,
 }
 
 /// Plays a plan; `block` keeps the addresses of runs side by side apart.
@@ -129,12 +150,16 @@
     fn set(plan: &Plan, programs: &Programs, block: u16) -> io::Result<Fleet> {
         let recorder = Recorder::begin();
         let repeats = Repeats::default();
-        let hosts = (0..plan.hosts)
-            .map(|n| Host::start(n, address(block, HOSTS, n), plan.pieces, repeats.clone(), recorder.clone()))
-            .collect::<io::Result<Vec<Host>>>()?;
+        let host = |n| {
+            let at = host_address(block, plan.hosts, n);
+            Host::new(n, at, plan, repeats.clone(), recorder.clone())
+        };
+        let hosts: Vec<Host> = (0..plan.hosts).map(host).collect();
+        let watched = recorder.clone();
+        Acceptor::start(hosts.clone(), move || watched.is_over())?;
         let addresses: Vec<SocketAddr> = hosts.iter().map(Host::address).collect();
         let agent_at = address(block, AGENT, 0);
-        let agent = Agent::start(agent_at, &addresses, recorder.clone())?;
+        let agent = Agent::start(agent_at, &addresses, plan.groups, recorder.clone())?;
         let endpoint = |n| Endpoint {
             address: address(block, ROUTERS, n),
             open: AtomicBool::new(false),
@@ -143,7 +168,17 @@
         let endpoints = Arc::new((0..plan.routers).map(endpoint).collect());
         let slots = (0..plan.routers).map(|_| Slot { router: Mutex::new(None) }).collect();
         let (plan, programs) = (plan.clone(), programs.clone());
-        Ok(Fleet { plan, programs, recorder, hosts, agent, agent_at, endpoints, slots })
+        Ok(Fleet {
+            plan,
+            programs,
+            recorder,
+            hosts,
+            agent,
+            agent_at,
+            endpoints,
+            slots,
+            rushed: AtomicUsize::new(0),
+        })
     }
 
     fn clients(&self, over: &Arc<AtomicBool>) -> Vec<JoinHandle<()>> {
@@ -152,6 +187,10 @@
             seed: self.plan.seed,
             pieces: self.plan.pieces && number % 2 == 0,
             stays: self.plan.lasting,
+            router: None,
+            groups: self.plan.groups,
+            asks_each: self.plan.asks_each,
+            pause_ms: self.plan.pause_ms,
             endpoints: self.endpoints.clone(),
             over: over.clone(),
             recorder: self.recorder.clone(),
@@ -159,6 +198,67 @@
         (0..self.plan.clients).map(client).map(|client| thread::spawn(move || client.run())).collect()
     }
 
+    /// Clients that ask one statement a connection, until their time is over.
+    fn rush(self: &Arc<Self>, router: usize, clients: u64, ms: u64) -> JoinHandle<()> {
+        let fleet = self.clone();
+        let first = self.plan.clients + self.rushed.fetch_add(clients as usize, SeqCst);
+        thread::spawn(move || {
+            let over = Arc::new(AtomicBool::new(false));
+            let client = |number| Client {
+                number,
+                seed: fleet.plan.seed,
+                pieces: false,
+                stays: false,
+                router: Some(router),
+                groups: fleet.plan.groups,
+                asks_each: Some(1),
+                pause_ms: fleet.plan.pause_ms,
+                endpoints: fleet.endpoints.clone(),
+                over: over.clone(),
+                recorder: fleet.recorder.clone(),
+            };
+            let numbers = first..first + clients as usize;
+            let rushing: Vec<_> =
+                numbers.map(client).map(|client| thread::spawn(move || client.run())).collect();
+            thread::sleep(Duration::from_millis(ms));
+            over.store(true, SeqCst);
+            rushing.into_iter().for_each(|client| client.join().expect("a client"));
+        })
+    }
+
+    /// The next member of the group takes over.
+    fn new_primary(&self, group: usize) {
+        let members: Vec<&Host> = self.hosts.iter().skip(group).step_by(self.plan.groups).collect();
+        let old = members.iter().position(|host| host.is_primary()).unwrap_or(0);
+        members[old].becomes(false);
+        members[(old + 1) % members.len()].becomes(true);
+    }
+
+    /// A change of one host of the list after the other.
+    fn list_changes(self: &Arc<Self>, count: u64, pause_ms: u64) -> JoinHandle<()> {
+        let fleet = self.clone();
+        thread::spawn(move || {
+            for n in 0..count as usize {
+                fleet.agent.touch((n * 7) % fleet.plan.hosts);
+                thread::sleep(Duration::from_millis(pause_ms));
+            }
+        })
+    }
+
+    /// Runs a router a tenth of the time.
+    fn little_processor(self: &Arc<Self>, router: usize, ms: u64) -> JoinHandle<()> {
+        let fleet = self.clone();
+        thread::spawn(move || {
+            let until = Instant::now() + Duration::from_millis(ms);
+            while Instant::now() < until {
+                fleet.signal(router, Signal::SIGSTOP);
+                thread::sleep(PROCESSOR_TURN * 9 / 10);
+                fleet.signal(router, Signal::SIGCONT);
+                thread::sleep(PROCESSOR_TURN / 10);
+            }
+        })
+    }
+
     /// Starts a life and waits until it answers an empty query, as the front does.
     fn start(&self, number: usize, life: usize) -> io::Result<()> {
         let endpoint = &self.endpoints[number];
@@ -232,6 +332,11 @@
                 }
             }
             Event::Crowd { router, clients } => self.crowd(router, clients),
+            Event::NewPrimary { group } => self.new_primary(group),
+            Event::WholeList => self.agent.tell_whole(),
+            Event::Rush { router, clients, ms } => return Some(self.rush(router, clients, ms)),
+            Event::ListChanges { count, pause_ms } => return Some(self.list_changes(count, pause_ms)),
+            Event::LittleProcessor { router, ms } => return Some(self.little_processor(router, ms)),
         }
         None
     }
--- a/crates/sandstile-soak/tests/planted.rs
+++ b/crates/sandstile-soak/tests/planted.rs
@@ -8,6 +8,7 @@
     let (position, wrote_before) = (None, None);
     Request {
         id,
+        group: 0,
         router: 0,
         life: 0,
         effect,
