A write waits no longer for a gap in rotations while its primary is idle

Callers saw: with 3,200 hosts in 457 groups some writes were refused only after all their time, with no attempt, in groups whose reads were served. Cause: a host that looks crowded is spared for a gap counted in rotations of its group as well; a group met every half second comes round in seconds, longer than statements wait, and a write has no other host to go to. Rests are counted so, too. Change: what has been sent nowhere for a quarter of its time goes to an idle host (nothing in flight there, none sent for 0.25 s, every rule kept) for trial; the bounds on what is in flight are a module of their own. Why it works: the wait now ends by the statement's own time, whatever the size of the fleet.

--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -6,10 +6,12 @@
 //! 1. primary: found from answers, list and probes; writes held and members probed while none is usable;
 //! 2. lag memory: replicas known too far behind for a read are skipped, the primary is spared;
 //! 3. health: mute, unreachable, full or foreign hosts rest, in time and in turns, then get trial traffic;
-//! 4. in-flight bound: rate x time per host and per pool of hosts; when full, importance per work decides;
+//! 4. in-flight bound: rate x time per host and per pool of hosts; when full, importance per work decides (`pacing`);
 //! 5. further executions: while the statement can be in time and its effect allows, never two at once;
 //! 6. cold guard: sends to a fresh host stay under the own completions at a warm peer x its cold share.
 
+mod pacing;
+
 use crate::state::*;
 use crate::terms::*;
 use oorandom::Rand32;
@@ -20,8 +22,6 @@
 const CATCH_UP: f64 = 2.0;
 /// An execution out for this many times its workload's usual time is stuck, if its host answers nothing else.
 const STUCK: f64 = 3.0;
-/// Share of an SLO time that may pass before an answer, as the bound on what is in flight has it.
-const QUEUE: f64 = 0.35;
 /// The first rest of a sick host; three, seven, at last fifteen times as long with further strikes.
 const REST: f64 = 0.25;
 /// A replica that refused a read as too far behind takes reads of any age for so long, or eight turns: for
@@ -51,15 +51,6 @@
     }
 }
 
-impl Pool {
-    /// What is worth least for its work leaves a narrow pool first; below one place, sends keep a distance.
-    fn spare(&self, now: f64, time: f64, share: f64, whole: f64) -> bool {
-        let window = whole * (self.window - self.most * (1.0 - share)) / share;
-        let bound = (self.meter.rate * time * share).max(window);
-        (self.held as f64) < bound && (bound >= 1.0 || now >= self.sent + time / bound)
-    }
-}
-
 impl Kind {
     fn writes(&self) -> bool {
         self.consistency == Consistency::Write
@@ -574,7 +565,7 @@
         if open {
             return None;
         }
-        if let Some(host) = self.pick(id) {
+        if let Some(host) = self.pick(id).or_else(|| self.trial(id)) {
             return Some(self.send(id, host));
         }
         let hold = self.held_by(id);
@@ -706,33 +697,6 @@
             && s.executions.iter().all(fits)
     }
 
-    /// Rate x time. The time is what the SLO of the tightest workload worth as much leaves for a queue, but
-    /// never under a quarter more than the work takes alone there, or a small bound could not grow again.
-    fn room(&self, index: usize, workload: usize, share: f64) -> bool {
-        let h = &self.hosts[index];
-        let k = &self.kinds[workload];
-        let rival = |o: &&Kind| o.writes() == k.writes() && o.density() >= k.density();
-        let slo = self.kinds.iter().filter(rival).map(|o| o.slo).fold(k.slo, f64::min);
-        let time = (QUEUE * slo).max(1.25 * k.base * h.bare.max(1.0));
-        let bound = (h.meter.rate * time).max(self.share_all.clamp(1.0, 4.0) / h.crowd.powi(2)) * share;
-        // Counted in turns too, or a router that comes round seldom would spare a jammed host nothing.
-        let spared = self.groups[h.group].turn() * h.crowd / 2.0;
-        // A queue drains as fast as its work goes, however long the SLO time is.
-        let drain = time.min(STUCK * k.base);
-        let gap = (drain * (h.crowd / 2.0).powi(2)).min(1.0 / h.meter.rate).max(spared);
-        let paced = h.meter.rate * time >= 1.0 || h.crowd < 3.0 || self.now >= h.sent + gap;
-        let pool = self.groups[h.group].pool(index);
-        // A wide pool of replicas is open to all reads, while the primaries' belongs to the writes.
-        let part = if pool == 1 { share } else { (k.density() / self.densest(false)).sqrt() };
-        let pooled = k.writes() || self.pools[pool].spare(self.now, 16.0 * time, part, share);
-        let held = h.open.len() + h.ghosts.iter().filter(|until| **until > self.now).count();
-        paced && pooled && (held as f64) < bound.max(share)
-    }
-
-    fn densest(&self, writes: bool) -> f64 {
-        self.kinds.iter().filter(|o| o.writes() == writes).map(Kind::density).fold(0.0, f64::max)
-    }
-
     fn pick(&mut self, id: u64) -> Option<usize> {
         let now = self.now;
         let s = &self.statements[&id];
--- a/crates/sandstile-policy/tests/rules.rs
+++ b/crates/sandstile-policy/tests/rules.rs
@@ -725,3 +725,26 @@
     }
     assert!(probed(&w)[HOSTS..].iter().all(|host| *host == 2), "{:?}", probed(&w));
 }
+
+/// Guards against a write held for all of its time by a gap in rotations, though its primary is idle and well.
+#[test]
+fn a_write_in_a_group_met_seldom_goes_to_its_idle_primary_before_half_of_its_time() {
+    let mut w = World::new(terms(0b110_0100), 3);
+    for _ in 0..4 {
+        w.step(3.0);
+        w.serve(2, Verdict::Completed, Some(true));
+    }
+    // Slow once, for a connection had to be made: the host counts as crowded, and is spared for rotations.
+    let slow = w.arrive(2, 1.0);
+    w.step(0.005);
+    w.step(0.5);
+    w.end(slow, 0, Verdict::Completed, Some(true), 0.0);
+    for _ in 0..3 {
+        let stmt = w.arrive(2, 1.0);
+        for _ in 0..100 {
+            w.step(0.005);
+        }
+        assert!(w.sends().iter().any(|sent| sent.0 == stmt), "held for half of its time");
+        w.end(stmt, 0, Verdict::Completed, Some(true), 0.0);
+    }
+}
