Trials of idle hosts come a quarter of a statement's time apart, and 0.25 s at most

Callers saw: with a tenth of a core 1 to 7 of 8,000 requests, all writes that wait 0.3 to 0.5 s, were still held for all their time. Cause: the trial kept 0.25 s from the last send to its host, which is nearly all the time that such a statement has. Evidence: the log names PrimaryFull with nothing in flight there. Change: the distance is a quarter of the statement's time where that is less.

--- a/crates/sandstile-policy/src/policy/pacing.rs
+++ b/crates/sandstile-policy/src/policy/pacing.rs
@@ -50,27 +50,27 @@
     /// rotations of the group as well, and a group that is met seldom comes round more seldom than statements wait.
     pub(super) fn trial(&self, id: u64) -> Option<usize> {
         let s = &self.statements[&id];
-        let from = s.end - (1.0 - TRIAL_SHARE) * 2.0 * (s.end - s.half);
-        if !s.executions.is_empty() || self.now < from {
+        let (time, quarter) = (2.0 * (s.end - s.half), TRIAL_SHARE * 2.0 * (s.end - s.half));
+        if !s.executions.is_empty() || self.now < s.end - time + quarter {
             return None;
         }
         let group = &self.groups[s.group];
-        let primary = group.primary.filter(|p| self.is_idle(*p) && self.lawful(s, *p));
+        let usable = |m: &usize| self.is_idle(*m, REST.min(quarter)) && self.lawful(s, *m);
+        let primary = group.primary.filter(usable);
         if matches!(self.kinds[s.workload].consistency, Consistency::Write | Consistency::Fresh) {
             return primary;
         }
         let checked = |m: &usize| self.terms.checked && Some(*m) != group.primary;
         let mut replicas = group.members.iter().copied().filter(checked);
-        let usable = |m: &usize| self.is_idle(*m) && self.lawful(s, *m);
         let certain = |p: &usize| self.terms.checked || self.hosts[*p].maybe_primary;
         replicas.find(usable).or(primary.filter(certain))
     }
 
-    /// Whether nothing of this instance is in flight at a host that may yet answer, nor was sent there just now.
-    fn is_idle(&self, index: usize) -> bool {
+    /// Whether nothing of this instance is in flight at a host that may yet answer, nor was sent there for so long.
+    fn is_idle(&self, index: usize, apart: f64) -> bool {
         let h = &self.hosts[index];
         let answers = !h.mute || (!self.terms.may_probe && self.now >= h.rests_until);
         let in_flight = !h.open.is_empty() || h.ghosts.iter().any(|until| *until > self.now);
-        answers && !in_flight && self.now >= h.sent + REST
+        answers && !in_flight && self.now >= h.sent + apart
     }
 }
