An indented list of thousands of hosts is taken, and its bytes are looked at once

Callers saw: a whole list of over 1 MiB is never taken, so drains, starts and new hosts stay unknown for as long as discovery tells it so; an indented one was read anew with each piece that came, all of it. Cause: a bound that was right for hundreds of hosts, and an end that was looked for by reading.

--- a/crates/sandstile-router/src/discovery.rs
+++ b/crates/sandstile-router/src/discovery.rs
@@ -1,6 +1,7 @@
 //! The list's actor: follows discovery by a watch and hands each change to the desk. Whatever breaks, the
 //! list stands and the watch is opened again from where it was.
 use crate::counters::Counters;
+use crate::list_stream::{Heard, ListStream};
 use crate::lists;
 use crate::mailbox::Post;
 use oorandom::Rand32;
@@ -80,8 +81,8 @@
 /// About so long between calls: the agent is on this machine and answers for free, but a loop must not spin.
 pub const PAUSE: Duration = Duration::from_millis(200);
 const MOST_CAUSES: usize = 256;
-/// A list of thousands of hosts; what is longer is no list, and read it would take ten times as much memory.
-const MOST_LIST: usize = 1024 * 1024;
+/// A list of thousands of hosts, indented; what is longer is no list, and read it would take ten times as much memory.
+const MOST_LIST: usize = 4 * 1024 * 1024;
 
 impl Watcher {
     pub fn run(mut self) {
@@ -140,7 +141,7 @@
         stream.write_all(ask.as_bytes()).map_err(|e| format!("ask: {e}"))?;
         let mut buf = Vec::new();
         let mut chunks = None;
-        let mut content = Vec::new();
+        let mut lists = ListStream::default();
         let mut bytes = [0; 16 * 1024];
         // Only what is whole counts as heard: bytes that drip would hide a silence.
         let mut heard = Instant::now();
@@ -169,14 +170,11 @@
                 chunks = Some(Chunks::new(chunked));
             }
             let chunks = chunks.as_mut().expect("set above");
-            let before = content.len();
-            chunks.take(&mut buf, &mut content).inspect_err(|_| self.counters.bad_lists.add())?;
-            // Else each piece of a long list would have all of it read again.
-            let ends = content[before..].contains(&b'\n') || content.trim_ascii_end().ends_with(b"}");
-            if ends && self.lists_in(&mut content)? {
+            chunks.take(&mut buf, lists.content()).inspect_err(|_| self.counters.bad_lists.add())?;
+            if self.take_lists(&mut lists)? {
                 heard = Instant::now();
             }
-            if content.len() > MOST_LIST {
+            if lists.held() > MOST_LIST {
                 return Err("a list without an end".to_string());
             }
             if chunks.end {
@@ -185,28 +183,20 @@
         }
     }
 
-    /// Takes each whole list and each empty line out of what has come; `false` where there was neither. Lists may come indented,
-    /// so their own braces end them, and not the line.
-    fn lists_in(&mut self, content: &mut Vec<u8>) -> Result<bool, String> {
+    /// Takes each whole list and each empty line of what has come; `false` where there was neither.
+    fn take_lists(&mut self, lists: &mut ListStream) -> Result<bool, String> {
         let mut any = false;
         loop {
-            let blank = content.iter().take_while(|b| b.is_ascii_whitespace()).count();
-            any |= content[..blank].contains(&b'\n');
-            content.drain(..blank);
-            let mut values = serde_json::Deserializer::from_slice(content).into_iter();
-            match values.next() {
-                Some(Ok(json)) => {
-                    let end = values.byte_offset();
-                    self.list(&json)?;
-                    content.drain(..end);
-                    any = true;
-                }
-                Some(Err(e)) if !e.is_eof() => {
-                    self.counters.bad_lists.add();
-                    return Err(e.to_string());
-                }
-                _ => break,
+            let heard = lists.next().map_err(|e| {
+                self.counters.bad_lists.add();
+                e.to_string()
+            })?;
+            match heard {
+                Some(Heard::EmptyLine) => {}
+                Some(Heard::List(json)) => self.list(&json)?,
+                None => break,
             }
+            any = true;
         }
         if let Some(lists) = self.returning.as_mut().filter(|_| any) {
             lists.heard();
--- a/crates/sandstile-router/src/lib.rs
+++ b/crates/sandstile-router/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod kept;
 pub mod keys;
 pub mod launch;
+pub mod list_stream;
 pub mod listener;
 pub mod lists;
 pub mod mailbox;
--- /dev/null
+++ b/crates/sandstile-router/tests/waiting.rs
@@ -0,0 +1,69 @@
+//! No connection and no request waits for all of its time unseen: in the listen queue, behind others, or for a list.
+#[allow(dead_code)]
+mod stand_ins;
+
+use sandstile_router::list_stream::{Heard, ListStream};
+use stand_ins::*;
+use std::thread;
+use std::time::Duration;
+
+fn long_list(hosts: usize) -> String {
+    let entries: Vec<String> = (0..hosts)
+        .map(|n| {
+            let address = format!("127.99.{}.{}:5433", n / 250, n % 250 + 1);
+            entry(&format!("s-{n:0150}"), address.parse().expect("an address"), n % 7 == 0, "active")
+        })
+        .collect();
+    list(42, true, &entries)
+}
+
+fn indented(text: &str) -> String {
+    let json: serde_json::Value = serde_json::from_str(text).expect("a list");
+    serde_json::to_string_pretty(&json).expect("text") + "\n\n"
+}
+
+/// Guards against a list of thousands of hosts that is never taken, as its indented form is longer than was allowed for.
+#[test]
+fn an_indented_list_of_thousands_of_hosts_is_taken() {
+    let primary = Host::start(true);
+    let agent = Agent::start();
+    let router = Router::start(&config(agent.address, &known(&primary, &[])));
+    let mut watch = agent.watch();
+    watch.begin();
+    let text = indented(&long_list(3_200));
+    assert!(text.len() > 1024 * 1024);
+    for piece in text.as_bytes().chunks(16 * 1024) {
+        watch.chunk(std::str::from_utf8(piece).expect("text"));
+    }
+    thread::sleep(Duration::from_millis(1500));
+    let (ok, log) = router.end();
+    assert!(ok && count(&log, "bad_lists") == 0, "{log}");
+    assert!(count(&log, "hosts") >= 3_200, "{} hosts", count(&log, "hosts"));
+}
+
+/// Guards against lists read anew with each piece that comes: what is not whole costs no more than its bytes.
+#[test]
+fn lists_come_out_of_pieces_as_they_went_in_and_nonsense_is_told_early() {
+    let text = indented(&long_list(40)) + &long_list(3) + "\n\n" + &indented(&list(44, false, &[]));
+    for cut in [1, 7, 100, 4096, text.len()] {
+        let mut stream = ListStream::default();
+        let (mut lists, mut lines) = (Vec::new(), 0);
+        for piece in text.as_bytes().chunks(cut) {
+            stream.content().extend_from_slice(piece);
+            while let Some(heard) = stream.next().expect("lists") {
+                match heard {
+                    Heard::List(json) => lists.push(json["endpoints"].as_array().map_or(0, Vec::len)),
+                    Heard::EmptyLine => lines += 1,
+                }
+            }
+        }
+        assert_eq!(lists, [40, 3, 0], "cut {cut}");
+        assert!(lines >= 3 && stream.held() == 0, "cut {cut}");
+    }
+    let mut stream = ListStream::default();
+    stream.content().extend_from_slice(b"no list");
+    assert!(stream.next().is_err());
+    let mut stream = ListStream::default();
+    stream.content().extend_from_slice(b"{\"a\" 1,".repeat(1_000).as_slice());
+    assert!(stream.next().is_err(), "though its braces never close");
+}
