A change of the list costs what it brings, not all hosts and groups

Callers saw: with a tenth of a core and a change of one host each 3 ms, 183 of 2,677 requests lost at 3,200 hosts, then no connection is taken; none at 200 hosts. Cause: each change copied the whole list, filled all groups anew, asked of each group whether any host is its, cloned all group names, and all changes that waited were taken in one turn; each turn and decision looked at all groups, each completion at all hosts while one was cold. Evidence: the same load is lost at 3,200 hosts and served at 200; nothing else differs. Change: the decisions and the list keep on record what is to be looked at (groups touched, waiting, seeking; cold hosts, sampled by skips of the same chance; hosts gone; sizes of groups); discovery's thread turns whole lists into what differs, in pieces of 32 entries, and the carrier takes two a look. Why it works: a turn's work is bounded by what came for it. The list no longer fills a lost primary of other groups with each change of any. The codec test expects only what changed of a merge, and that nothing comes twice.

--- a/crates/sandstile-desk/src/desk.rs
+++ b/crates/sandstile-desk/src/desk.rs
@@ -369,9 +369,11 @@
             self.hosts.release(&name);
             self.said.push(Said::Forgotten(host, name));
         }
-        let open: BTreeSet<usize> = self.open.values().map(|open| open.group).collect();
-        let left = |group: usize| !self.list.has_group(group) && !open.contains(&group);
-        self.groups.release_where(left);
+        let open = &self.open;
+        let unused = |group: usize| !open.values().any(|open| open.group == group);
+        for group in self.list.drop_empty_groups(unused) {
+            self.groups.release_index(group);
+        }
     }
 
     fn decide(&mut self, now: f64) {
--- a/crates/sandstile-intake/src/list.rs
+++ b/crates/sandstile-intake/src/list.rs
@@ -1,9 +1,10 @@
 //! The list of database hosts, merged from whole lists and from changes.
 use crate::names::Names;
 use sandstile_policy::terms::{Member, Readiness};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// One entry as discovery words it; `since` on the clock of the decisions, 0 for long ago.
+#[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
     pub host: String,
     pub group: String,
@@ -13,32 +14,63 @@
     pub readiness: Readiness,
 }
 
+/// The list as it stands. A change costs what it brings, however many hosts and groups there are.
 #[derive(Default)]
 pub struct List {
     zones: Names,
     members: BTreeMap<String, Member>,
+    /// Those that have left the list and are still known.
+    gone: BTreeSet<String>,
+    /// How many known hosts each group has.
+    sizes: BTreeMap<usize, usize>,
+    /// Groups that have lost their last host.
+    empty_groups: BTreeSet<usize>,
 }
 
 impl List {
     /// Drops those that are gone and that `forgotten` lets go of, and yields their names and indices.
     pub fn drop_gone(&mut self, mut forgotten: impl FnMut(usize) -> bool) -> Vec<(String, usize)> {
         let mut dropped = Vec::new();
-        self.members.retain(|name, member| {
-            let goes = member.readiness == Readiness::Gone && forgotten(member.host);
-            if goes {
-                dropped.push((name.clone(), member.host));
+        for name in std::mem::take(&mut self.gone) {
+            let Some(member) = self.members.get(&name) else { continue };
+            let (host, group) = (member.host, member.group);
+            if !forgotten(host) {
+                self.gone.insert(name);
+                continue;
             }
-            !goes
-        });
+            self.members.remove(&name);
+            self.leave(group);
+            dropped.push((name, host));
+        }
         dropped
     }
 
-    pub fn has_group(&self, group: usize) -> bool {
-        self.members.values().any(|member| member.group == group)
+    /// Drops the groups without hosts that `forgotten` lets go of, and yields them.
+    pub fn drop_empty_groups(&mut self, mut forgotten: impl FnMut(usize) -> bool) -> Vec<usize> {
+        let dropped: Vec<usize> =
+            self.empty_groups.iter().copied().filter(|group| forgotten(*group)).collect();
+        for group in &dropped {
+            self.empty_groups.remove(group);
+        }
+        dropped
+    }
+
+    fn join(&mut self, group: usize) {
+        *self.sizes.entry(group).or_default() += 1;
+        self.empty_groups.remove(&group);
+    }
+
+    fn leave(&mut self, group: usize) {
+        let Some(size) = self.sizes.get_mut(&group) else { return };
+        *size -= 1;
+        if *size == 0 {
+            self.sizes.remove(&group);
+            self.empty_groups.insert(group);
+        }
     }
 
-    /// What a whole list leaves out is gone, and stays known until dropped. Sorted by host id, as the decisions
-    /// want it.
+    /// The members that are new or have changed, sorted by host id, as the decisions want them. What a whole list leaves out is gone, and
+    /// stays known until dropped.
     pub fn merge(
         &mut self,
         whole: bool,
@@ -46,10 +78,13 @@
         hosts: &mut Names,
         groups: &mut Names,
     ) -> Vec<Member> {
+        let mut changed = BTreeMap::new();
         if whole {
-            for member in self.members.values_mut() {
-                member.readiness = Readiness::Gone;
-            }
+            let told: BTreeSet<&str> = entries.iter().map(|entry| entry.host.as_str()).collect();
+            let left = self.members.iter().filter(|(name, _)| !told.contains(name.as_str()));
+            let left =
+                left.map(|(name, member)| (name, Member { readiness: Readiness::Gone, ..member.clone() }));
+            changed.extend(left.map(|(name, member)| (name.clone(), member)));
         }
         for entry in entries {
             let member = Member {
@@ -60,9 +95,28 @@
                 since: entry.since,
                 readiness: entry.readiness,
             };
-            self.members.insert(entry.host.clone(), member);
+            changed.insert(entry.host.clone(), member);
+        }
+        changed.retain(|name, member| self.members.get(name) != Some(member));
+        for (name, member) in &changed {
+            self.put(name, member);
+        }
+        changed.into_values().collect()
+    }
+
+    fn put(&mut self, name: &str, member: &Member) {
+        match member.readiness {
+            Readiness::Gone => self.gone.insert(name.to_string()),
+            _ => self.gone.remove(name),
+        };
+        let former = self.members.insert(name.to_string(), member.clone()).map(|former| former.group);
+        if former == Some(member.group) {
+            return;
+        }
+        if let Some(former) = former {
+            self.leave(former);
         }
-        self.members.values().cloned().collect()
+        self.join(member.group);
     }
 }
 
--- a/crates/sandstile-intake/src/names.rs
+++ b/crates/sandstile-intake/src/names.rs
@@ -48,10 +48,12 @@
         }
     }
 
-    pub fn release_where(&mut self, left: impl Fn(usize) -> bool) {
-        let names: Vec<String> =
-            self.names.iter().filter(|n| self.find(n).is_some_and(&left)).cloned().collect();
-        names.iter().for_each(|name| self.release(name));
+    /// As `release`, by index.
+    pub fn release_index(&mut self, index: usize) {
+        let name = self.names[index].clone();
+        if self.find(&name) == Some(index) {
+            self.release(&name);
+        }
     }
 
     pub fn find(&self, name: &str) -> Option<usize> {
--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -8,15 +8,20 @@
 //! 3. health: mute, unreachable, full or foreign hosts rest, in time and in turns, then get trial traffic;
 //! 4. in-flight bound: rate x time per host and per pool of hosts; when full, importance per work decides (`pacing`);
 //! 5. further executions: while the statement can be in time and its effect allows, never two at once;
-//! 6. cold guard: sends to a fresh host stay under the own completions at a warm peer x its cold share.
+//! 6. cold guard: sends to a fresh host stay under the own completions at a warm peer x its cold share (`slow_start`).
+//!
+//! No input and no decision works through all hosts or groups: what has to be looked at is kept on record.
 
+mod listing;
 mod pacing;
+mod slow_start;
 
 use crate::state::*;
 use crate::terms::*;
 use oorandom::Rand32;
+use slow_start::ColdHosts;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 
 /// A replica that lags is taken to gain on the log at this many times the pace of the clock at best.
 const CATCH_UP: f64 = 2.0;
@@ -27,9 +32,6 @@
 /// A replica that refused a read as too far behind takes reads of any age for so long, or eight turns: for
 /// a spell of lag. With a shorter memory routers disagree on which ones, and each takes up another log.
 const LAGS: f64 = 20.0;
-/// A host's start is told sooner than this: an older one, told of a host that was there before, is of a clock that
-/// was stepped, and counts from when it is told.
-const NEWS: f64 = 30.0;
 /// A probe's claim to be primary spares the other members probes for so long: a failover takes longer.
 const STANDS: f64 = 1.0;
 
@@ -90,11 +92,17 @@
     /// Some host has told its role; some answer came without one.
     told: bool,
     lied: bool,
-    /// When the last host that is cold now will be warm.
-    cold_until: f64,
+    cold: ColdHosts,
     hosts: Vec<Host>,
+    /// Hosts on the list, those that left it and are still reckoned with among them; and how many may be sent to.
+    listed: usize,
+    sendable: usize,
     pools: [Pool; 2],
     groups: Vec<Group>,
+    /// Groups to be looked at, those with statements that wait, and those that look for a primary or a position.
+    touched: BTreeSet<usize>,
+    waiting: BTreeSet<usize>,
+    seeking: BTreeSet<usize>,
     sessions: Vec<Session>,
     statements: BTreeMap<u64, Statement>,
     /// Next look at each statement; the bits of a time above zero sort as the time does.
@@ -145,67 +153,6 @@
         self.share_all = 8.0 / routers.max(1.0);
     }
 
-    /// The whole list as it now stands, sorted by id; hosts that left it are handed as gone.
-    pub fn members(&mut self, now: f64, list: &[Member]) {
-        self.now = now;
-        // The answer to a call already made: the subscription stands until the service says otherwise.
-        self.ask_at = if self.ask_at > now { f64::INFINITY } else { self.ask_at };
-        self.groups.iter_mut().for_each(|g| g.members.clear());
-        for m in list {
-            if self.hosts.len() <= m.host {
-                self.hosts.resize(m.host + 1, Host::unknown());
-            }
-            let host = &mut self.hosts[m.host];
-            (host.group, host.zone, host.listed) = (m.group, m.zone, m.readiness);
-            // A list's times are of the clock of whoever wrote it, which may have been stepped.
-            let news = m.since > host.listed_since;
-            host.listed_since = host.listed_since.max(m.since);
-            let old_news = host.was_listed && m.since < now - NEWS && self.began < now - NEWS;
-            let started = if old_news { now } else { m.since.min(now) };
-            host.was_listed = true;
-            if news && started > host.fresh_since {
-                // A machine that replaces another is behind by seconds and cold, whatever it answers first.
-                // Credit begins where it would stand in the long run: of hundreds of routers each earns one
-                // in the whole cold time, and none knows who is primary. The rest is for two probes.
-                let lucky = f64::from(self.chance.0.rand_float()) < self.cold_ease * self.terms.cold_from;
-                let credit = if lucky { 1.0 } else { 0.2 };
-                (host.fresh_since, host.credit, host.seen_draining, host.mute) =
-                    (started, credit, false, false);
-            }
-            self.cold_until = self.cold_until.max(host.fresh_since + self.cold_s);
-            host.seen_draining |= m.readiness == Readiness::Draining;
-            host.maybe_primary |= m.primary && host.denied_at == 0.0;
-            let denied = host.denied_at > now - 5.0;
-            let group = self.group(m.group);
-            group.touched = true;
-            group.members.push(m.host);
-            // The list speaks late: it fills a gap, and never overrules what an answer has said.
-            if m.primary && !denied && group.primary.is_none_or(|p| self.hosts[p].mute) {
-                self.groups[m.group].primary = Some(m.host);
-            }
-        }
-        let replicas = list.len().saturating_sub(self.groups.len());
-        for (pool, hosts) in self.pools.iter_mut().zip([replicas, self.groups.len()]) {
-            let most = (self.share_all * hosts as f64).max(2.0);
-            (pool.window, pool.most) = (if pool.most == 0.0 { most } else { pool.window.min(most) }, most);
-        }
-    }
-
-    /// Forgets a host that has left for good, once no statement reckons with it: its index may be given anew.
-    pub fn forget(&mut self, host: usize) -> bool {
-        let h = &self.hosts[host];
-        let left = h.listed == Readiness::Gone && (h.mute || !self.sendable(h));
-        let held = |s: &Statement| s.executions.iter().any(|e| e.host == host);
-        let forgotten = left && !self.statements.values().any(held);
-        if forgotten {
-            let group = &mut self.groups[h.group];
-            group.members.retain(|m| *m != host);
-            group.primary = group.primary.filter(|p| *p != host);
-            self.hosts[host] = Host::unknown();
-        }
-        forgotten
-    }
-
     /// A call to the list service failed or its subscription dropped.
     pub fn list_failed(&mut self, now: f64) {
         self.now = now;
@@ -257,9 +204,9 @@
         };
         self.statements.insert(stmt, s);
         // Through the waiting ones, or a fresh statement would take the place of one worth more.
-        let group = self.group(a.group);
-        group.waiting.push(stmt);
-        group.touched = true;
+        self.group(a.group).waiting.push(stmt);
+        self.waiting.insert(a.group);
+        self.touched.insert(a.group);
     }
 
     pub fn client_gone(&mut self, now: f64, stmt: u64) {
@@ -287,6 +234,7 @@
         let write = kind.writes();
         let need = if kind.consistency == Consistency::Bounded { sent - kind.bound } else { s.need };
         let turn = self.groups[group].turn();
+        let mut restarted = false;
         let host = &mut self.hosts[index];
         host.open.retain(|o| *o != (sent, stmt));
         let heard = host.answered_at;
@@ -296,7 +244,7 @@
             if host.unreachable_since.take().is_some_and(|t| now - t > 1.0) {
                 // Back after a spell of no connections: most likely a restart that the list has yet to tell.
                 (host.fresh_since, host.credit) = (now, 0.0);
-                self.cold_until = now + self.cold_s;
+                restarted = true;
             }
         }
         // Only what is no member answers without a role: nothing it says of a statement is to be believed.
@@ -352,8 +300,8 @@
             }
         }
         s.errors += i32::from(matches!(verdict, Error | Spoilt) && !foreign);
+        self.touched.insert(group);
         let group = &mut self.groups[group];
-        group.touched = true;
         if let Some(p) = note.position {
             if !write {
                 host.stood = (p, now);
@@ -368,6 +316,9 @@
         if let Some(primary) = note.primary {
             self.role(index, primary, true);
         }
+        if restarted {
+            self.becomes_cold(index);
+        }
         if verdict == Completed {
             self.earn(index);
         }
@@ -426,7 +377,7 @@
         while self.looks.peek().is_some_and(|Reverse((t, _))| f64::from_bits(*t) <= now) {
             self.due.extend(self.looks.pop().map(|Reverse((_, stmt))| stmt));
         }
-        self.groups.iter_mut().for_each(|g| g.touched |= !g.waiting.is_empty());
+        self.touched.extend(&self.waiting);
     }
 
     pub fn holds(&self, stmt: u64) -> bool {
@@ -440,8 +391,7 @@
 
     pub fn wake_at(&self) -> Option<f64> {
         let look = self.looks.peek().map_or(f64::INFINITY, |Reverse((t, _))| f64::from_bits(*t));
-        let waits = |g: &Group| !g.waiting.is_empty();
-        let scan = if self.groups.iter().any(waits) { self.now + 0.01 } else { f64::INFINITY };
+        let scan = if self.waiting.is_empty() { f64::INFINITY } else { self.now + 0.01 };
         Some(look.min(scan).min(self.ask_at)).filter(|at| at.is_finite())
     }
 
@@ -456,24 +406,23 @@
             }
             self.due.pop_front();
         }
-        for g in 0..self.groups.len() {
-            if !std::mem::take(&mut self.groups[g].touched) || self.groups[g].waiting.is_empty() {
-                continue;
-            }
+        while let Some(g) = self.touched.pop_first() {
             let mut order = std::mem::take(&mut self.groups[g].waiting);
             order.retain(|id| self.statements.get(id).is_some_and(|s| s.waiting && !s.answered));
+            if order.is_empty() {
+                self.waiting.remove(&g);
+                continue;
+            }
             // The newest first among equals: in a crowd the oldest would be sent just too late to be in time.
             order.sort_by_cached_key(|id| Reverse((self.density(*id).to_bits(), *id)));
             self.groups[g].waiting = order.clone();
             if let Some(decision) = order.into_iter().find_map(|stmt| self.consider(stmt)) {
-                self.groups[g].touched = true;
+                self.touched.insert(g);
                 return Some(decision);
             }
         }
-        for g in 0..self.groups.len() {
-            if std::mem::take(&mut self.groups[g].seeks) {
-                self.seek(g);
-            }
+        while let Some(g) = self.seeking.pop_first() {
+            self.seek(g);
         }
         while let Some(host) = self.probes.pop_front() {
             // Hundreds of routers probe at once: a cold host's probes are paid from the same credit.
@@ -509,7 +458,8 @@
         let open = s.executions.last().is_some_and(|e| e.ended.is_none());
         if s.answered {
             if !open {
-                self.statements.remove(&id);
+                let over = self.statements.remove(&id).map_or(Vec::new(), |s| s.executions);
+                over.iter().for_each(|e| self.hosts[e.host].executions -= 1);
                 return None;
             }
             let execution = s.executions.len() - 1;
@@ -551,7 +501,7 @@
                 // Guards against a host that takes statements and answers none, whatever the list says of it.
                 h.mute = true;
                 h.rest(now, turn, 1);
-                self.groups[h.group].touched = true;
+                self.touched.insert(h.group);
             } else if !h.mute {
                 look = look.min(heard + patience);
             }
@@ -573,6 +523,7 @@
         s.hold = Some(hold);
         if !std::mem::replace(&mut s.waiting, true) {
             self.groups[s.group].waiting.push(id);
+            self.waiting.insert(s.group);
         }
         None
     }
@@ -632,6 +583,7 @@
         }
         let h = &mut self.hosts[index];
         h.open.push((now, id));
+        h.executions += 1;
         (h.credit, h.sent) = (h.credit - 1.0, now);
         if h.strikes > 0 {
             h.rest(now, turn, 0);
@@ -640,36 +592,6 @@
         Decision::Send { stmt: id, host: index, time_out }
     }
 
-    /// A completion at a warm host earns the cold ones their share of the sends to a warm one. Sends would
-    /// not do, for refused ones multiply; nor the group's alone, whose one warm host may be jammed.
-    fn earn(&mut self, index: usize) {
-        if self.cold_until <= self.now {
-            return;
-        }
-        let warm = self.hosts.iter().filter(|h| self.share(h) >= 1.0 && self.sendable(h)).count();
-        if warm == 0 {
-            // All came back at once: what a cold host completes is all that tells what it bears.
-            let h = &mut self.hosts[index];
-            h.credit = (h.credit + 1.0).min(2.0);
-        }
-        if self.share(&self.hosts[index]) < 1.0 || warm == 0 {
-            return;
-        }
-        for m in 0..self.hosts.len() {
-            let gain = self.cold_ease * self.share(&self.hosts[m]) / warm as f64;
-            // Whole sends by chance: saved up in parts, none of hundreds of routers has one in the cold time.
-            if f64::from(self.chance.0.rand_float()) < gain {
-                self.hosts[m].credit = (self.hosts[m].credit + 1.0).min(2.0);
-            }
-        }
-    }
-
-    /// The share of its capacity that a host may be taken to have; the list tells its start.
-    fn share(&self, h: &Host) -> f64 {
-        let age = (self.now - h.fresh_since) / self.cold_s;
-        (self.terms.cold_from + (1.0 - self.terms.cold_from) * age).clamp(0.0, 1.0)
-    }
-
     fn sendable(&self, h: &Host) -> bool {
         h.listed == Readiness::Active
             || (self.terms.drain_binds_alone && h.listed == Readiness::Gone && !h.seen_draining)
@@ -723,7 +645,7 @@
                     return Some(next);
                 }
             }
-            self.groups[s.group].seeks = true;
+            self.seeking.insert(s.group);
             return None;
         }
         let own = s.session.and_then(|i| self.sessions.get(i)).copied().unwrap_or_default();
@@ -786,7 +708,9 @@
         if k.consistency == Consistency::Bounded && s.executions.is_empty() && held {
             return behind;
         }
-        self.groups[s.group].seeks |= unknown || primary.is_none();
+        if unknown || primary.is_none() {
+            self.seeking.insert(s.group);
+        }
         let g = &self.groups[s.group];
         if let Some(p) = primary {
             let h = &self.hosts[p];
@@ -839,13 +763,15 @@
             h.maybe_primary |= answer;
             let trusted = current.is_some_and(|c| !self.hosts[c].mute && self.sendable(&self.hosts[c]));
             if current != Some(index) && (answer || !(trusted || mute)) {
-                (self.groups[group].primary, self.groups[group].touched) = (Some(index), true);
+                self.groups[group].primary = Some(index);
+                self.touched.insert(group);
                 self.log(format!("group {group}: primary is now host {index}"));
             }
         } else if !primary && answer {
             (h.denied_at, h.maybe_primary) = (now, false);
             if current == Some(index) {
-                (self.groups[group].primary, self.groups[group].touched) = (None, true);
+                self.groups[group].primary = None;
+                self.touched.insert(group);
             }
         }
     }
--- a/crates/sandstile-policy/src/state.rs
+++ b/crates/sandstile-policy/src/state.rs
@@ -62,6 +62,12 @@
     /// The start that the list named last; and whether the host was on a list before.
     pub listed_since: f64,
     pub was_listed: bool,
+    /// The list calls it primary.
+    pub listed_primary: bool,
+    /// Its place among the cold hosts.
+    pub cold_place: Option<usize>,
+    /// Executions of statements that are not over yet.
+    pub executions: usize,
     /// It has told its role, as all members do and none that a list invents.
     pub heard: bool,
     pub credit: f64,
@@ -110,8 +116,6 @@
     /// The highest term that a member has told; 0 where none has.
     pub term: u64,
     pub waiting: Vec<u64>,
-    pub touched: bool,
-    pub seeks: bool,
     pub probe_at: f64,
 }
 
--- a/crates/sandstile-policy/src/terms.rs
+++ b/crates/sandstile-policy/src/terms.rs
@@ -78,7 +78,7 @@
     Gone,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Member {
     pub host: usize,
     pub group: usize,
--- a/crates/sandstile-router/src/carrier.rs
+++ b/crates/sandstile-router/src/carrier.rs
@@ -182,7 +182,10 @@
     /// Carries until told to end, and until all that was taken is answered.
     pub fn run(mut self) -> io::Result<()> {
         let mut events = Events::with_capacity(256);
-        self.settle();
+        // What is known of the start is to be known before the first client is heard.
+        while self.desk.pending() {
+            self.settle();
+        }
         while !self.over() {
             self.sleep(&mut events)?;
             let woke_at = self.tools.clock.now();
@@ -263,9 +266,10 @@
         }
     }
 
-    /// The desk takes all that waits, and lets the decisions say what follows; `false` where there was nothing to do.
-    fn decide(&mut self) -> bool {
-        let mut took = self.desk.ask(self.tools.clock.now());
+    /// The desk takes all that waits, and what its sources have to tell where `asks` says so, and lets the decisions say
+    /// what follows; `false` where there was nothing to do.
+    fn decide(&mut self, asks: bool) -> bool {
+        let mut took = asks && self.desk.ask(self.tools.clock.now());
         while let Some(mail) = self.mail.try_recv() {
             self.desk.take(self.tools.clock.now(), mail);
             took = true;
@@ -284,8 +288,8 @@
     /// Desk, hosts and clients in turn, until nothing follows any more. Orders go before answers, or a dial that
     /// comes up just then could still write a statement that has been answered.
     fn settle(&mut self) {
-        for _ in 0..ROUNDS {
-            let mut worked = self.decide();
+        for round in 0..ROUNDS {
+            let mut worked = self.decide(round == 0);
             while let Some(order) = self.desk.next_order() {
                 self.hosts.order(order, &mut self.tools);
                 worked = true;
@@ -443,7 +447,7 @@
     fn end(&mut self) {
         let (done, last) = slot::<()>();
         if self.last_word.as_ref().is_some_and(|words| words.send(Word::End(done))) {
-            self.decide();
+            self.decide(true);
             let _ = last.recv(Some(LAST_WORD));
         }
         if let Some(members) = &mut self.members {
--- a/crates/sandstile-router/src/discovery.rs
+++ b/crates/sandstile-router/src/discovery.rs
@@ -1,6 +1,7 @@
 //! The list's actor: follows discovery by a watch and hands each change to the desk. Whatever breaks, the
 //! list stands and the watch is opened again from where it was.
 use crate::counters::Counters;
+use crate::known::KnownList;
 use crate::list_stream::{Heard, ListStream};
 use crate::lists;
 use crate::mailbox::Post;
@@ -54,6 +55,7 @@
 pub struct Watcher {
     pub agent: Arc<Agent>,
     pub index: u64,
+    pub known: KnownList,
     pub desk: Post<Update>,
     pub counters: Arc<Counters>,
     pub log: Logger,
@@ -213,11 +215,14 @@
         self.counters.lists.add();
         let entries = update.entries.len();
         info!(self.log, "list"; "index" => update.index, "whole" => update.whole, "entries" => entries);
-        for entry in update.entries.iter().filter(|_| !update.whole) {
-            info!(self.log, "listed as {:?}", entry.readiness; "host" => &entry.host, "since" => entry.since);
-        }
         self.index = update.index;
-        self.desk.send(update);
+        let whole = update.whole;
+        for piece in self.known.changes(update) {
+            for entry in piece.entries.iter().filter(|_| !whole) {
+                info!(self.log, "listed as {:?}", entry.readiness; "host" => &entry.host, "since" => entry.since);
+            }
+            self.desk.send(piece);
+        }
         // Told: whoever waits for a first word from discovery need not wait on.
         self.first = None;
         Ok(())
--- a/crates/sandstile-router/src/inlet.rs
+++ b/crates/sandstile-router/src/inlet.rs
@@ -2,6 +2,9 @@
 use crate::mailbox::Mailbox;
 use sandstile_desk::{Fact, Source};
 
+/// Mail taken at one look: the desk has its clients in between.
+const MOST: usize = 2;
+
 pub struct Inlet<T> {
     mail: Mailbox<T>,
     fact: fn(T) -> Fact,
@@ -19,6 +22,6 @@
     }
 
     fn facts(&mut self, _: f64) -> Vec<Fact> {
-        std::iter::from_fn(|| self.mail.try_recv()).map(self.fact).collect()
+        std::iter::from_fn(|| self.mail.try_recv()).take(MOST).map(self.fact).collect()
     }
 }
--- a/crates/sandstile-router/src/lib.rs
+++ b/crates/sandstile-router/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod inlet;
 pub mod kept;
 pub mod keys;
+pub mod known;
 pub mod launch;
 pub mod list_stream;
 pub mod listener;
--- a/crates/sandstile-router/src/router.rs
+++ b/crates/sandstile-router/src/router.rs
@@ -10,6 +10,7 @@
 use crate::inlet::Inlet;
 use crate::kept::{self, Kept};
 use crate::keys;
+use crate::known::KnownList;
 use crate::launch::Launch;
 use crate::mailbox::slot;
 use crate::members::{self, Beside, Members};
@@ -64,9 +65,13 @@
     let (lists, listed) = posts.inlet::<Update>();
     let agent = Agent::at(launch.discovery);
     let (first, first_told) = slot::<()>();
+    let index = launch.known.index;
+    let mut known = KnownList::default();
+    let of_the_start = known.changes(launch.known);
     let watcher = Watcher {
         agent: agent.clone(),
-        index: launch.known.index,
+        index,
+        known,
         desk: lists.clone(),
         counters: counters.clone(),
         log: log.clone(),
@@ -122,12 +127,15 @@
     let mut recording = None;
     if let Some(plan) = &charter.recording {
         let workloads = launch.workloads.iter().map(|w| w.name.clone()).collect();
-        let groups = launch.known.entries.iter().map(|e| e.group.clone()).collect();
+        let entries = of_the_start.iter().flat_map(|piece| &piece.entries);
+        let groups = entries.map(|entry| entry.group.clone()).collect();
         let (tape, thread) = recorder::begin(plan, workloads, groups, clock.now(), &counters, &log)?;
         desk.add(Box::new(tape));
         recording = Some(thread);
     }
-    lists.send(launch.known);
+    for piece in of_the_start {
+        lists.send(piece);
+    }
     let (mut roster, mut told_at) = (None, None);
     if let (Some(plan), Some(words)) = (&charter.sessions, &words) {
         if let Some(exchange) = &plan.exchange {
--- a/crates/sandstile-router/tests/codecs.rs
+++ b/crates/sandstile-router/tests/codecs.rs
@@ -178,10 +178,16 @@
     let (mut kept, mut hosts, mut groups) = (list::List::default(), Names::default(), Names::default());
     assert_eq!(kept.merge(false, &update.entries, &mut hosts, &mut groups).len(), 2);
     let gone = kept.merge(true, &update.entries[..1], &mut hosts, &mut groups);
-    assert_eq!(gone.iter().map(|m| m.readiness).collect::<Vec<_>>(), [Readiness::Draining, Readiness::Gone]);
+    assert_eq!(
+        gone.iter().map(|m| m.readiness).collect::<Vec<_>>(),
+        [Readiness::Gone],
+        "only what has changed"
+    );
+    assert!(kept.merge(false, &update.entries[..1], &mut hosts, &mut groups).is_empty());
     assert!(kept.drop_gone(|_| false).is_empty());
     assert_eq!(kept.drop_gone(|_| true), [("c".to_string(), 1)]);
-    assert!(kept.has_group(0) && !kept.has_group(1));
+    assert_eq!(kept.drop_empty_groups(|_| true), [1], "the other one still has a host");
+    assert!(kept.drop_empty_groups(|_| true).is_empty());
 }
 
 #[test]
@@ -192,7 +198,7 @@
     let mut names = Names::default();
     assert_eq!(["a", "b", "c"].map(|n| names.of(n)), [0, 1, 2]);
     names.release("b");
-    names.release_where(|at| at == 0);
+    names.release_index(0);
     assert_eq!(["c", "d", "e", "f"].map(|n| names.of(n)), [2, 0, 1, 3]);
 }
 
--- a/crates/sandstile-router/tests/waiting.rs
+++ b/crates/sandstile-router/tests/waiting.rs
@@ -2,7 +2,10 @@
 #[allow(dead_code)]
 mod stand_ins;
 
+use sandstile_policy::terms::Readiness;
+use sandstile_router::known::KnownList;
 use sandstile_router::list_stream::{Heard, ListStream};
+use sandstile_router::lists;
 use stand_ins::*;
 use std::thread;
 use std::time::Duration;
@@ -67,3 +70,20 @@
     stream.content().extend_from_slice(b"{\"a\" 1,".repeat(1_000).as_slice());
     assert!(stream.next().is_err(), "though its braces never close");
 }
+
+/// Guards against a whole list that is worked through anew though next to nothing in it has changed.
+#[test]
+fn a_whole_list_is_told_on_as_what_has_changed_in_pieces() {
+    let read = |text: &str| lists::read(&serde_json::from_str(text).expect("json")).expect("a list").0;
+    let mut known = KnownList::default();
+    let first = known.changes(read(&long_list(100)));
+    assert!(first.iter().all(|piece| piece.entries.len() <= 32 && !piece.whole));
+    assert_eq!(first.iter().map(|piece| piece.entries.len()).sum::<usize>(), 100);
+    let same = known.changes(read(&long_list(100)));
+    assert_eq!((same.len(), same[0].entries.len(), same[0].index), (1, 0, 42));
+    let shorter = known.changes(read(&long_list(99)));
+    let left: Vec<_> = shorter[0].entries.iter().map(|e| (e.host.as_str(), e.readiness)).collect();
+    assert_eq!(left, [(format!("s-{:0150}", 99).as_str(), Readiness::Gone)]);
+    assert_eq!(shorter[0].addresses.len(), 1);
+    assert!(known.changes(read(&long_list(99)))[0].entries.is_empty(), "told once");
+}
--- a/crates/sandstile-soak/src/agent.rs
+++ b/crates/sandstile-soak/src/agent.rs
@@ -18,6 +18,7 @@
 struct Entry {
     address: SocketAddr,
     group: usize,
+    zone: &'static str,
     primary: bool,
     leaving: bool,
     since_ms: u128,
@@ -53,6 +54,7 @@
         let entry = |(n, at): (usize, &SocketAddr)| Entry {
             address: *at,
             group: n % groups,
+            zone: "a",
             primary: n < groups,
             leaving: false,
             since_ms: 0,
@@ -125,12 +127,14 @@
         (state.resets, state.whole_until) = (state.resets + 1, until);
     }
 
-    /// Tells of one host anew: a change of the list that changes nothing of what routers may do.
-    pub fn touch(&self, host: usize) {
+    /// Tells of one host in another zone: a change of the list that takes nothing from anybody.
+    pub fn change_zone(&self, host: usize) {
         let mut state = self.state.lock().expect("state");
         state.index += 1;
         let index = state.index;
-        state.entries[host].index = index;
+        let entry = &mut state.entries[host];
+        entry.index = index;
+        entry.zone = if entry.zone == "a" { "b" } else { "a" };
     }
 
     fn serve(&self, mut stream: &TcpStream) {
@@ -197,9 +201,10 @@
         );
         let _ = write!(
             entries,
-            r#"{comma}{{"name":"{}","address":"{}","zone":"a","type":"m","group":{},"status":"{status}","weight":1.0,"since_ms":{},"mode":"{mode}"}}"#,
+            r#"{comma}{{"name":"{}","address":"{}","zone":"{}","type":"m","group":{},"status":"{status}","weight":1.0,"since_ms":{},"mode":"{mode}"}}"#,
             host::name(number),
             entry.address,
+            entry.zone,
             entry.group + 1,
             entry.since_ms,
         );
--- a/crates/sandstile-soak/src/run.rs
+++ b/crates/sandstile-soak/src/run.rs
@@ -239,7 +239,7 @@
         let fleet = self.clone();
         thread::spawn(move || {
             for n in 0..count as usize {
-                fleet.agent.touch((n * 7) % fleet.plan.hosts);
+                fleet.agent.change_zone((n * 7) % fleet.plan.hosts);
                 thread::sleep(Duration::from_millis(pause_ms));
             }
         })
