A connection from the listen queue is as old as its place there, and bytes as old as their turn

Callers saw: with few descriptors and connections that come and go, most requests refused as over (TimeOver) though just arrived. Cause: where there was no room for a while, all that came out of the queue was taken to be as old as the queue's last empty moment, which under load never comes. And the other way round: what was taken in over several turns counted as just come. Change: the queue is first in, first out and bounded (128, now asked for expressly), so what comes out came in after that many before it had come out: times are kept each 16 accepts. Bytes and connections count from the look before the one that told of them, for a turn may be long. Why it works: the bound follows the accepts and needs no empty moment; it never takes a connection for younger than it can be.

--- a/crates/sandstile-lines/src/client.rs
+++ b/crates/sandstile-lines/src/client.rs
@@ -174,6 +174,11 @@
     }
 
     pub fn bytes(&mut self, now: f64, bytes: &[u8]) {
+        self.bytes_since(now, now, bytes);
+    }
+
+    /// Takes bytes that are read at `now` and came no earlier than at `since`.
+    pub fn bytes_since(&mut self, since: f64, now: f64, bytes: &[u8]) {
         match self.state {
             State::Forsaken { .. } | State::Ended => return,
             // A command begins: it has its time from here.
@@ -182,7 +187,7 @@
         }
         let wanted = self.wants();
         // Of what waited in the socket nobody knows when it came: its client may have waited for as long as that.
-        self.at = self.unread_since.unwrap_or(now);
+        self.at = self.unread_since.unwrap_or(since);
         self.buf.extend_from_slice(bytes);
         if self.greeted {
             self.count();
--- a/crates/sandstile-router/src/carrier.rs
+++ b/crates/sandstile-router/src/carrier.rs
@@ -30,8 +30,10 @@
 
 /// The most that one read takes.
 const MOST_READ: usize = 64 * 1024;
+/// Events of one look.
+const MOST_EVENTS: usize = 256;
 /// Connections taken in one after another before those that are in have their turn.
-const MOST_ACCEPTS: usize = 32;
+const MOST_ACCEPTS: usize = 128;
 /// Rounds between desk and hosts before the sockets have their turn.
 const ROUNDS: usize = 8;
 /// Failures of `accept` in a row after which something idle is closed for it.
@@ -69,6 +71,8 @@
     /// What is beyond the budget waits in its queue.
     listener: Listener,
     unserved: Option<Unserved>,
+    /// When readiness was last asked for.
+    polled_at: f64,
     /// Takes in what has connected by now, then ends.
     closing: bool,
     accept_failures: Limiter<AcceptFailure>,
@@ -161,9 +165,20 @@
         Ok(Carrier {
             poll,
             bell,
-            tools: Tools { registry, clock, budget, counters, log, timers, queue, scratch },
+            tools: Tools {
+                registry,
+                clock,
+                told_since: clock.now(),
+                budget,
+                counters,
+                log,
+                timers,
+                queue,
+                scratch,
+            },
             listener,
             unserved: None,
+            polled_at: clock.now(),
             closing: false,
             accept_failures: Limiter::default(),
             long_turns: Limiter::default(),
@@ -181,7 +196,7 @@
 
     /// Carries until told to end, and until all that was taken is answered.
     pub fn run(mut self) -> io::Result<()> {
-        let mut events = Events::with_capacity(256);
+        let mut events = Events::with_capacity(MOST_EVENTS);
         // What is known of the start is to be known before the first client is heard.
         while self.desk.pending() {
             self.settle();
@@ -193,7 +208,7 @@
             for event in &events {
                 match event.token() {
                     BELL => {}
-                    DOOR => self.listener.told(),
+                    DOOR => self.listener.told(self.tools.told_since),
                     members::LETTERS => self.members.iter_mut().for_each(|m| m.told()),
                     token if Control::is_its(token) => {
                         self.members.iter_mut().filter_map(|m| m.control.as_mut()).for_each(Control::told);
@@ -255,8 +270,15 @@
             }
             due.is_finite().then(|| self.tools.clock.until(due))
         };
+        let (told_all, polled_at) = (events.iter().count() < MOST_EVENTS, self.polled_at);
         let polled = self.poll.poll(events, limit);
         self.bell.wakes();
+        self.polled_at = self.tools.clock.now();
+        if told_all {
+            // A loop that slept was woken by what came; one that did not finds all that came since it last looked.
+            let slept = limit != Some(Duration::ZERO);
+            self.tools.told_since = if slept { self.polled_at } else { polled_at };
+        }
         match polled {
             Err(e) if e.kind() == ErrorKind::Interrupted => {
                 events.clear();
@@ -322,7 +344,7 @@
         if self.ends_at <= now && !self.closing {
             // All that has connected by now is taken in, as far as there is room.
             self.closing = true;
-            self.listener.told();
+            self.listener.look();
             self.accept();
             self.clients.dismiss(&mut self.tools);
         }
@@ -369,9 +391,6 @@
             let Some(next) = self.unserved.take().or_else(|| self.accept_next()) else { continue };
             self.serve(next);
         }
-        if !self.has_room() {
-            self.listener.hold_up();
-        }
     }
 
     /// The next connection of the queue, counted in the budget.
--- a/crates/sandstile-router/src/clients.rs
+++ b/crates/sandstile-router/src/clients.rs
@@ -225,7 +225,7 @@
                         tools.counters.found_by_look.add();
                     }
                     seat.wire.moved(now);
-                    seat.line.bytes(now, &tools.scratch[..got]);
+                    seat.line.bytes_since(tools.told_since.min(now), now, &tools.scratch[..got]);
                     moved = true;
                 }
                 Moved::Ended => {
--- a/crates/sandstile-router/src/discovery.rs
+++ b/crates/sandstile-router/src/discovery.rs
@@ -189,7 +189,7 @@
     fn take_lists(&mut self, lists: &mut ListStream) -> Result<bool, String> {
         let mut any = false;
         loop {
-            let heard = lists.next().map_err(|e| {
+            let heard = lists.take().map_err(|e| {
                 self.counters.bad_lists.add();
                 e.to_string()
             })?;
--- a/crates/sandstile-router/src/list_stream.rs
+++ b/crates/sandstile-router/src/list_stream.rs
@@ -78,7 +78,7 @@
     }
 
     /// The next whole thing that has come; an error where it can't be read.
-    pub fn next(&mut self) -> Result<Option<Heard>, serde_json::Error> {
+    pub fn take(&mut self) -> Result<Option<Heard>, serde_json::Error> {
         if self.end.looked_at == 0 {
             let blank = self.content.iter().take_while(|b| b.is_ascii_whitespace()).count();
             let line = self.content[..blank].contains(&b'\n');
--- a/crates/sandstile-router/src/listener.rs
+++ b/crates/sandstile-router/src/listener.rs
@@ -4,7 +4,8 @@
 use crate::errno::{accept_failure, patiently, AcceptFailure};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
-use rustix::net::{accept_with, SocketFlags};
+use rustix::net::{accept_with, listen, SocketFlags};
+use std::collections::VecDeque;
 use std::io::{self, ErrorKind};
 
 /// Seconds between looks that nothing but the time calls for.
@@ -14,6 +15,12 @@
 const LONGEST_PAUSE: f64 = 0.02;
 /// Transient failures in a row after which there is a pause as well, or a lasting one would spin.
 const MOST_TRANSIENT: u32 = 8;
+/// Connections that may wait in the queue. What finds none was not taken, and its client tries again.
+const BACKLOG: u16 = 128;
+/// The platform lets in one more than it is told, and what is let in while a call is under way.
+const MOST_QUEUED: u64 = BACKLOG as u64 + 2;
+/// Accepts between the times that are kept.
+const MARK_EVERY: u64 = 16;
 
 /// Takes a connection without asking who is at its other end: where the platform can't tell that any more, it would
 /// throw the connection away and say ECONNABORTED.
@@ -45,8 +52,11 @@
     failures: u32,
     /// When the queue was last found empty.
     empty_at: f64,
-    /// Since then connections may have waited: something other than an empty queue ended a look.
-    held_up: bool,
+    /// The earliest time at which what waits may have come, while the queue may hold something.
+    waiting_since: f64,
+    /// Connections taken, and when there had been so many of them; `None` where the queue's length has no known bound.
+    taken: u64,
+    marks: Option<VecDeque<(u64, f64)>>,
 }
 
 impl Listener {
@@ -58,6 +68,7 @@
         now: f64,
     ) -> io::Result<Listener> {
         socket.set_nonblocking(true)?;
+        let bounded = listen(&socket, i32::from(BACKLOG)).is_ok();
         let socket = patiently(|| {
             // Made anew each time: the library takes one whose registration failed for registered.
             let mut socket = TcpListener::from_std(socket.try_clone()?);
@@ -72,13 +83,28 @@
             pause: FIRST_PAUSE,
             failures: 0,
             empty_at: now,
-            held_up: false,
+            waiting_since: now,
+            taken: 0,
+            marks: bounded.then(VecDeque::new),
         })
     }
 
-    /// Readiness was told.
-    pub fn told(&mut self) {
-        self.ready = true;
+    /// Readiness was told of connections that came no earlier than at `since`.
+    pub fn told(&mut self, since: f64) {
+        if !self.ready {
+            (self.ready, self.waiting_since) = (true, since.max(self.empty_at));
+        }
+    }
+
+    /// Something may wait that nothing was told of since the queue was last empty.
+    fn suspect(&mut self) {
+        let empty_at = self.empty_at;
+        self.told(empty_at);
+    }
+
+    /// Has the next try look, whatever was told.
+    pub fn look(&mut self) {
+        self.suspect();
     }
 
     /// Whether a try is due at `now`.
@@ -95,9 +121,18 @@
         }
     }
 
-    /// There is no room for what may wait: it waits on, and its time runs.
-    pub fn hold_up(&mut self) {
-        self.held_up |= self.ready;
+    /// One more was taken. They come out as they came in, and the queue holds no more than its bound: what comes out now
+    /// came in after that many before it had come out.
+    fn count(&mut self, now: f64) {
+        self.taken += 1;
+        let Some(marks) = &mut self.marks else { return };
+        if self.taken.is_multiple_of(MARK_EVERY) {
+            marks.push_back((self.taken, now));
+        }
+        while marks.front().is_some_and(|(taken, _)| taken + MOST_QUEUED < self.taken) {
+            self.waiting_since =
+                marks.pop_front().map_or(self.waiting_since, |(_, at)| at.max(self.waiting_since));
+        }
     }
 
     /// Takes the next connection of the queue.
@@ -106,13 +141,14 @@
         match accept_unnamed(socket) {
             Ok(stream) => {
                 self.recover();
-                let announced = self.ready && !self.held_up;
-                let waited_since = if announced { now } else { self.empty_at };
-                Accepted::Connection(stream, waited_since)
+                // Found though nothing was told, it may have come at any time since the queue was empty.
+                self.suspect();
+                self.count(now);
+                Accepted::Connection(stream, self.waiting_since)
             }
             Err(e) if e.kind() == ErrorKind::WouldBlock => {
                 self.recover();
-                (self.ready, self.held_up, self.empty_at) = (false, false, now);
+                (self.ready, self.empty_at) = (false, now);
                 Accepted::Empty
             }
             Err(e) => {
@@ -131,7 +167,7 @@
 
     /// After a failure the queue counts as holding something, whatever was told.
     fn fail(&mut self, now: f64, failure: AcceptFailure) {
-        (self.ready, self.held_up) = (true, true);
+        self.suspect();
         self.failures += 1;
         if failure != AcceptFailure::Transient || self.failures > MOST_TRANSIENT {
             self.paused_until = now + self.pause;
--- a/crates/sandstile-router/src/tools.rs
+++ b/crates/sandstile-router/src/tools.rs
@@ -15,6 +15,8 @@
 pub struct Tools {
     pub registry: Registry,
     pub clock: Clock,
+    /// What is told in this turn of the loop came no earlier than then.
+    pub told_since: f64,
     pub budget: Budget,
     pub counters: Arc<Counters>,
     pub log: Logger,
--- a/crates/sandstile-router/tests/crossings.rs
+++ b/crates/sandstile-router/tests/crossings.rs
@@ -250,6 +250,7 @@
     let (clock, counters) = (Clock::anchor(), std::sync::Arc::new(Counters::default()));
     let log = slog::Logger::root(slog::Discard, slog::o!());
     let mut tools = Tools {
+        told_since: 0.0,
         registry: poll.registry().try_clone().expect("readiness"),
         clock,
         budget: Budget::new(16, 8, 1 << 20),
--- a/crates/sandstile-router/tests/waiting.rs
+++ b/crates/sandstile-router/tests/waiting.rs
@@ -2,14 +2,41 @@
 #[allow(dead_code)]
 mod stand_ins;
 
+use mio::{Poll, Token};
 use sandstile_policy::terms::Readiness;
 use sandstile_router::known::KnownList;
 use sandstile_router::list_stream::{Heard, ListStream};
+use sandstile_router::listener::{Accepted, Listener};
 use sandstile_router::lists;
 use stand_ins::*;
+use std::net::{TcpListener, TcpStream};
 use std::thread;
 use std::time::Duration;
 
+/// Guards against connections taken to be as old as the queue's last empty moment, however many came out since.
+#[test]
+fn what_comes_out_of_a_queue_that_is_never_empty_is_as_old_as_its_place_there() {
+    let poll = Poll::new().expect("readiness");
+    let socket = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = socket.local_addr().expect("bound");
+    let (began, apart) = (1_000.0, 0.01);
+    let mut listener = Listener::new(poll.registry(), Token(0), socket, began).expect("a listener");
+    let connect = || TcpStream::connect(address).expect("room in the queue");
+    let mut clients: Vec<TcpStream> = (0..3).map(|_| connect()).collect();
+    let mut age = 0.0;
+    for n in 0..400 {
+        let now = began + f64::from(n) * apart;
+        clients.push(connect());
+        let Accepted::Connection(_, since) = listener.accept(poll.registry(), now) else {
+            panic!("one waits")
+        };
+        age = now - since;
+        assert!(age >= 2.9 * apart || n < 3, "{n}: three came before it, and it may have come no later");
+    }
+    // The queue's bound, and the times that are kept.
+    assert!(age <= 150.0 * apart, "taken to be {age:.2} s old");
+}
+
 fn long_list(hosts: usize) -> String {
     let entries: Vec<String> = (0..hosts)
         .map(|n| {
@@ -53,7 +80,7 @@
         let (mut lists, mut lines) = (Vec::new(), 0);
         for piece in text.as_bytes().chunks(cut) {
             stream.content().extend_from_slice(piece);
-            while let Some(heard) = stream.next().expect("lists") {
+            while let Some(heard) = stream.take().expect("lists") {
                 match heard {
                     Heard::List(json) => lists.push(json["endpoints"].as_array().map_or(0, Vec::len)),
                     Heard::EmptyLine => lines += 1,
@@ -65,10 +92,10 @@
     }
     let mut stream = ListStream::default();
     stream.content().extend_from_slice(b"no list");
-    assert!(stream.next().is_err());
+    assert!(stream.take().is_err());
     let mut stream = ListStream::default();
     stream.content().extend_from_slice(b"{\"a\" 1,".repeat(1_000).as_slice());
-    assert!(stream.next().is_err(), "though its braces never close");
+    assert!(stream.take().is_err(), "though its braces never close");
 }
 
 /// Guards against a whole list that is worked through anew though next to nothing in it has changed.
