What waits in the listen queue while all are busy is taken in or refused in bounded time

Callers saw: requests on new connections got no answer at all, with no attempt, while those that were in were busy for seconds (hosts that hang). Cause: beyond the clients' share the queue waited for somebody to rest, however long; nobody owned that wait. Evidence: 60 clients at hosts that hang, 64 descriptors: a request that waits 0.4 s is closed without an answer after 1.99 s. Change: after 0.05 s the queue is taken in beyond the clients' share, up to three quarters of all descriptors, and goes before links for the next one that comes free; what has waited 0.2 s is refused by 53300 on one of four connections kept for that, before anything was sent. Why it works: the wait has an owner (the listener), two bounds, a timer that wakes the loop, and an answer. Test: a_request_behind_a_full_house_gets_its_answer_in_its_time failed before (closed unanswered after 1.99 s), passes.

--- a/crates/sandstile-lines/src/budget.rs
+++ b/crates/sandstile-lines/src/budget.rs
@@ -24,6 +24,20 @@
     Full,
 }
 
+/// What becomes of a connection that has waited for a while and that no room is made for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It is served beyond the clients' share.
+    Serve,
+    /// Its statement is refused at once, and it goes.
+    Refuse,
+    /// It waits on.
+    Wait,
+}
+
+/// Connections beyond all others that may be held to refuse their statements.
+pub const REFUSALS: usize = 4;
+
 #[derive(Debug)]
 pub struct Budget {
     most: usize,
@@ -31,6 +45,7 @@
     most_long: usize,
     links: usize,
     clients: usize,
+    refused: usize,
     long: usize,
     idle: BTreeMap<Rest, usize>,
     /// Clients among the idle.
@@ -47,6 +62,7 @@
             most_long,
             links: 0,
             clients: 0,
+            refused: 0,
             long: 0,
             idle: BTreeMap::new(),
             resting: 0,
@@ -113,6 +129,47 @@
         }
     }
 
+    /// What becomes of a connection that has waited for long while nobody rests. `refuses` where it has waited for too long
+    /// to wait on.
+    pub fn admission(&self, refuses: bool) -> Admission {
+        let spare = self.links + self.clients < self.most || self.idle_link().is_some();
+        match () {
+            () if spare && self.below_bound() => Admission::Serve,
+            () if refuses && self.refused < REFUSALS => Admission::Refuse,
+            () => Admission::Wait,
+        }
+    }
+
+    /// Whether clients may hold more, as long as what links leave: a quarter of all is for links.
+    pub fn below_bound(&self) -> bool {
+        self.clients < self.most - self.most / 4
+    }
+
+    /// A descriptor for a client beyond the clients' share, where `admission` says so.
+    pub fn claim_beyond_share(&mut self) -> Claim {
+        if self.links + self.clients < self.most {
+            self.take(Holder::Client);
+            return Claim::Granted;
+        }
+        match self.idle_link() {
+            Some(key) => Claim::Evict(key.0, self.strike(key).expect("on record")),
+            None => Claim::Full,
+        }
+    }
+
+    fn idle_link(&self) -> Option<Rest> {
+        self.idle.range(..(Holder::Stranger, 0)).next().map(|(key, _)| *key)
+    }
+
+    /// Counts a connection that is held to refuse its statement.
+    pub fn take_refused(&mut self) {
+        self.refused += 1;
+    }
+
+    pub fn release_refused(&mut self) {
+        self.refused -= 1;
+    }
+
     /// Counts one that is held already.
     pub fn take(&mut self, holder: Holder) {
         match holder {
--- a/crates/sandstile-router/src/carrier.rs
+++ b/crates/sandstile-router/src/carrier.rs
@@ -1,7 +1,7 @@
 //! The one thread that carries all actors of a router: it sleeps until a socket is ready, a time has come or mail
 //! rings, lets each line that is concerned do a bounded piece of work, and lets the desk decide on what came of it.
 //! `docs/design/readiness.md` says why one, and not one for each connection.
-use crate::budget::{Budget, Claim, Holder};
+use crate::budget::{Admission, Budget, Claim, Holder};
 use crate::clients::Clients;
 use crate::clock::Clock;
 use crate::closing::Closing;
@@ -55,6 +55,8 @@
     stream: TcpStream,
     waited_since: f64,
     give_up_at: f64,
+    /// There is no room to serve it: its statement is to be refused.
+    refused: bool,
 }
 
 /// What the main thread has the carrier do.
@@ -265,9 +267,7 @@
             let mut due = self.desk.due(self.tools.clock.now()).min(window).min(self.hosts.due());
             due = due.min(self.members.as_ref().map_or(f64::INFINITY, |m| m.due()));
             due = due.min(self.tools.timers.earliest().unwrap_or(f64::INFINITY));
-            if self.has_room() {
-                due = due.min(self.listener.due());
-            }
+            due = due.min(self.accept_due());
             due.is_finite().then(|| self.tools.clock.until(due))
         };
         let (told_all, polled_at) = (events.iter().count() < MOST_EVENTS, self.polled_at);
@@ -316,7 +316,10 @@
                 self.hosts.order(order, &mut self.tools);
                 worked = true;
             }
-            while self.hosts.wanting(self.tools.clock.now()) && self.claim(Holder::Link) {
+            while !self.yields_to_queue()
+                && self.hosts.wanting(self.tools.clock.now())
+                && self.claim(Holder::Link)
+            {
                 if self.hosts.dial(&mut self.tools) == Dialled::DescriptorsSpent {
                     self.make_room();
                 }
@@ -373,14 +376,41 @@
         }
     }
 
-    /// Whether one more client fits.
-    fn has_room(&self) -> bool {
-        self.unserved.is_some() || self.tools.budget.could(Holder::Client)
+    /// What becomes of a connection that no room is made for.
+    fn admission(&self, now: f64) -> Admission {
+        if now < self.listener.overdue_at() {
+            return Admission::Wait;
+        }
+        self.tools.budget.admission(now >= self.listener.refused_at())
+    }
+
+    /// Whether one more client can be taken in now, be it to refuse its statement.
+    fn has_room(&self, now: f64) -> bool {
+        let fits = self.unserved.is_some() || self.tools.budget.could(Holder::Client);
+        fits || self.admission(now) != Admission::Wait
+    }
+
+    /// When a connection is to be looked for though nothing is told.
+    fn accept_due(&self) -> f64 {
+        let now = self.tools.clock.now();
+        if self.has_room(now) {
+            return self.listener.due();
+        }
+        // Whoever ends or rests sooner wakes the loop.
+        let next = [self.listener.overdue_at(), self.listener.refused_at()];
+        next.into_iter().filter(|at| *at > now).fold(f64::INFINITY, f64::min)
+    }
+
+    /// Whether the next descriptor that comes free is for what waits in the queue, and not for a link.
+    fn yields_to_queue(&self) -> bool {
+        let overdue = self.tools.clock.now() >= self.listener.overdue_at();
+        overdue && self.listener.is_open() && self.tools.budget.below_bound()
     }
 
     /// Whether a connection could be taken in now, should one wait.
     fn accepts(&self) -> bool {
-        self.listener.wants(self.tools.clock.now()) && self.has_room()
+        let now = self.tools.clock.now();
+        self.listener.wants(now) && self.has_room(now)
     }
 
     fn accept(&mut self) {
@@ -391,6 +421,10 @@
             let Some(next) = self.unserved.take().or_else(|| self.accept_next()) else { continue };
             self.serve(next);
         }
+        let now = self.tools.clock.now();
+        if !self.has_room(now) {
+            self.listener.hold_up(now);
+        }
     }
 
     /// The next connection of the queue, counted in the budget.
@@ -400,14 +434,12 @@
             Accepted::Connection(stream, waited_since) => {
                 self.tools.counters.connections.add();
                 self.tools.counters.longest_accept_wait_ms.at_least_ms(now - waited_since);
-                if !self.claim(Holder::Client) {
-                    // Those that were to go had just asked something: it is one more for a moment.
-                    self.tools.budget.take(Holder::Client);
-                }
+                let refused =
+                    !self.claim(Holder::Client) && self.claim_beyond_share(now) == Admission::Refuse;
                 if let Some(key) = self.tools.budget.surplus() {
                     self.clients.leave(key, &mut self.tools);
                 }
-                Some(Unserved { stream, waited_since, give_up_at: now + SETUP_PATIENCE })
+                Some(Unserved { stream, waited_since, give_up_at: now + SETUP_PATIENCE, refused })
             }
             Accepted::Empty => {
                 if self.closing {
@@ -422,6 +454,29 @@
         }
     }
 
+    /// Counts a connection that has come and that nobody makes room for: it is served beyond the clients' share, or
+    /// refused.
+    fn claim_beyond_share(&mut self, now: f64) -> Admission {
+        let admission = self.admission(now);
+        match admission {
+            Admission::Refuse => self.tools.budget.take_refused(),
+            Admission::Serve => self.claim_in_place_of_links(),
+            // Those that were to go had just asked something: it is one more for a moment.
+            Admission::Wait => self.tools.budget.take(Holder::Client),
+        }
+        admission
+    }
+
+    fn claim_in_place_of_links(&mut self) {
+        loop {
+            match self.tools.budget.claim_beyond_share() {
+                Claim::Granted => return,
+                Claim::Evict(_, key) => self.hosts.leave(key, Ending::IdleEvicted, &mut self.tools),
+                Claim::Full => return self.tools.budget.take(Holder::Client),
+            }
+        }
+    }
+
     fn accept_failed(&mut self, now: f64, failure: AcceptFailure, error: &io::Error) {
         self.tools.counters.accept_errors.add();
         if self.accept_failures.admits(now, failure) {
@@ -445,14 +500,19 @@
     /// Hands a connection over to the clients, or keeps it for another try.
     fn serve(&mut self, next: Unserved) {
         let now = self.tools.clock.now();
-        let Unserved { stream, waited_since, give_up_at } = next;
-        let Err((stream, error)) = self.clients.accept(stream, waited_since, &mut self.tools) else { return };
+        let Unserved { stream, waited_since, give_up_at, refused } = next;
+        let Err((stream, error)) = self.clients.accept(stream, waited_since, refused, &mut self.tools) else {
+            return;
+        };
         if now < give_up_at {
             self.accept_failed(now, AcceptFailure::MachineShort, &error);
             self.listener.pause(now);
-            self.unserved = Some(Unserved { stream, waited_since, give_up_at });
+            self.unserved = Some(Unserved { stream, waited_since, give_up_at, refused });
         } else {
-            self.tools.budget.release(Holder::Client);
+            match refused {
+                true => self.tools.budget.release_refused(),
+                false => self.tools.budget.release(Holder::Client),
+            }
             self.tools.counters.closed(Closing::ClientSetupFailed);
             warn!(self.tools.log, "client not served: {error}");
         }
--- a/crates/sandstile-router/src/clients.rs
+++ b/crates/sandstile-router/src/clients.rs
@@ -10,7 +10,7 @@
 use mio::event::Event;
 use mio::net::TcpStream;
 use mio::Token;
-use sandstile_desk::{Asked, Given, Mail};
+use sandstile_desk::{Answer, Asked, Given, Mail};
 use slab::Slab;
 use slog::{debug, info};
 use std::io;
@@ -38,6 +38,8 @@
     /// Told to go: it does so as soon as it waits, and a last look found nothing more.
     leaves: bool,
     looked: bool,
+    /// It is held beyond all room: its statement is refused, and it goes.
+    refused: bool,
 }
 
 /// Seconds for which a connection waits before it may be closed to make room for another.
@@ -83,11 +85,12 @@
     }
 
     /// Takes a connection that is counted in the budget and may have waited since then; one that can't be set up now
-    /// is handed back.
+    /// is handed back. One that is `refused` gets no more than a refusal.
     pub fn accept(
         &mut self,
         stream: TcpStream,
         waited_since: f64,
+        refused: bool,
         tools: &mut Tools,
     ) -> Result<(), (TcpStream, io::Error)> {
         // Without it answers may come a little later, which is better than none.
@@ -120,6 +123,7 @@
             resting: None,
             leaves: false,
             looked: false,
+            refused,
         });
         self.queue(key, tools);
         Ok(())
@@ -256,6 +260,15 @@
                     seat.line.closed();
                     break;
                 }
+                Some(Wish::Ask { statement, .. }) if seat.refused => {
+                    self.asked += 1;
+                    seat.line.asked(self.asked);
+                    tools.counters.refused_for_room.add();
+                    debug!(tools.log, "refused for want of descriptors"; "client" => seat.number, "id" => &statement.id);
+                    seat.line.answer(now, self.asked, Answer::Rejected(0.0), &mut self.remarks);
+                    (seat.leaves, seat.closing) = (true, Some(Closing::ClientEvicted));
+                    moved = true;
+                }
                 Some(Wish::Ask { statement, time }) => {
                     self.asked += 1;
                     seat.line.asked(self.asked);
@@ -365,7 +378,10 @@
         }
         seat.line.release(&mut tools.budget);
         seat.wire.close(&tools.registry);
-        tools.budget.release(Holder::Client);
+        match seat.refused {
+            true => tools.budget.release_refused(),
+            false => tools.budget.release(Holder::Client),
+        }
     }
 }
 
--- a/crates/sandstile-router/src/counters.rs
+++ b/crates/sandstile-router/src/counters.rs
@@ -42,6 +42,8 @@
     pub dials_repeated: Count,
     /// Calls of `accept` that failed, but for an empty queue.
     pub accept_errors: Count,
+    /// Statements refused on connections that there was no room to serve.
+    pub refused_for_room: Count,
     /// The longest turn of the loop, the longest wait of a connection to be accepted as far as can be told, and the
     /// longest wait of a link for a descriptor, in milliseconds.
     pub longest_turn_ms: Count,
@@ -101,6 +103,7 @@
             ("found_by_look", &self.found_by_look),
             ("dials_repeated", &self.dials_repeated),
             ("further_executions", &self.desk.further_executions),
+            ("refused_for_room", &self.refused_for_room),
             ("longest_turn_ms", &self.longest_turn_ms),
             ("longest_accept_wait_ms", &self.longest_accept_wait_ms),
             ("longest_dial_wait_ms", &self.longest_dial_wait_ms),
--- a/crates/sandstile-router/src/listener.rs
+++ b/crates/sandstile-router/src/listener.rs
@@ -21,6 +21,10 @@
 const MOST_QUEUED: u64 = BACKLOG as u64 + 2;
 /// Accepts between the times that are kept.
 const MARK_EVERY: u64 = 16;
+/// Seconds for which the queue may wait for room before it is taken in beyond the clients' share, and before what
+/// waits longest is refused.
+const LONGEST_HOLD: f64 = 0.05;
+const LONGEST_WAIT: f64 = 0.2;
 
 /// Takes a connection without asking who is at its other end: where the platform can't tell that any more, it would
 /// throw the connection away and say ECONNABORTED.
@@ -57,6 +61,8 @@
     /// Connections taken, and when there had been so many of them; `None` where the queue's length has no known bound.
     taken: u64,
     marks: Option<VecDeque<(u64, f64)>>,
+    /// Since when there has been no room for what may wait.
+    held_since: Option<f64>,
 }
 
 impl Listener {
@@ -86,6 +92,7 @@
             waiting_since: now,
             taken: 0,
             marks: bounded.then(VecDeque::new),
+            held_since: None,
         })
     }
 
@@ -121,6 +128,23 @@
         }
     }
 
+    /// There is no room for what may wait: it waits on, and its time runs.
+    pub fn hold_up(&mut self, now: f64) {
+        if self.ready {
+            self.held_since.get_or_insert(now);
+        }
+    }
+
+    /// When what waits for room has waited for too long; infinite where nothing does.
+    pub fn overdue_at(&self) -> f64 {
+        self.held_since.map_or(f64::INFINITY, |since| since + LONGEST_HOLD)
+    }
+
+    /// When what waits longest can no longer be served in time; infinite where nothing waits for room.
+    pub fn refused_at(&self) -> f64 {
+        self.held_since.map_or(f64::INFINITY, |_| self.waiting_since + LONGEST_WAIT)
+    }
+
     /// One more was taken. They come out as they came in, and the queue holds no more than its bound: what comes out now
     /// came in after that many before it had come out.
     fn count(&mut self, now: f64) {
@@ -148,7 +172,7 @@
             }
             Err(e) if e.kind() == ErrorKind::WouldBlock => {
                 self.recover();
-                (self.ready, self.empty_at) = (false, now);
+                (self.ready, self.held_since, self.empty_at) = (false, None, now);
                 Accepted::Empty
             }
             Err(e) => {
--- a/crates/sandstile-router/src/router.rs
+++ b/crates/sandstile-router/src/router.rs
@@ -1,5 +1,5 @@
 //! Builds the actors of one router, and takes them down in order.
-use crate::budget::Budget;
+use crate::budget::{Budget, REFUSALS};
 use crate::carrier::{Carrier, Charge, Parts, Posts};
 use crate::charter::Charter;
 use crate::clock::Clock;
@@ -55,7 +55,7 @@
     wishes: &mut Wishes,
 ) -> Result<(), String> {
     let clock = Clock::anchor();
-    let most = launch.sockets.saturating_sub(OWN_DESCRIPTORS).max(4);
+    let most = launch.sockets.saturating_sub(OWN_DESCRIPTORS + REFUSALS).max(4);
     // Clients hold at most a third of the descriptors for statements, each with a link beside it. Some more may
     // come and go. Half of the memory is for long frames.
     let most_clients = (launch.sockets / 3 + OWN_DESCRIPTORS).min(most / 2).max(2);
--- a/crates/sandstile-router/tests/waiting.rs
+++ b/crates/sandstile-router/tests/waiting.rs
@@ -11,7 +11,44 @@
 use stand_ins::*;
 use std::net::{TcpListener, TcpStream};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+/// Seconds after its time in which a request may still get its final answer.
+const GRACE: Duration = Duration::from_millis(500);
+
+/// Guards against requests that wait unread in the listen queue while all connections that are in are busy.
+#[test]
+fn a_request_behind_a_full_house_gets_its_answer_in_its_time() {
+    let (primary, replica) = (Host::start(true), Host::scripted(false, &vec![Act::Silent; 200]));
+    primary.script.lock().expect("script").acts.extend(vec![Act::Silent; 200]);
+    let router = Router::before(&primary, &[&replica]);
+    let busy: Vec<Client> = (0..60)
+        .map(|_| {
+            let mut client = Client::connect(router.address);
+            client.send(&[sandstile_router::pg::hello(), query(&read(2000))].concat());
+            client
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(100));
+    let late: Vec<_> = (0..20)
+        .map(|_| {
+            let address = router.address;
+            thread::spawn(move || {
+                let mut client = Client::connect(address);
+                client.send(&[sandstile_router::pg::hello(), query(&read(400))].concat());
+                let begun = Instant::now();
+                let greeted = client.answer();
+                (greeted, client.answer(), begun.elapsed())
+            })
+        })
+        .collect();
+    for client in late {
+        let (greeted, answer, took) = client.join().expect("a client");
+        assert!(greeted.ready && answer.code.is_some(), "{answer:?} after {took:?}");
+        assert!(took < Duration::from_millis(400) + GRACE, "{answer:?} after {took:?}");
+    }
+    drop(busy);
+}
 
 /// Guards against connections taken to be as old as the queue's last empty moment, however many came out since.
 #[test]
