--- a/crates/sandstile-lines/src/pool.rs
+++ b/crates/sandstile-lines/src/pool.rs
@@ -51,6 +51,11 @@
 }
 
 impl Pool {
+    /// Whether the list has told an address of this host.
+    pub fn has_address(&self) -> bool {
+        self.address.is_some()
+    }
+
     /// The host's address as the list now has it: the idle links of the former one are to be closed.
     /// `None` where it has not changed.
     pub fn moved(&mut self, address: SocketAddr) -> Option<Vec<usize>> {
--- a/crates/sandstile-router/src/hosts.rs
+++ b/crates/sandstile-router/src/hosts.rs
@@ -163,15 +163,18 @@
             self.hosts.resize_with(host + 1, || None);
         }
         if self.hosts[host].is_none() {
-            info!(self.log, "host {host} is {name}");
+            info!(self.log, "host {host} is {name}"; "address" => address.map(|at| at.to_string()));
             self.counters.hosts.add();
             let log = self.log.new(o!("host" => name.to_string()));
             let (pool, causes, armed) = (Pool::default(), BTreeMap::new(), f64::INFINITY);
             self.hosts[host] = Some(Host { pool, log, causes, armed });
         }
         let Some(address) = address else { return };
+        let known_before = self.host(host).pool.has_address();
         let Some(links) = self.host(host).pool.moved(address) else { return };
-        info!(self.host(host).log, "address is {address}");
+        if known_before {
+            info!(self.host(host).log, "address is {address}");
+        }
         for key in links {
             self.counters.ended(Ending::Moved);
             self.close(key, tools);
--- a/crates/sandstile-router/src/main.rs
+++ b/crates/sandstile-router/src/main.rs
@@ -31,7 +31,7 @@
 names; SIGTERM answers what was taken, then exits with 0";
 
 /// Lines of log that may wait to be written: a start logs two for each database host.
-const LOG_LINES_WAITING: usize = 2048;
+const LOG_LINES_WAITING: usize = 4096;
 
 fn main() -> ExitCode {
     match run() {
--- a/crates/sandstile-router/tests/many_hosts.rs
+++ b/crates/sandstile-router/tests/many_hosts.rs
@@ -81,3 +81,29 @@
     assert!(outcome.seen.requests.iter().any(|r| late(&r)), "connections are still taken at the end");
     assert_clean(&outcome);
 }
+
+/// Guards against hosts taken for silent, and their writes held for all their time, as the router itself stood still.
+#[test]
+fn a_router_that_is_held_up_again_and_again_holds_no_request() {
+    let hold_up = |n: u64| (Duration::from_millis(1_000 + 400 * n), Event::HoldUp { router: 0, ms: 150 });
+    let events = (0..14).map(hold_up).collect();
+    let plan = Plan { clients: 60, work_ms: 4, events, ..large(Duration::from_secs(8)) };
+    assert_clean(&outcome(&plan));
+}
+
+/// Guards against requests that wait behind a whole list, a watch that ends, a crowd or a restart of their router.
+#[test]
+fn whole_lists_crowds_and_signals_hold_up_no_request() {
+    let at = |ms: u64, event: Event| (Duration::from_millis(ms), event);
+    let events = vec![
+        at(1_000, Event::WholeList),
+        at(1_500, Event::Rush { router: 0, clients: 100, ms: 1_500 }),
+        at(2_000, Event::AgentReset),
+        at(2_500, Event::Signals { router: 0, count: 20 }),
+        at(3_500, Event::WholeList),
+        at(3_600, Event::LittleProcessor { router: 0, ms: 2_000 }),
+        at(4_000, Event::ListChanges { count: 500, pause_ms: 3 }),
+    ];
+    let plan = Plan { clients: 40, sockets: 200, work_ms: 1, events, ..large(Duration::from_secs(8)) };
+    assert_clean(&outcome(&plan));
+}
