Soak: a session's own writes are held against its reads of the same group

Cause: on fleets of many groups the client took a write in one group for the past of a read in another, and a host that lost its role had its position go back by its lag, which no log does. Change: writes are kept for each group, and a position never goes back: within a group the rule is as strict as before, and with one group it is the same.

--- a/crates/sandstile-soak/src/client.rs
+++ b/crates/sandstile-soak/src/client.rs
@@ -3,6 +3,7 @@
 use crate::record::{Effect, End, Recorder, Request};
 use oorandom::Rand64;
 use sandstile_pgwire as pg;
+use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
@@ -24,6 +25,9 @@
     pub life: AtomicUsize,
 }
 
+/// Where a session's last write in each group stands in that group's log.
+type Writes = BTreeMap<u64, u64>;
+
 struct Connection {
     stream: TcpStream,
     router: usize,
@@ -56,7 +60,7 @@
     pub fn run(self) {
         let mut draw = Rand64::new(u128::from(self.seed) << 32 | self.number as u128);
         let mut connection: Option<Connection> = None;
-        let (mut asked, mut wrote) = (0_u64, None);
+        let (mut asked, mut wrote) = (0_u64, Writes::new());
         while !self.over.load(SeqCst) {
             thread::sleep(Duration::from_millis(draw.rand_range(self.pause_ms / 9..self.pause_ms.max(1))));
             if connection.is_none() {
@@ -86,7 +90,7 @@
     }
 
     /// One statement; `true` where the connection goes on.
-    fn ask(&self, open: &mut Connection, id: &str, draw: &mut Rand64, wrote: &mut Option<u64>) -> bool {
+    fn ask(&self, open: &mut Connection, id: &str, draw: &mut Rand64, wrote: &mut Writes) -> bool {
         let (class, effect) = match draw.rand_range(0..10) {
             0 | 1 => ("book", Effect::NonIdempotent),
             2 => ("once", Effect::Deduplicated),
@@ -113,9 +117,10 @@
         let leaves = (draw.rand_range(0..40) == 0).then(|| written_at + draw.rand_float() * 0.2);
         let mut position = None;
         let end = self.await_end(open, written_at + wait + GRACE_S + LISTENS_ON_S, leaves, &mut position);
-        let wrote_before = wrote.filter(|_| class == "own");
-        if effect != Effect::Idempotent {
-            *wrote = position.max(*wrote);
+        let wrote_before = wrote.get(&group).copied().filter(|_| class == "own");
+        if let Some(position) = position.filter(|_| effect != Effect::Idempotent) {
+            let last = wrote.entry(group).or_default();
+            *last = position.max(*last);
         }
         let goes_on = matches!(&end, End::Answered { .. });
         let (router, life, fresh) = (open.router, open.life, open.fresh);
--- a/crates/sandstile-soak/src/host.rs
+++ b/crates/sandstile-soak/src/host.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -33,6 +33,8 @@
     number: usize,
     address: SocketAddr,
     primary: AtomicBool,
+    /// How far its log had come when it last was primary: a log never goes back.
+    came_to: AtomicU64,
     work: Duration,
     pieces: bool,
     faults: Mutex<ActiveFaults>,
@@ -57,6 +59,7 @@
             number,
             address,
             primary: AtomicBool::new(number < plan.groups),
+            came_to: AtomicU64::new(0),
             work: Duration::from_millis(plan.work_ms),
             pieces: plan.pieces,
             faults: Mutex::default(),
@@ -71,6 +74,7 @@
 
     /// Takes this role.
     pub fn becomes(&self, primary: bool) {
+        self.0.came_to.store(self.position(), SeqCst);
         self.0.primary.store(primary, SeqCst);
     }
 
@@ -210,7 +214,8 @@
     /// How far its log has come, in Unix milliseconds: its answers' values and their positions.
     fn position(&self) -> u64 {
         let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
-        now - if self.is_primary() { 0 } else { LAG_MS }
+        let position = now - if self.is_primary() { 0 } else { LAG_MS };
+        position.max(self.0.came_to.load(SeqCst))
     }
 
     fn row(&self, out: &mut Vec<u8>) {
