A long list that comes slowly is taken and not asked for again and again

Callers saw: drains and starts stay unknown where a whole list of thousands of hosts takes over 3 s to come, for the watch counts as silent then and is opened anew, for ever. Cause: only a whole list counted as a word from discovery. Evidence: 1.2 MiB in 5 s; the released code closes the watch after 3 s. Test: a_long_list_that_comes_slowly_is_taken failed before (broken pipe), passes.

--- a/crates/sandstile-router/src/discovery.rs
+++ b/crates/sandstile-router/src/discovery.rs
@@ -82,6 +82,8 @@
 const MOVED_LOOK: Duration = Duration::from_millis(500);
 /// About so long between calls: the agent is on this machine and answers for free, but a loop must not spin.
 pub const PAUSE: Duration = Duration::from_millis(200);
+/// Bytes of one list that count as a word from discovery: a long one may take longer to come than a silence.
+const PROGRESS: usize = 64 * 1024;
 const MOST_CAUSES: usize = 256;
 /// A list of thousands of hosts, indented; what is longer is no list, and read it would take ten times as much memory.
 const MOST_LIST: usize = 4 * 1024 * 1024;
@@ -145,8 +147,8 @@
         let mut chunks = None;
         let mut lists = ListStream::default();
         let mut bytes = [0; 16 * 1024];
-        // Only what is whole counts as heard: bytes that drip would hide a silence.
-        let mut heard = Instant::now();
+        // Only what is whole counts as heard, and what is long: bytes that drip would hide a silence.
+        let (mut heard, mut long_from) = (Instant::now(), PROGRESS);
         loop {
             if self.agent.address() != address {
                 // The watch could not be ended from outside: its copy may not have been to be had.
@@ -174,7 +176,9 @@
             let chunks = chunks.as_mut().expect("set above");
             chunks.take(&mut buf, lists.content()).inspect_err(|_| self.counters.bad_lists.add())?;
             if self.take_lists(&mut lists)? {
-                heard = Instant::now();
+                (heard, long_from) = (Instant::now(), PROGRESS);
+            } else if lists.held() >= long_from {
+                (heard, long_from) = (Instant::now(), lists.held() + PROGRESS);
             }
             if lists.held() > MOST_LIST {
                 return Err("a list without an end".to_string());
--- a/crates/sandstile-router/tests/waiting.rs
+++ b/crates/sandstile-router/tests/waiting.rs
@@ -108,6 +108,24 @@
     assert!(count(&log, "hosts") >= 3_200, "{} hosts", count(&log, "hosts"));
 }
 
+/// Guards against a long list asked for again and again, as it takes longer to come than a watch may be silent.
+#[test]
+fn a_long_list_that_comes_slowly_is_taken() {
+    let primary = Host::start(true);
+    let agent = Agent::start();
+    let router = Router::start(&config(agent.address, &known(&primary, &[])));
+    let mut watch = agent.watch();
+    watch.begin();
+    for piece in indented(&long_list(3_200)).as_bytes().chunks(80 * 1024) {
+        watch.chunk(std::str::from_utf8(piece).expect("text"));
+        thread::sleep(Duration::from_millis(300));
+    }
+    thread::sleep(Duration::from_millis(500));
+    let (ok, log) = router.end();
+    assert!(ok && count(&log, "hosts") >= 3_200, "{} hosts", count(&log, "hosts"));
+    assert_eq!(count(&log, "watches"), 1);
+}
+
 /// Guards against lists read anew with each piece that comes: what is not whole costs no more than its bytes.
 #[test]
 fn lists_come_out_of_pieces_as_they_went_in_and_nonsense_is_told_early() {
