A primary that no connection came up to serves again as soon as a probe finds it

Callers saw: with thousands of hosts all writes and own reads of a group refused unsent for two seconds and more after one failed connection to its primary. Cause: a rest is counted in rotations of the group, 2 s at once where it is met seldom and six with the next strike; no probe was made meanwhile, and one that was answered left the primary mute until its rest was over. Change: what could not be reached is probed in its rest, and a probe that is answered ends the rest: being reached is all that it was for. Hosts that took statements and were silent stay as they were.

--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -332,6 +332,11 @@
     pub fn probed(&mut self, now: f64, host: usize, ok: bool, note: Note) {
         self.now = now;
         let Some(h) = self.hosts.get_mut(host).filter(|_| ok) else { return };
+        if h.unreachable_since.is_some() {
+            // What no connection came up to is reached again: that is all that its rest was for.
+            (h.mute, h.rests_until) = (false, now);
+            self.touched.insert(h.group);
+        }
         // Some hung hosts answer probes all the same, so each failure keeps it mute for longer.
         h.mute &= h.rests_until > now;
         if let Some(p) = note.position {
@@ -761,7 +766,8 @@
             let tells = self.terms.checked && self.terms.stamped;
             let stands = |p: &usize| tells && self.hosts[*p].claimed_at > self.now - STANDS;
             match g.primary.filter(stands) {
-                Some(p) if self.hosts[p].rests_until > self.now => {}
+                Some(p)
+                    if self.hosts[p].rests_until > self.now && self.hosts[p].unreachable_since.is_none() => {}
                 Some(p) => self.probes.push_back(p),
                 None => self.probes.extend(g.members.iter().copied()),
             }
--- a/crates/sandstile-policy/tests/rules.rs
+++ b/crates/sandstile-policy/tests/rules.rs
@@ -773,3 +773,24 @@
     }
     assert!(sent(&w, other) && !w.open[&other].over, "the other is tried in its turn");
 }
+
+/// Guards against writes held for a rest in rotations after one failed connection, in a group that is met seldom.
+#[test]
+fn a_primary_that_could_not_be_reached_serves_again_once_a_probe_finds_it() {
+    let mut w = World::new(terms(0b110_0111), 7);
+    for _ in 0..4 {
+        w.step(3.0);
+        w.serve(2, Verdict::Completed, Some(true));
+    }
+    w.step(3.0);
+    w.serve(2, Verdict::ConnectFailed, None);
+    let write = w.arrive(2, 1.0);
+    w.step(0.005);
+    for _ in 0..80 {
+        w.step(0.005);
+    }
+    assert!(w.decisions.iter().any(|d| *d == Decision::Probe { host: 2 }), "its rest keeps no probe from it");
+    w.policy.probed(w.now, 2, true, Note { position: None, primary: Some(true) });
+    w.step(0.005);
+    assert!(w.sends().iter().any(|sent| *sent == (write, 2)), "reached, it is used at once");
+}
