A completed trial ends the rest of its host

Callers saw: writes held for seconds at a primary that had just answered. Cause: a send to a host that rests begins its rest anew, to keep others from it while the trial is out; its completion left that rest standing, up to 2 s and more in groups met seldom. Change: a completion ends the rest. Test: a_completed_trial_ends_the_rest_of_its_host failed before, passes.

--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -275,7 +275,8 @@
                 let weight = (0.12f64).max(1.0 - (-(now - heard)).exp());
                 host.crowd += weight * ((took / kind.base).min(10.0) - host.crowd);
                 host.bare = host.crowd.min(host.bare + 0.002 * (host.crowd - host.bare));
-                host.strikes = 0;
+                // A trial that completes ends the rest that it kept from others.
+                (host.strikes, host.rests_until) = (0, host.rests_until.min(now));
                 host.meter.roll(now, true);
                 host.ghosts.retain(|until| *until > now);
                 let told = self.terms.checked && !s.strict;
--- a/crates/sandstile-policy/tests/rules.rs
+++ b/crates/sandstile-policy/tests/rules.rs
@@ -794,3 +794,18 @@
     w.step(0.005);
     assert!(w.sends().iter().any(|sent| *sent == (write, 2)), "reached, it is used at once");
 }
+
+/// Guards against writes held for a rest that a trial began, though that trial has completed.
+#[test]
+fn a_completed_trial_ends_the_rest_of_its_host() {
+    let mut w = World::new(terms(0b110_0111), 7);
+    w.serve(2, Verdict::Completed, Some(true));
+    w.serve(2, Verdict::ConnectFailed, None);
+    w.step(0.4);
+    w.policy.probed(w.now, 2, true, Note { position: None, primary: Some(true) });
+    w.step(0.005);
+    w.end(1, 1, Verdict::Completed, Some(true), 0.0);
+    for _ in 0..3 {
+        w.serve(2, Verdict::Completed, Some(true));
+    }
+}
