One failed connection makes no host cold, however long ago it was

Callers saw: own reads and writes of a group refused unsent for the cold time (2 s here, more in service) after one failed connection to its primary. Cause: an answer over a second after a failed connection counted as the return from a restart; with thousands of hosts each is met every few seconds, so one failure is always over a second ago. Change: two failures in a row, the first over a second ago. Test: one_failed_connection_makes_no_host_cold_however_long_ago_it_was failed before, passes.

--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -32,6 +32,8 @@
 /// A replica that refused a read as too far behind takes reads of any age for so long, or eight turns: for
 /// a spell of lag. With a shorter memory routers disagree on which ones, and each takes up another log.
 const LAGS: f64 = 20.0;
+/// Failed connections in a row that tell a host that was gone from one that failed once.
+const SPELL_FAILURES: u32 = 2;
 /// A probe's claim to be primary spares the other members probes for so long: a failover takes longer.
 const STANDS: f64 = 1.0;
 
@@ -246,8 +248,11 @@
         let answered = matches!(verdict, Completed | Error | Full | Miss);
         if answered {
             (host.answered_at, host.mute) = (now, false);
-            if host.unreachable_since.take().is_some_and(|t| now - t > 1.0) {
-                // Back after a spell of no connections: most likely a restart that the list has yet to tell.
+            let failures = std::mem::take(&mut host.unreachable_times);
+            let spell = host.unreachable_since.take().is_some_and(|t| now - t > 1.0);
+            if spell && failures >= SPELL_FAILURES {
+                // Back after a spell of no connections: most likely a restart that the list has yet to tell. One
+                // failure is no spell, however long ago: thousands of hosts are met seldom.
                 (host.fresh_since, host.credit) = (now, 0.0);
                 restarted = true;
             }
@@ -291,7 +296,10 @@
                 host.missed_at = now;
                 host.stood = if self.terms.stamped { host.stood } else { (need - 0.1, now) };
             }
-            ConnectFailed => host.unreachable_since = host.unreachable_since.or(Some(now)),
+            ConnectFailed => {
+                host.unreachable_since = host.unreachable_since.or(Some(now));
+                host.unreachable_times += 1;
+            }
             _ => {}
         }
         if (foreign || matches!(verdict, ConnectFailed | Reset | Full)) && host.rests_until <= now {
--- a/crates/sandstile-policy/src/state.rs
+++ b/crates/sandstile-policy/src/state.rs
@@ -94,7 +94,9 @@
     pub strikes: i32,
     pub rests_until: f64,
     pub mute: bool,
+    /// Since when no connection came up, and how many have failed since.
     pub unreachable_since: Option<f64>,
+    pub unreachable_times: u32,
 }
 
 /// Completions a second, smoothed over about a second.
--- a/crates/sandstile-policy/tests/rules.rs
+++ b/crates/sandstile-policy/tests/rules.rs
@@ -809,3 +809,17 @@
         w.serve(2, Verdict::Completed, Some(true));
     }
 }
+
+/// Guards against a host taken for restarted, and sent nothing for its cold time, after one failed connection long ago.
+#[test]
+fn one_failed_connection_makes_no_host_cold_however_long_ago_it_was() {
+    let mut w = World::new(terms(0b110_0111), 7);
+    w.serve(2, Verdict::Completed, Some(true));
+    w.serve(2, Verdict::ConnectFailed, None);
+    w.step(3.0);
+    w.policy.probed(w.now, 2, true, Note { position: None, primary: Some(true) });
+    for _ in 0..3 {
+        w.serve(2, Verdict::Completed, Some(true));
+        w.step(0.1);
+    }
+}
