--- a/crates/sandstile-policy/tests/rules.rs
+++ b/crates/sandstile-policy/tests/rules.rs
@@ -789,10 +789,10 @@
     for _ in 0..80 {
         w.step(0.005);
     }
-    assert!(w.decisions.iter().any(|d| *d == Decision::Probe { host: 2 }), "its rest keeps no probe from it");
+    assert!(w.decisions.contains(&Decision::Probe { host: 2 }), "its rest keeps no probe from it");
     w.policy.probed(w.now, 2, true, Note { position: None, primary: Some(true) });
     w.step(0.005);
-    assert!(w.sends().iter().any(|sent| *sent == (write, 2)), "reached, it is used at once");
+    assert!(w.sends().contains(&(write, 2)), "reached, it is used at once");
 }
 
 /// Guards against writes held for a rest that a trial began, though that trial has completed.
--- a/crates/sandstile-router/tests/many_hosts.rs
+++ b/crates/sandstile-router/tests/many_hosts.rs
@@ -5,14 +5,18 @@
 use sandstile_soak::run::{play, Outcome};
 use std::path::Path;
 use std::sync::atomic::{AtomicU16, Ordering::SeqCst};
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 const HOSTS: usize = 3_200;
 const GROUPS: usize = 457;
 
 static NEXT_BLOCK: AtomicU16 = AtomicU16::new(0);
+/// One run after the other: each holds thousands of descriptors.
+static RUNNING: Mutex<()> = Mutex::new(());
 
 fn outcome(plan: &Plan) -> Outcome {
+    let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
     let router = Path::new(env!("CARGO_BIN_EXE_sandstile"));
     let shim = sandstile_shim::library(router).expect("the shim");
     let process = std::process::id();
--- a/crates/sandstile-soak/src/judge.rs
+++ b/crates/sandstile-soak/src/judge.rs
@@ -105,7 +105,7 @@
         found.extend(deadline(request, attempts, seen));
         found.extend(duplicate(request, attempts));
         found.extend(stale(request));
-        found.extend(unattempted(plan, request, attempts.len()));
+        found.extend(unattempted(plan, request, attempts.len(), seen));
     }
     found.extend(drain(seen));
     found.extend(slow_start(plan, seen));
@@ -165,9 +165,10 @@
     finding(Rule::Lost, format!("{how} at {ended_at:.3}, {attempts} attempts: {request:?}"))
 }
 
-fn unattempted(plan: &Plan, request: &Request, attempts: usize) -> Option<Finding> {
+fn unattempted(plan: &Plan, request: &Request, attempts: usize, seen: &Seen) -> Option<Finding> {
     let End::Answered { code: Some(code), at } = &request.end else { return None };
-    let waited = at - request.written_at;
+    let woke_late = slack(seen, request.written_at, *at) - SLACK_S;
+    let waited = at - request.written_at - woke_late;
     if !plan.is_healthy() || attempts > 0 || waited <= request.wait / 2.0 {
         return None;
     }
--- a/crates/sandstile-soak/src/plan.rs
+++ b/crates/sandstile-soak/src/plan.rs
@@ -92,7 +92,7 @@
 /// Hosts, groups and descriptors of a large fleet.
 const LARGE_HOSTS: usize = 3_200;
 const LARGE_GROUPS: usize = 457;
-const LARGE_SOCKETS: usize = 256;
+const LARGE_SOCKETS: [usize; 4] = [96, 160, 256, 512];
 
 /// Draws from a seed.
 struct Draw(Rand64);
@@ -179,7 +179,8 @@
     pub fn draw_large(seed: u64, quick: bool) -> Plan {
         let mut plan = Plan::draw(seed, quick);
         let mut draw = Draw(Rand64::new(u128::from(seed) ^ 0x1a46_e000));
-        (plan.hosts, plan.groups, plan.sockets) = (LARGE_HOSTS, LARGE_GROUPS, LARGE_SOCKETS);
+        (plan.hosts, plan.groups) = (LARGE_HOSTS, LARGE_GROUPS);
+        plan.sockets = draw.pick(&LARGE_SOCKETS);
         // One of a few hosts is met seldom among thousands: each event on one befalls others as well.
         let spread = plan.events.clone();
         for (at, event) in spread {
--- a/crates/sandstile-soak/tests/planted.rs
+++ b/crates/sandstile-soak/tests/planted.rs
@@ -104,3 +104,22 @@
     assert_eq!(text(7), text(7));
     assert_ne!(text(7), text(8));
 }
+
+#[test]
+fn a_refusal_late_and_unsent_is_held_against_a_healthy_fleet_alone() {
+    let refused =
+        |at: f64| request(Effect::Idempotent, End::Answered { code: Some("53300".to_string()), at });
+    let found = |plan: &Plan, request: Request, arrivals: &[Arrival], stalls: &[(f64, f64)]| {
+        let good = Request { id: "good".to_string(), end: answered(2.1), ..request.clone() };
+        let (requests, arrivals, stalls) = (vec![request, good], arrivals.to_vec(), stalls.to_vec());
+        let seen = Seen { requests, arrivals, happened: Vec::new(), stalls };
+        judge(plan, &seen).iter().any(|f| f.rule == Rule::Unattempted)
+    };
+    let calm = Plan::calm(1, std::time::Duration::from_secs(6));
+    assert!(found(&calm, refused(2.3), &[], &[]), "over half of 0.5 s");
+    assert!(!found(&calm, refused(2.2), &[], &[]), "told early enough");
+    assert!(!found(&calm, refused(2.3), &[arrival(2.1, 0.4)], &[]), "a host refused it");
+    assert!(!found(&calm, refused(2.3), &[], &[(2.2, 0.1)]), "this process woke late by that");
+    let faulty = Plan::draw(1, true);
+    assert!(!found(&faulty, refused(2.3), &[], &[]), "what hosts did may be the cause");
+}
