A read that only a silent primary may serve has that primary probed

Callers saw: own reads of a group refused unsent after all their time, for seconds, where hosts judge no read or a mark asks for the primary. Cause: a wait without a wake-up: probes were asked for where no primary is known or a position is to be learned, and a read that only the primary may serve needs no position; until a write came to that group nobody looked for its silent primary, and with hundreds of groups that is seconds. Change: a silent primary is looked for as an unknown one is. Test: a_read_that_only_a_silent_primary_may_serve_has_it_probed failed before, passes.

--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -548,7 +548,8 @@
     fn held_by(&self, id: u64) -> Hold {
         let s = &self.statements[&id];
         let k = &self.kinds[s.workload];
-        if !matches!(k.consistency, Consistency::Write | Consistency::Fresh) {
+        let any_replica = self.terms.checked && !s.strict;
+        if any_replica && !matches!(k.consistency, Consistency::Write | Consistency::Fresh) {
             return Hold::ReplicasBusy;
         }
         let Some(primary) = self.groups[s.group].primary.filter(|p| self.sendable(&self.hosts[*p])) else {
@@ -741,7 +742,7 @@
         if k.consistency == Consistency::Bounded && s.executions.is_empty() && held {
             return behind;
         }
-        if unknown || primary.is_none() {
+        if unknown || primary.is_none_or(|p| self.hosts[p].mute) {
             self.seeking.insert(s.group);
         }
         let g = &self.groups[s.group];
--- a/crates/sandstile-policy/tests/rules.rs
+++ b/crates/sandstile-policy/tests/rules.rs
@@ -823,3 +823,30 @@
         w.step(0.1);
     }
 }
+
+/// Guards against reads that only the primary may serve, held for all their time as nobody probes a silent one.
+#[test]
+fn a_read_that_only_a_silent_primary_may_serve_has_it_probed() {
+    let mut w = World::new(terms(0b110_0111), 7);
+    w.serve(2, Verdict::ConnectFailed, None);
+    w.step(0.6);
+    w.step(0.6);
+    let probes = |w: &World| w.decisions.iter().filter(|d| matches!(d, Decision::Probe { .. })).count();
+    let before = probes(&w);
+    let arrival = Arrival {
+        workload: 1,
+        group: 0,
+        session: Some(0),
+        time_left: 1.0,
+        wait: 1.0,
+        token_age: None,
+        retry: false,
+        reach: Some(Reach::Primary),
+    };
+    w.policy.arrived(w.now, 77, &arrival);
+    w.policy.passed(w.now);
+    while let Some(decision) = w.policy.decide() {
+        w.decisions.push(decision);
+    }
+    assert!(probes(&w) > before, "the primary is looked for");
+}
