A connection whose last look fails for want of memory is not closed unread

Callers saw: a request on a new connection is closed without an answer while others wait for its descriptor. Cause: who is to make room is read once more before it goes; a read that fails with ENOMEM moved nothing and counted as that look. Test: a_last_look_that_fails_closes_no_connection_unread failed before (closed unread), passes.

--- a/crates/sandstile-router/src/clients.rs
+++ b/crates/sandstile-router/src/clients.rs
@@ -38,6 +38,8 @@
     /// Told to go: it does so as soon as it waits, and a last look found nothing more.
     leaves: bool,
     looked: bool,
+    /// The last read failed for want of memory: bytes may lie in the socket.
+    unread: bool,
     /// It is held beyond all room: its statement is refused, and it goes.
     refused: bool,
 }
@@ -123,6 +125,7 @@
             resting: None,
             leaves: false,
             looked: false,
+            unread: false,
             refused,
         });
         self.queue(key, tools);
@@ -222,6 +225,9 @@
                 Moved::Nothing => {}
             }
             let wants = seat.line.wants().min(tools.scratch.len());
+            if seat.wire.readable() && wants > 0 {
+                seat.unread = false;
+            }
             match seat.wire.read(&mut tools.scratch[..wants]) {
                 Moved::Bytes(got) => {
                     seat.reads += 1;
@@ -241,7 +247,10 @@
                     gone(seat.line.closed(), &self.desk);
                     break;
                 }
-                Moved::Later => seat.wire.moved(now),
+                Moved::Later => {
+                    seat.unread = true;
+                    seat.wire.moved(now);
+                }
                 Moved::Nothing if wants > 0 => seat.line.drained(),
                 Moved::Nothing => {}
             }
@@ -323,10 +332,12 @@
         // As the router ends, a command that has begun is waited for, its time allowing: it may be whole by the close.
         let begun = self.dismissed && seat.line.unanswered_bytes() > 0;
         let leaves = (seat.leaves || self.dismissed) && rests.is_some() && !more && !begun;
-        if seat.line.ended() || (leaves && seat.looked) {
+        // A last look that failed proves nothing: its socket is looked at again in its own time.
+        let looks = leaves && !seat.unread;
+        if seat.line.ended() || (looks && seat.looked) {
             return self.close(key, tools);
         }
-        if leaves {
+        if looks {
             seat.wire.look();
         }
         seat.looked = leaves;
@@ -349,7 +360,7 @@
             seat.armed = due;
             tools.timers.push(due, token(key));
         }
-        if more || leaves {
+        if more || looks {
             self.queue(key, tools);
         }
     }
--- a/crates/sandstile-router/tests/system_calls.rs
+++ b/crates/sandstile-router/tests/system_calls.rs
@@ -250,3 +250,24 @@
         began.elapsed()
     );
 }
+
+/// Guards against a connection closed for another's sake with its request unread, as the last look at it failed for
+/// want of memory.
+#[test]
+fn a_last_look_that_fails_closes_no_connection_unread() {
+    let (primary, replica) = (Host::start(true), Host::start(false));
+    let short = Rule::fails(Call::Recv, ENOMEM).between(0, 1_200);
+    let router = router_under(&[short], &primary, &[&replica]);
+    let clients: Vec<Client> = (0..60)
+        .map(|_| {
+            let mut client = Client::connect(router.address);
+            client.send(&[pg::hello(), query(&read(2500))].concat());
+            client
+        })
+        .collect();
+    for mut client in clients {
+        assert!(client.answer().ready, "closed unread");
+        let got = client.answer();
+        assert!(got.value.is_some() || got.code.is_some(), "{got:?}");
+    }
+}
