A crowd that asks nothing is not taken in beyond the clients' share

Callers would see: descriptors that links need held by a crowd that asks nothing. Cause: the bound on the listen queue's wait (0.05 s) is shorter than the 0.1 s for which one that has just come is not closed for another, so silent ones counted as busy. Change: beyond the share only while nobody rests who has asked nothing; what waits for 0.2 s is refused as before.

--- a/crates/sandstile-lines/src/budget.rs
+++ b/crates/sandstile-lines/src/budget.rs
@@ -130,11 +130,11 @@
     }
 
     /// What becomes of a connection that has waited for long while nobody rests. `refuses` where it has waited for too long
-    /// to wait on.
-    pub fn admission(&self, refuses: bool) -> Admission {
+    /// to wait on, `serves` where those that are in are busy and nobody who has asked nothing is about to make room.
+    pub fn admission(&self, serves: bool, refuses: bool) -> Admission {
         let spare = self.links + self.clients < self.most || self.idle_link().is_some();
         match () {
-            () if spare && self.below_bound() => Admission::Serve,
+            () if serves && spare && self.below_bound() => Admission::Serve,
             () if refuses && self.refused < REFUSALS => Admission::Refuse,
             () => Admission::Wait,
         }
--- a/crates/sandstile-router/src/carrier.rs
+++ b/crates/sandstile-router/src/carrier.rs
@@ -381,7 +381,8 @@
         if now < self.listener.overdue_at() {
             return Admission::Wait;
         }
-        self.tools.budget.admission(now >= self.listener.refused_at())
+        let serves = !self.clients.has_resting_strangers();
+        self.tools.budget.admission(serves, now >= self.listener.refused_at())
     }
 
     /// Whether one more client can be taken in now, be it to refuse its statement.
@@ -404,7 +405,8 @@
     /// Whether the next descriptor that comes free is for what waits in the queue, and not for a link.
     fn yields_to_queue(&self) -> bool {
         let overdue = self.tools.clock.now() >= self.listener.overdue_at();
-        overdue && self.listener.is_open() && self.tools.budget.below_bound()
+        let serves = !self.clients.has_resting_strangers() && self.tools.budget.below_bound();
+        overdue && serves && self.listener.is_open()
     }
 
     /// Whether a connection could be taken in now, should one wait.
--- a/crates/sandstile-router/src/clients.rs
+++ b/crates/sandstile-router/src/clients.rs
@@ -44,6 +44,12 @@
     refused: bool,
 }
 
+impl Seat {
+    fn rests_as_stranger(&self) -> bool {
+        self.resting.is_some_and(|((holder, _), _)| holder == Holder::Stranger)
+    }
+}
+
 /// Seconds for which a connection waits before it may be closed to make room for another.
 const SETTLED: f64 = 0.1;
 
@@ -52,6 +58,8 @@
     workloads: Vec<Workload>,
     desk: Post<Mail>,
     remarks: Vec<Remark>,
+    /// Connections that rest and have asked nothing yet.
+    resting_strangers: usize,
     /// Statements taken so far, which names the next.
     asked: u64,
     /// From now on each that rests is to go.
@@ -74,6 +82,7 @@
             workloads,
             desk,
             remarks: Vec::new(),
+            resting_strangers: 0,
             asked: 0,
             dismissed: false,
             accepted: 0,
@@ -82,6 +91,11 @@
         }
     }
 
+    /// Whether a connection rests that has asked nothing yet: it makes room soon, if it goes on so.
+    pub fn has_resting_strangers(&self) -> bool {
+        self.resting_strangers > 0
+    }
+
     pub fn is_empty(&self) -> bool {
         self.seats.is_empty()
     }
@@ -350,7 +364,9 @@
             if let Some((rest, _)) = seat.idle.take() {
                 tools.budget.strike(rest);
             }
+            self.resting_strangers -= usize::from(seat.rests_as_stranger());
             seat.resting = rests.map(|spell| (spell, tools.clock.now()));
+            self.resting_strangers += usize::from(seat.rests_as_stranger());
         }
         let own = if seat.unread { f64::INFINITY } else { seat.line.due() };
         let mut due = own.min(seat.wire.look_due());
@@ -389,6 +405,7 @@
 
     fn close(&mut self, key: usize, tools: &mut Tools) {
         let mut seat = self.seats.remove(key);
+        self.resting_strangers -= usize::from(seat.rests_as_stranger());
         self.log_closing(&seat, tools);
         if let Some((rest, _)) = seat.idle {
             tools.budget.strike(rest);
