End in time after SIGTERM whatever clients keep on their connections

Cause: after the serving window a connection was closed only in a moment in which it was idle and a read found nothing. Nothing limited what it read, so the client decided when that moment came.

Change: after the window a connection reads nothing but the rest of a command that it has read in part, plus one final read once all is answered. It then ends its sending side and waits for the client's close, as a close over unread bytes resets the connection and may overtake answers. Counters drained, refused_at_shutdown and ClientCutOff, and a log line for each phase. `Clients::run` is split into steps on the way.

--- a/crates/sandstile-connections/src/client_connection.rs
+++ b/crates/sandstile-connections/src/client_connection.rs
@@ -22,6 +22,23 @@
 const READ_BYTES: usize = 4 * 1024;
 /// Limits one read of a long command, so that the expected bytes arrive in few reads.
 const MAX_READ_BYTES: usize = 64 * 1024;
+/// Bytes that tell the length of a message, and of the startup message.
+const FRAME_HEADER_BYTES: usize = 5;
+const STARTUP_HEADER_BYTES: usize = 4;
+/// SQLSTATE cannot_connect_now: a retry is harmless.
+const SHUTTING_DOWN: &str = "57P03";
+const SHUTTING_DOWN_MESSAGE: &str = "the router is shutting down: trying again is harmless";
+
+/// What a connection still reads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReadLimit {
+    Unlimited,
+    /// One more read for further commands, and then as `PartialCommand`.
+    OneRead,
+    /// Only the rest of a command that was read in part: it has to be answered, so the bytes behind it must
+    /// stay unread.
+    PartialCommand,
+}
 
 /// State that a client connection shares with the other connections of its event loop.
 pub struct ClientContext<'a> {
@@ -39,6 +56,8 @@
     BadInput(&'static str),
     /// The answer could not be written completely before the client's deadline and the grace after it.
     AnswerTimeout,
+    /// A command was refused because the router is ending.
+    RefusedAtShutdown,
 }
 
 #[derive(Debug, PartialEq)]
@@ -78,6 +97,11 @@
 #[derive(Debug)]
 pub struct ClientConnection {
     state: State,
+    read_limit: ReadLimit,
+    /// The router is ending: commands that were read are refused from now on.
+    refuses: bool,
+    /// A command has been received while the one before it was unanswered.
+    pipelined: bool,
     buf: Vec<u8>,
     /// Bytes reserved in the budget while `buf` is long.
     reserved_bytes: usize,
@@ -149,6 +173,9 @@
     pub fn waiting_since(waiting_since: f64, now: f64) -> Self {
         ClientConnection {
             state: State::ReadingCommands,
+            read_limit: ReadLimit::Unlimited,
+            refuses: false,
+            pipelined: false,
             buf: Vec::new(),
             reserved_bytes: 0,
             output: Vec::new(),
@@ -170,15 +197,18 @@
     /// open.
     pub fn wanted_bytes(&self) -> usize {
         match self.state {
+            State::ReadingCommands if self.read_limit == ReadLimit::PartialCommand => {
+                self.missing_bytes().min(MAX_READ_BYTES)
+            }
             State::ReadingCommands => {
-                let end = if self.startup_complete {
-                    pg::frame_end(&self.buf, pg::MAX_FRAME_BYTES)
-                } else {
-                    Ok(None)
-                };
-                let missing = end.ok().flatten().unwrap_or(0).saturating_sub(self.buf.len());
+                let missing = if self.startup_complete { self.missing_bytes() } else { 0 };
                 missing.clamp(READ_BYTES, MAX_READ_BYTES)
             }
+            State::Submitting { .. } | State::AwaitingAnswer { .. }
+                if self.read_limit == ReadLimit::PartialCommand =>
+            {
+                0
+            }
             State::Submitting { .. } | State::AwaitingAnswer { .. } => {
                 READ_BYTES.saturating_sub(self.buf.len())
             }
@@ -187,6 +217,32 @@
         }
     }
 
+    /// How many bytes of the command that has begun are known to be missing; 0 if none has begun.
+    fn missing_bytes(&self) -> usize {
+        let header_bytes = if self.startup_complete { FRAME_HEADER_BYTES } else { STARTUP_HEADER_BYTES };
+        let end = if self.startup_complete {
+            pg::frame_end(&self.buf, pg::MAX_FRAME_BYTES)
+        } else {
+            pg::startup_end(&self.buf)
+        };
+        match end {
+            Ok(None) if !self.buf.is_empty() => header_bytes.saturating_sub(self.buf.len()),
+            Ok(Some(end)) => end.saturating_sub(self.buf.len()),
+            Ok(None) | Err(_) => 0,
+        }
+    }
+
+    /// Reads once more for commands, and from then on only the rest of a command that was read in part.
+    pub fn limit_to_one_read(&mut self) {
+        self.read_limit = ReadLimit::OneRead;
+    }
+
+    /// Whether the client has sent commands without waiting for the answers before them. Then more of them may
+    /// arrive at any time.
+    pub fn pipelined(&self) -> bool {
+        self.pipelined
+    }
+
     pub fn receive(&mut self, now: f64, bytes: &[u8]) {
         self.receive_since(now, now, bytes);
     }
@@ -201,6 +257,7 @@
             }
             _ => {}
         }
+        self.pipelined |= self.awaits_answer();
         let wanted = self.wanted_bytes();
         // It is unknown when bytes that waited in the socket arrived, so the earliest possible time counts:
         // the client may have been waiting since then.
@@ -214,11 +271,21 @@
         } else if self.wanted_bytes() == 0 {
             self.unread_since = Some(self.received_at);
         }
+        self.end_last_read(self.received_at);
+    }
+
+    /// What arrives after `since` stays in the socket for now.
+    fn end_last_read(&mut self, since: f64) {
+        if self.read_limit == ReadLimit::OneRead {
+            self.read_limit = ReadLimit::PartialCommand;
+            self.unread_since.get_or_insert(since);
+        }
     }
 
-    /// A read found no more bytes: whatever is read from now on arrives from now on.
-    pub fn read_would_block(&mut self) {
+    /// A read at `now` found no more bytes: whatever is read from now on arrives from now on.
+    pub fn read_would_block(&mut self, now: f64) {
         self.unread_since = None;
+        self.end_last_read(now);
     }
 
     /// Records the arrival time of each command that has become complete.
@@ -418,6 +485,43 @@
         self.start_writing(now + IDLE_TIMEOUT_S, true);
     }
 
+    /// The router is ending: refuses what was read and has no answer yet. Returns the open statement, which is
+    /// to be abandoned. It may have run, so its client must not take it for refused.
+    pub fn refuse_unanswered(
+        &mut self,
+        now: f64,
+        client_events: &mut Vec<ClientEvent>,
+    ) -> Option<ClientAction> {
+        self.refuses = true;
+        self.read_limit = ReadLimit::PartialCommand;
+        match self.state {
+            State::ReadingCommands if !self.buf.is_empty() => {
+                self.close_reason = CloseReason::ClientDismissed;
+                self.refuse_for_shutdown(now, true, client_events);
+                None
+            }
+            State::AwaitingAnswer { statement_id, .. } => {
+                client_events.push(ClientEvent::RefusedAtShutdown);
+                self.output = encode_answer(Answer::Aborted);
+                self.answered += 1;
+                self.start_writing(now + IDLE_TIMEOUT_S, false);
+                Some(ClientAction::Abandon(statement_id))
+            }
+            _ => None,
+        }
+    }
+
+    /// Refuses one command; with `fatal` the connection closes behind the error.
+    fn refuse_for_shutdown(&mut self, now: f64, fatal: bool, client_events: &mut Vec<ClientEvent>) {
+        client_events.push(ClientEvent::RefusedAtShutdown);
+        self.output.clear();
+        pg::error(&mut self.output, fatal, SHUTTING_DOWN, SHUTTING_DOWN_MESSAGE, None);
+        if !fatal {
+            pg::ready(&mut self.output);
+        }
+        self.start_writing(now + IDLE_TIMEOUT_S, fatal);
+    }
+
     /// Writes an error for one statement only. The boundaries of commands are still known, and the commands
     /// behind this one must be answered, so the connection stays open.
     fn reject_statement(
@@ -452,6 +556,7 @@
                 self.buf.drain(..length);
                 self.complete_bytes = self.complete_bytes.saturating_sub(length);
                 let arrived_at = self.arrival_times.pop_front().unwrap_or(self.received_at);
+                self.pipelined |= self.startup_complete && !self.buf.is_empty();
                 if self.buf.is_empty() {
                     // Frees the buffer: most connections are idle most of the time.
                     self.buf = Vec::new();
@@ -511,6 +616,9 @@
                 pg::empty_query(&mut self.output);
                 self.start_writing(now + IDLE_TIMEOUT_S, false);
             }
+            Input::Query(_) if self.refuses => {
+                self.refuse_for_shutdown(now, false, client_context.client_events)
+            }
             Input::Query(text) => match statement::read(text, client_context.workloads) {
                 Ok(statement) => {
                     // The client waits from the statement's own last byte, however long the statements before
--- a/crates/sandstile-connections/src/close_reason.rs
+++ b/crates/sandstile-connections/src/close_reason.rs
@@ -25,10 +25,12 @@
     ClientDismissed,
     /// It could not be set up after it was accepted.
     ClientSetupFailed,
+    /// Still open when the time for the shutdown was over.
+    ClientCutOff,
 }
 
 /// All reasons in the order of their declaration; counters are indexed by it.
-pub const ALL: [CloseReason; 11] = {
+pub const ALL: [CloseReason; 12] = {
     use CloseReason::*;
     [
         ClientClosed,
@@ -42,6 +44,7 @@
         ClientEvicted,
         ClientDismissed,
         ClientSetupFailed,
+        ClientCutOff,
     ]
 };
 
--- a/crates/sandstile-connections/src/lib.rs
+++ b/crates/sandstile-connections/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod client_connection;
 pub mod close_reason;
 pub mod pool;
+pub mod shutdown;
 pub mod sqlstate;
 pub mod statement;
 pub mod upstream_connection;
--- a/crates/sandstile-connections/tests/client_connections.rs
+++ b/crates/sandstile-connections/tests/client_connections.rs
@@ -455,3 +455,38 @@
     harness.run_until_action(&mut written);
     assert_eq!((decode_frames(&written).1.len(), harness.client_events.as_slice()), (3, &[][..]));
 }
+
+/// Guards against a connection that is to close and goes on reading: it reads once more, then no byte behind the
+/// command that it has read in part, and answers all that it has read.
+#[test]
+fn a_connection_that_is_to_close_reads_no_command_that_it_need_not_answer() {
+    let (mut harness, mut written) = (Harness::new(), Vec::new());
+    harness.receive(&pg::startup_message(), &mut written);
+    let burst: Vec<u8> = (1..200).flat_map(statement).collect();
+    let (mut position, mut submitted) = (0, 0);
+    harness.connection.limit_to_one_read();
+    while harness.connection.wanted_bytes() > 0 {
+        let count = harness.connection.wanted_bytes();
+        harness.connection.receive(harness.now, &burst[position..position + count]);
+        position += count;
+        while let Some(ClientAction::Submit { .. }) = harness.run_until_action(&mut written) {
+            submitted += 1;
+            harness.connection.submitted(submitted);
+            assert_eq!(harness.connection.wanted_bytes(), 0, "further commands stay in the socket");
+            harness.connection.answer(
+                harness.now,
+                submitted,
+                Answer::Rejected(0.0),
+                &mut harness.client_events,
+            );
+        }
+    }
+    let commands_read: usize = (1..=submitted as usize).map(|n| statement(n).len()).sum();
+    assert!(submitted > 10 && submitted < 199 && commands_read == position, "{submitted}: {position}");
+    assert!(harness.connection.idle_period().is_some() && harness.connection.pipelined());
+    // A shutdown without time left refuses what is read after that.
+    harness.connection.limit_to_one_read();
+    assert_eq!(harness.connection.refuse_unanswered(harness.now, &mut harness.client_events), None);
+    assert_eq!(harness.receive(&burst[position..position + 400], &mut written), None);
+    assert_eq!(decode_frames(&written).1.last().map(String::as_str), Some("57P03"));
+}
--- a/crates/sandstile-pgwire/src/frame.rs
+++ b/crates/sandstile-pgwire/src/frame.rs
@@ -32,16 +32,16 @@
     i32::from_be_bytes([bytes[0], bytes[1], bytes[2], bytes[3]])
 }
 
+/// Where the first message of a connection ends; `None` until its length has arrived.
+pub fn startup_end(buf: &[u8]) -> Result<Option<usize>, BadFrame> {
+    let Some(length) = buf.get(..4).map(read_be_i32) else { return Ok(None) };
+    let length = usize::try_from(length).ok().filter(|n| (8..=MAX_STARTUP_BYTES).contains(n));
+    Ok(Some(length.ok_or(BadFrame("startup length"))?))
+}
+
 /// The first message of a connection and its length; `None` until it is complete.
 pub fn startup(buf: &[u8]) -> Result<Option<(Startup, usize)>, BadFrame> {
-    if buf.len() < 4 {
-        return Ok(None);
-    }
-    let length = usize::try_from(read_be_i32(buf)).ok().filter(|n| (8..=MAX_STARTUP_BYTES).contains(n));
-    let length = length.ok_or(BadFrame("startup length"))?;
-    if buf.len() < length {
-        return Ok(None);
-    }
+    let Some(length) = startup_end(buf)?.filter(|length| buf.len() >= *length) else { return Ok(None) };
     let kind = match read_be_i32(&buf[4..]) {
         SSL | GSS if length == 8 => Startup::Encrypt,
         CANCEL if length == 16 => Startup::Cancel,
--- a/crates/sandstile-pgwire/src/lib.rs
+++ b/crates/sandstile-pgwire/src/lib.rs
@@ -8,7 +8,7 @@
 pub use answer::{field, role, sqlstate, Answer, Stage};
 pub use backend::{command_complete, empty_query, error, mode, parameter, ready, row, startup_response};
 pub use frame::{
-    check_plausible, frame, frame_end, startup, write_frame, BadFrame, Startup, MAX_FRAME_BYTES,
+    check_plausible, frame, frame_end, startup, startup_end, write_frame, BadFrame, Startup, MAX_FRAME_BYTES,
     MAX_STARTUP_BYTES, TYPICAL_VALUE_BYTES,
 };
 pub use frontend::{query, startup_message, terminate, ClientMessage, MessageReader};
--- a/crates/sandstile-router/src/clients.rs
+++ b/crates/sandstile-router/src/clients.rs
@@ -6,7 +6,7 @@
 use crate::loop_context::{LoopContext, MAX_STEPS_PER_TURN};
 use crate::mailbox::MailboxSender;
 use crate::socket::{Socket, Transfer};
-use crate::statement::Workload;
+use crate::statement::{Statement, Workload};
 use mio::event::Event;
 use mio::net::TcpStream;
 use mio::Token;
@@ -35,23 +35,117 @@
     idle_key: Option<(IdleKey, u64)>,
     /// The current idle period, and when it began.
     idle_state: Option<((Holder, u64), f64)>,
-    /// Asked to close: it does so as soon as it is idle and a final read has found nothing more.
+    /// Asked to close: it does so as soon as it is idle, after a final read that found nothing more or the last
+    /// one that it may do.
     close_requested: bool,
+    /// A final read is under way, or has found nothing.
     final_read_done: bool,
+    final_reads_left: u32,
+    /// Its sending side is closed, and it waits until this time for the client to close its own.
+    lingers_until: Option<f64>,
     /// The last read failed for lack of memory: the socket may hold unread bytes.
     read_failed: bool,
     /// There is no descriptor to serve it: its statement is refused and it is closed.
     refused: bool,
 }
 
+/// How one step of a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    /// Bytes were transferred or a command was processed.
+    Progress,
+    /// There is output left that the socket may take.
+    OutputLeft,
+    /// Nothing can be done until an event, a timer or an answer.
+    Waiting,
+    Ended,
+}
+
+/// The connection has ended or broken.
+struct Lost;
+
 impl ClientSlot {
     fn is_idle_new_client(&self) -> bool {
         self.idle_state.is_some_and(|((holder, _), _)| holder == Holder::NewClientConnection)
     }
+
+    /// Asks the connection to close. What the client has sent by now is still read and answered.
+    fn request_close(&mut self, reason: CloseReason) {
+        (self.close_requested, self.close_reason) = (true, Some(reason));
+        self.final_reads_left = FINAL_READS;
+        self.client_connection.limit_to_one_read();
+        self.socket.force_read();
+    }
+
+    /// Reads once more before the connection closes.
+    fn read_finally(&mut self) {
+        self.final_reads_left -= 1;
+        self.client_connection.limit_to_one_read();
+        self.socket.force_read();
+    }
+
+    /// Writes what the socket takes; `true` if it took anything.
+    fn write(&mut self, now: f64) -> Result<bool, Lost> {
+        match self.socket.write(self.client_connection.pending_output()) {
+            Transfer::Bytes(written) => {
+                self.client_connection.wrote(written);
+                self.socket.record_progress(now);
+                return Ok(true);
+            }
+            Transfer::OutOfMemory => self.socket.record_progress(now),
+            Transfer::Broken(error) => return Err(self.broken(error)),
+            Transfer::Ended | Transfer::NotReady => {}
+        }
+        Ok(false)
+    }
+
+    /// Reads as much as the connection wants; `true` if anything had arrived.
+    fn read(&mut self, now: f64, context: &mut LoopContext) -> Result<bool, Lost> {
+        let wanted_bytes = self.client_connection.wanted_bytes().min(context.scratch.len());
+        if self.socket.readable() && wanted_bytes > 0 {
+            self.read_failed = false;
+        }
+        match self.socket.read(&mut context.scratch[..wanted_bytes]) {
+            Transfer::Bytes(received) => {
+                self.reads += 1;
+                self.final_read_done = false;
+                if self.socket.is_unannounced() {
+                    context.counters.found_by_look.add();
+                }
+                self.socket.record_progress(now);
+                let bytes = &context.scratch[..received];
+                self.client_connection.receive_since(context.events_since.min(now), now, bytes);
+                return Ok(true);
+            }
+            Transfer::Ended => return Err(Lost),
+            Transfer::Broken(error) => return Err(self.broken(error)),
+            Transfer::OutOfMemory => {
+                self.read_failed = true;
+                self.socket.record_progress(now);
+            }
+            // After a read that failed for lack of memory the socket may hold bytes.
+            Transfer::NotReady if wanted_bytes > 0 && !self.read_failed => {
+                self.client_connection.read_would_block(now)
+            }
+            Transfer::NotReady => {}
+        }
+        Ok(false)
+    }
+
+    fn broken(&mut self, error: Option<i32>) -> Lost {
+        (self.error, self.close_reason) = (error, Some(CloseReason::ClientBroken));
+        Lost
+    }
 }
 
 /// Seconds for which a connection has to be idle before it may be closed to make room for another.
 const MIN_IDLE_BEFORE_EVICTION_S: f64 = 0.1;
+/// Reads for further commands that a connection may do once it is idle and asked to close. A client that always
+/// has another command on the way would otherwise keep it open.
+const FINAL_READS: u32 = 1;
+/// Seconds for which a connection that closes over unread bytes waits for its client to close. Closing at once
+/// would reset it, and the reset can overtake answers.
+const LINGER_S: f64 = 0.25;
 
 pub struct Clients {
     slots: Slab<ClientSlot>,
@@ -64,6 +158,8 @@
     statements: u64,
     /// Shutting down: every connection is closed as soon as it is idle.
     shutting_down: bool,
+    /// No statement is waited for beyond this time, whatever its client says.
+    latest_deadline: f64,
     /// Connections accepted so far; the next connection's number follows from it.
     accepted: u64,
     unusual_close_log: LogLimiter<CloseReason>,
@@ -85,6 +181,7 @@
             idle_new_clients: 0,
             statements: 0,
             shutting_down: false,
+            latest_deadline: f64::INFINITY,
             accepted: 0,
             unusual_close_log: LogLimiter::default(),
             late_statement_log: LogLimiter::default(),
@@ -139,9 +236,14 @@
             idle_state: None,
             close_requested: false,
             final_read_done: false,
+            final_reads_left: 0,
+            lingers_until: None,
             read_failed: false,
             refused,
         });
+        if self.shutting_down {
+            self.slots[key].request_close(CloseReason::ClientDismissed);
+        }
         self.queue(key, context);
         Ok(())
     }
@@ -193,13 +295,13 @@
         }
     }
 
-    /// Asks an idle connection to close. What the client has sent by now is still read and answered.
+    /// Asks a connection to close. What the client has sent by now is still read and answered.
     pub fn request_close(&mut self, key: usize, context: &mut LoopContext) {
-        let Some(slot) = self.slots.get_mut(key) else { return };
+        let Some(slot) = self.slots.get_mut(key).filter(|slot| slot.lingers_until.is_none()) else { return };
         let reason =
             if self.shutting_down { CloseReason::ClientDismissed } else { CloseReason::ClientEvicted };
-        (slot.close_requested, slot.final_read_done, slot.close_reason) = (true, true, Some(reason));
-        slot.socket.force_read();
+        slot.request_close(reason);
+        slot.final_read_done = true;
         self.run(key, context);
         let Some(slot) = self.slots.get_mut(key).filter(|_| !self.shutting_down) else { return };
         if slot.client_connection.unanswered_bytes() > 0 {
@@ -208,188 +310,232 @@
         }
     }
 
-    /// Closes all idle connections, and from now on each connection as soon as it is idle.
-    pub fn shut_down(&mut self, context: &mut LoopContext) {
+    /// From now on no statement is waited for beyond `latest_deadline`, in Unix seconds.
+    pub fn limit_deadlines(&mut self, latest_deadline: f64) {
+        self.latest_deadline = latest_deadline;
+    }
+
+    fn keys(&self) -> Vec<usize> {
+        self.slots.iter().map(|(key, _)| key).collect()
+    }
+
+    /// Closes all idle connections, and from now on each connection as soon as it is idle: no connection reads
+    /// further commands but those of its final read. Returns how many are not closed yet.
+    pub fn shut_down(&mut self, context: &mut LoopContext) -> usize {
         self.shutting_down = true;
-        let keys: Vec<usize> = self.slots.iter().map(|(key, _)| key).collect();
-        for key in keys {
+        for key in self.keys() {
             self.request_close(key, context);
         }
+        (0..self.slots.len()).for_each(|_| context.counters.drained.add());
+        self.slots.len()
+    }
+
+    /// Refuses all commands that were read and have no answer yet. Returns how many connections are open.
+    pub fn refuse_unanswered(&mut self, context: &mut LoopContext) -> usize {
+        let now = context.clock.now();
+        for key in self.keys() {
+            let Some(slot) = self.slots.get_mut(key) else { continue };
+            slot.final_reads_left = 0;
+            let action = slot.client_connection.refuse_unanswered(now, &mut self.client_events);
+            report_abandoned(action, &self.dispatcher_sender);
+            self.run(key, context);
+        }
+        self.slots.len()
+    }
+
+    /// Closes all connections. Returns how many there were.
+    pub fn close_all(&mut self, context: &mut LoopContext) -> usize {
+        let keys = self.keys();
+        for key in &keys {
+            let slot = &mut self.slots[*key];
+            if slot.lingers_until.is_none() {
+                slot.close_reason = Some(CloseReason::ClientCutOff);
+            }
+            report_abandoned(slot.client_connection.closed(), &self.dispatcher_sender);
+            self.close(*key, context);
+        }
+        keys.len()
     }
 
     /// Does a bounded amount of work before the other connections get their turn.
     fn run(&mut self, key: usize, context: &mut LoopContext) {
         let Some(slot) = self.slots.get_mut(key) else { return };
+        if let Some(lingers_until) = slot.lingers_until {
+            return self.run_lingering(key, lingers_until, context);
+        }
         let mut more_work = true;
         for _ in 0..MAX_STEPS_PER_TURN {
-            let now = context.clock.now();
-            let mut progressed = false;
-            if slot.socket.read_closed() && slot.client_connection.awaits_answer() {
-                // The client is gone, though commands from before its end may still be unread for lack of room.
-                report_abandoned(slot.client_connection.closed(), &self.dispatcher_sender);
+            let step = self.step(key, context);
+            more_work = step != Step::Waiting;
+            if matches!(step, Step::Waiting | Step::Ended) || self.slots[key].client_connection.ended() {
                 break;
             }
-            match slot.socket.write(slot.client_connection.pending_output()) {
-                Transfer::Bytes(written) => {
-                    slot.client_connection.wrote(written);
-                    slot.socket.record_progress(now);
-                    progressed = true;
-                }
-                Transfer::OutOfMemory => slot.socket.record_progress(now),
-                Transfer::Ended => {}
-                Transfer::Broken(error) => {
-                    (slot.error, slot.close_reason) = (error, Some(CloseReason::ClientBroken));
-                    report_abandoned(slot.client_connection.closed(), &self.dispatcher_sender);
-                    break;
-                }
-                Transfer::NotReady => {}
-            }
-            let wanted_bytes = slot.client_connection.wanted_bytes().min(context.scratch.len());
-            if slot.socket.readable() && wanted_bytes > 0 {
-                slot.read_failed = false;
-            }
-            match slot.socket.read(&mut context.scratch[..wanted_bytes]) {
-                Transfer::Bytes(received) => {
-                    slot.reads += 1;
-                    if slot.socket.is_unannounced() {
-                        context.counters.found_by_look.add();
-                    }
-                    slot.socket.record_progress(now);
-                    slot.client_connection.receive_since(
-                        context.events_since.min(now),
-                        now,
-                        &context.scratch[..received],
-                    );
-                    progressed = true;
-                }
-                Transfer::Ended => {
-                    report_abandoned(slot.client_connection.closed(), &self.dispatcher_sender);
-                    break;
-                }
-                Transfer::Broken(error) => {
-                    (slot.error, slot.close_reason) = (error, Some(CloseReason::ClientBroken));
-                    report_abandoned(slot.client_connection.closed(), &self.dispatcher_sender);
-                    break;
-                }
-                Transfer::OutOfMemory => {
-                    slot.read_failed = true;
-                    slot.socket.record_progress(now);
+        }
+        self.count_events(context);
+        self.update_state(key, more_work, context);
+    }
+
+    /// Writes, reads and processes one command.
+    fn step(&mut self, key: usize, context: &mut LoopContext) -> Step {
+        let slot = &mut self.slots[key];
+        let now = context.clock.now();
+        if slot.socket.read_closed() && slot.client_connection.awaits_answer() {
+            // The client is gone, though commands from before its end may still be unread for lack of room.
+            report_abandoned(slot.client_connection.closed(), &self.dispatcher_sender);
+            return Step::Ended;
+        }
+        let transferred = slot.write(now).and_then(|wrote| Ok(slot.read(now, context)? | wrote));
+        let Ok(mut progressed) = transferred else {
+            report_abandoned(slot.client_connection.closed(), &self.dispatcher_sender);
+            return Step::Ended;
+        };
+        if slot.read_failed && slot.client_connection.due() <= now {
+            // A deadline only expires once everything that arrived before it has been read.
+            return Step::Waiting;
+        }
+        let client_events = &mut self.client_events;
+        let mut client_context =
+            ClientContext { budget: &mut context.budget, workloads: &self.workloads, client_events };
+        match slot.client_connection.advance(now, &mut client_context) {
+            Some(ClientAction::Submit { statement, deadline }) => {
+                if self.submit(key, *statement, deadline, now, context) == Step::Ended {
+                    return Step::Ended;
                 }
-                Transfer::NotReady if wanted_bytes > 0 => slot.client_connection.read_would_block(),
-                Transfer::NotReady => {}
+                progressed = true;
             }
-            if slot.read_failed && slot.client_connection.due() <= now {
-                // A deadline only expires once everything that arrived before it has been read.
-                more_work = false;
-                break;
-            }
-            let client_events = &mut self.client_events;
-            let mut client_context =
-                ClientContext { budget: &mut context.budget, workloads: &self.workloads, client_events };
-            match slot.client_connection.advance(now, &mut client_context) {
-                Some(ClientAction::Submit { statement, deadline }) if slot.socket.read_closed() => {
-                    // The client closed its sending side before the statement was read: nobody reads an answer, so
-                    // nothing is started.
-                    context.counters.read_too_late.add();
-                    if self.late_statement_log.admits(now, ()) {
-                        info!(context.log, "a statement was read only after its client had closed the connection";
-                            "client" => slot.number, "id" => &statement.id, "reads" => slot.reads,
-                            "time_left_s" => format!("{:.3}", deadline - now),
-                            "connected_s" => format!("{:.3}", now - slot.accepted_at));
-                    }
-                    slot.client_connection.closed();
-                    break;
-                }
-                Some(ClientAction::Submit { statement, .. }) if slot.refused => {
-                    self.statements += 1;
-                    slot.client_connection.submitted(self.statements);
-                    context.counters.refused_for_room.add();
-                    debug!(context.log, "refused for lack of descriptors"; "client" => slot.number, "id" => &statement.id);
-                    slot.client_connection.answer(
-                        now,
-                        self.statements,
-                        Answer::Rejected(0.0),
-                        &mut self.client_events,
-                    );
-                    (slot.close_requested, slot.close_reason) = (true, Some(CloseReason::ClientEvicted));
-                    progressed = true;
-                }
-                Some(ClientAction::Submit { statement, deadline }) => {
-                    self.statements += 1;
-                    slot.client_connection.submitted(self.statements);
-                    if self.statements == 1 {
-                        info!(context.log, "first statement read"; "client" => slot.number, "id" => &statement.id,
-                            "reads" => slot.reads, "connected_s" => format!("{:.3}", now - slot.accepted_at));
-                    }
-                    debug!(context.log, "asked"; "client" => slot.number, "statement" => self.statements, "id" => &statement.id,
-                        "reads" => slot.reads, "time_left_s" => format!("{:.3}", deadline - now));
-                    self.dispatcher_sender.send(DispatcherMessage::StatementRequest(StatementRequest {
-                        statement_id: self.statements,
-                        client_connection: key,
-                        id: statement.id.clone(),
-                        workload: statement.workload,
-                        group: statement.group.clone(),
-                        session: statement.session.clone(),
-                        writes: statement.writes,
-                        deadline,
-                        timeout: statement.timeout,
-                        last_write_at: statement.last_write_at,
-                        retry: statement.retry,
-                        mark: statement.mark.clone(),
-                        payload: Arc::new(*statement),
-                    }));
-                    progressed = true;
-                }
-                action => report_abandoned(action, &self.dispatcher_sender),
+            action => report_abandoned(action, &self.dispatcher_sender),
+        }
+        let slot = &self.slots[key];
+        match (progressed, slot.socket.writable() && !slot.client_connection.pending_output().is_empty()) {
+            (true, _) => Step::Progress,
+            (false, true) => Step::OutputLeft,
+            (false, false) => Step::Waiting,
+        }
+    }
+
+    /// Hands a statement to the dispatcher, or answers it where it can't be served.
+    fn submit(
+        &mut self,
+        key: usize,
+        statement: Statement,
+        deadline: f64,
+        now: f64,
+        context: &mut LoopContext,
+    ) -> Step {
+        let slot = &mut self.slots[key];
+        if slot.socket.read_closed() {
+            // The client closed its sending side before the statement was read: nobody reads an answer, so nothing
+            // is started.
+            context.counters.read_too_late.add();
+            if self.late_statement_log.admits(now, ()) {
+                info!(context.log, "a statement was read only after its client had closed the connection";
+                    "client" => slot.number, "id" => &statement.id, "reads" => slot.reads,
+                    "time_left_s" => format!("{:.3}", deadline - now),
+                    "connected_s" => format!("{:.3}", now - slot.accepted_at));
             }
-            more_work =
-                progressed || (slot.socket.writable() && !slot.client_connection.pending_output().is_empty());
-            if slot.client_connection.ended() || !more_work {
-                break;
+            slot.client_connection.closed();
+            return Step::Ended;
+        }
+        self.statements += 1;
+        slot.client_connection.submitted(self.statements);
+        if slot.refused {
+            context.counters.refused_for_room.add();
+            debug!(context.log, "refused for lack of descriptors"; "client" => slot.number, "id" => &statement.id);
+            let answer = Answer::Rejected(0.0);
+            slot.client_connection.answer(now, self.statements, answer, &mut self.client_events);
+            if !slot.close_requested {
+                slot.request_close(CloseReason::ClientEvicted);
             }
+            return Step::Progress;
+        }
+        if self.statements == 1 {
+            info!(context.log, "first statement read"; "client" => slot.number, "id" => &statement.id,
+                "reads" => slot.reads, "connected_s" => format!("{:.3}", now - slot.accepted_at));
         }
+        debug!(context.log, "asked"; "client" => slot.number, "statement" => self.statements, "id" => &statement.id,
+            "reads" => slot.reads, "time_left_s" => format!("{:.3}", deadline - now));
+        self.dispatcher_sender.send(DispatcherMessage::StatementRequest(StatementRequest {
+            statement_id: self.statements,
+            client_connection: key,
+            id: statement.id.clone(),
+            workload: statement.workload,
+            group: statement.group.clone(),
+            session: statement.session.clone(),
+            writes: statement.writes,
+            deadline: deadline.min(self.latest_deadline),
+            timeout: statement.timeout,
+            last_write_at: statement.last_write_at,
+            retry: statement.retry,
+            mark: statement.mark.clone(),
+            payload: Arc::new(statement),
+        }));
+        Step::Progress
+    }
+
+    fn count_events(&mut self, context: &LoopContext) {
         for client_event in self.client_events.drain(..) {
             match client_event {
                 ClientEvent::IdleTimeout => context.counters.rested.add(),
                 ClientEvent::EmptyQuery => context.counters.empty_queries.add(),
                 ClientEvent::AnswerTimeout => context.counters.forsaken.add(),
+                ClientEvent::RefusedAtShutdown => context.counters.refused_at_shutdown.add(),
                 ClientEvent::BadInput(message) => {
                     context.counters.bad_input.add();
                     debug!(context.log, "bad input: {message}");
                 }
             }
         }
-        self.update_state(key, more_work, context);
     }
 
     /// Updates the connection's state after a turn: closed, idle, waiting for a timer, or with more work queued.
     fn update_state(&mut self, key: usize, more_work: bool, context: &mut LoopContext) {
         let slot = &mut self.slots[key];
+        if slot.client_connection.ended() {
+            // Bytes may be unread behind the command whose error ended it.
+            let lingers = self.shutting_down && !slot.socket.read_closed();
+            return if lingers { self.linger(key, context) } else { self.close(key, context) };
+        }
         let idle_period = slot.client_connection.idle_period();
         // During shutdown, a command that has been read in part is waited for, until its deadline: the rest may
         // still arrive.
         let partial_command = self.shutting_down && slot.client_connection.unanswered_bytes() > 0;
-        let should_close = (slot.close_requested || self.shutting_down)
-            && idle_period.is_some()
-            && !more_work
-            && !partial_command;
+        let should_close = slot.close_requested && idle_period.is_some() && !more_work && !partial_command;
         // A final read that failed proves nothing: the socket is rechecked at its regular interval.
-        let needs_final_read = should_close && !slot.read_failed;
-        if slot.client_connection.ended() || (needs_final_read && slot.final_read_done) {
-            return self.close(key, context);
+        let may_close = should_close && !slot.read_failed;
+        if may_close && slot.final_read_done {
+            let may_send = self.shutting_down && slot.client_connection.pipelined();
+            return if may_send { self.linger(key, context) } else { self.close(key, context) };
         }
-        if needs_final_read {
-            slot.socket.force_read();
+        if may_close && slot.final_reads_left == 0 {
+            return self.linger(key, context);
+        }
+        if may_close {
+            slot.read_finally();
         }
         slot.final_read_done = should_close;
         if slot.idle_state.map(|(period, _)| period) != idle_period {
-            if let Some((idle_key, _)) = slot.idle_key.take() {
-                context.budget.remove_idle(idle_key);
-            }
-            self.idle_new_clients -= usize::from(slot.is_idle_new_client());
-            slot.idle_state = idle_period.map(|period| (period, context.clock.now()));
-            self.idle_new_clients += usize::from(slot.is_idle_new_client());
+            self.set_idle(key, idle_period, context);
+        }
+        self.schedule_timer(key, context);
+        if more_work || may_close {
+            self.queue(key, context);
+        }
+    }
+
+    /// Records that the connection is idle, in this period, or busy.
+    fn set_idle(&mut self, key: usize, idle_period: Option<(Holder, u64)>, context: &mut LoopContext) {
+        let slot = &mut self.slots[key];
+        if let Some((idle_key, _)) = slot.idle_key.take() {
+            context.budget.remove_idle(idle_key);
         }
+        self.idle_new_clients -= usize::from(slot.is_idle_new_client());
+        slot.idle_state = idle_period.map(|period| (period, context.clock.now()));
+        self.idle_new_clients += usize::from(slot.is_idle_new_client());
+    }
+
+    /// Offers the connection for eviction once it has been idle for long enough, and sets its timer.
+    fn schedule_timer(&mut self, key: usize, context: &mut LoopContext) {
+        let slot = &mut self.slots[key];
         let own_deadline = if slot.read_failed { f64::INFINITY } else { slot.client_connection.due() };
         let mut due = own_deadline.min(slot.socket.recheck_due());
         if let (Some(((holder, period), since)), None) = (slot.idle_state, slot.idle_key) {
@@ -401,20 +547,36 @@
                 due = due.min(since + MIN_IDLE_BEFORE_EVICTION_S);
             }
         }
-        if due < slot.timer_due {
-            slot.timer_due = due;
-            context.timers.push(due, token(key));
+        set_timer(slot, key, due, context);
+    }
+
+    /// Closes the sending side behind the last answer and waits for the client to close: nothing more is read.
+    fn linger(&mut self, key: usize, context: &mut LoopContext) {
+        self.set_idle(key, None, context);
+        let slot = &mut self.slots[key];
+        if slot.socket.read_closed() || slot.socket.end_writing().is_err() {
+            return self.close(key, context);
         }
-        if more_work || needs_final_read {
-            self.queue(key, context);
+        // A client that still reads its answers gets the time that the shutdown has.
+        let linger_s = if self.shutting_down { f64::INFINITY } else { LINGER_S };
+        let lingers_until = context.clock.now() + linger_s;
+        slot.lingers_until = Some(lingers_until);
+        set_timer(slot, key, lingers_until, context);
+    }
+
+    fn run_lingering(&mut self, key: usize, lingers_until: f64, context: &mut LoopContext) {
+        let slot = &mut self.slots[key];
+        if slot.socket.read_closed() || context.clock.now() >= lingers_until {
+            return self.close(key, context);
         }
+        set_timer(slot, key, lingers_until, context);
     }
 
     /// Counts why a connection ends and logs it: at debug level each of them, otherwise the unusual ones, at most
     /// one of a kind per second.
     fn log_close(&mut self, slot: &ClientSlot, context: &LoopContext) {
-        let broken = slot.close_reason == Some(CloseReason::ClientBroken);
-        let ended_itself = slot.client_connection.ended() && !broken;
+        let forced = matches!(slot.close_reason, Some(CloseReason::ClientBroken | CloseReason::ClientCutOff));
+        let ended_itself = slot.client_connection.ended() && !forced;
         let reason =
             slot.close_reason.filter(|_| !ended_itself).unwrap_or(slot.client_connection.close_reason());
         context.counters.count_close(reason);
@@ -443,6 +605,14 @@
     }
 }
 
+/// Sets the connection's timer, unless it is due earlier anyway.
+fn set_timer(slot: &mut ClientSlot, key: usize, due: f64, context: &mut LoopContext) {
+    if due < slot.timer_due {
+        slot.timer_due = due;
+        context.timers.push(due, token(key));
+    }
+}
+
 fn report_abandoned(action: Option<ClientAction>, dispatcher_sender: &MailboxSender<DispatcherMessage>) {
     if let Some(ClientAction::Abandon(statement_id)) = action {
         dispatcher_sender.send(DispatcherMessage::ClientGone(statement_id));
--- a/crates/sandstile-router/src/counters.rs
+++ b/crates/sandstile-router/src/counters.rs
@@ -45,6 +45,10 @@
     pub accept_errors: Counter,
     /// Statements refused on connections for which no descriptor was left.
     pub refused_for_room: Counter,
+    /// Connections that were busy when the serving window of the shutdown closed, and commands that were read and
+    /// refused because the shutdown had no time left.
+    pub drained: Counter,
+    pub refused_at_shutdown: Counter,
     /// The longest iteration of the event loop, the longest time that a connection waited to be accepted (an upper
     /// bound), and the longest time that an upstream connection waited for a descriptor, in milliseconds.
     pub longest_turn_ms: Counter,
@@ -105,6 +109,8 @@
             ("dials_repeated", &self.dials_repeated),
             ("further_executions", &self.dispatcher.further_executions),
             ("refused_for_room", &self.refused_for_room),
+            ("drained", &self.drained),
+            ("refused_at_shutdown", &self.refused_at_shutdown),
             ("longest_turn_ms", &self.longest_turn_ms),
             ("longest_accept_wait_ms", &self.longest_accept_wait_ms),
             ("longest_dial_wait_ms", &self.longest_dial_wait_ms),
--- a/crates/sandstile-router/src/event_loop.rs
+++ b/crates/sandstile-router/src/event_loop.rs
@@ -17,6 +17,7 @@
 use crate::members::{self, Members};
 use crate::outcome::Ending;
 use crate::session_messages::SessionMessage;
+use crate::shutdown::{Shutdown, ShutdownStep};
 use crate::statement::Workload;
 use mio::net::TcpStream;
 use mio::{Events, Poll, Token};
@@ -41,14 +42,13 @@
 const FAILURES_TO_EVICT: u32 = 4;
 /// Seconds for which the setup of an accepted connection is retried.
 const SETUP_TIMEOUT_S: f64 = 2.0;
-/// Seconds after SIGTERM for which the router serves on: new connections arrive for 0.4 s at most, and clients
-/// learn of the end only through their connections.
-const SHUTDOWN_WINDOW_S: f64 = 0.5;
 /// An iteration that takes at least this many seconds is logged: a tenth of the shortest time that
 /// clients wait.
 const LONG_ITERATION_S: f64 = 0.05;
-/// How long the end waits until the state of the sessions has been stored.
-const SESSIONS_END_TIMEOUT: Duration = Duration::from_millis(500);
+/// How many seconds the end waits until the state of the sessions has been stored: at most the first, and at
+/// least the second where the shutdown has no more time.
+const MAX_SESSIONS_END_S: f64 = 0.5;
+const MIN_SESSIONS_END_S: f64 = 0.05;
 const WAKE: Token = Token(0);
 const LISTENER: Token = Token(1);
 
@@ -77,8 +77,11 @@
     pending_client: Option<PendingClient>,
     /// When readiness was last polled.
     polled_at: f64,
-    /// The serving window after SIGTERM has closed: the loop ends once all that had connected by then is answered.
-    window_closed: bool,
+    /// The schedule of the shutdown, once it was requested. After its serving window the loop ends as soon as all
+    /// that had connected by then is answered.
+    shutdown: Option<Shutdown>,
+    /// The longest deadline of the settings in seconds.
+    longest_deadline: f64,
     accept_failure_log: LogLimiter<AcceptFailure>,
     long_iteration_log: LogLimiter<()>,
     clients: Clients,
@@ -90,8 +93,6 @@
     control_messages: Mailbox<ControlMessage>,
     /// Present where the local configuration file turns membership on.
     members: Option<Box<Members>>,
-    /// End of the serving window after SIGTERM.
-    window_ends_at: f64,
     /// To the session store, which has to write its state at the end.
     session_messages: Option<MailboxSender<SessionMessage>>,
 }
@@ -130,6 +131,8 @@
     pub log: Logger,
     pub dispatcher: Dispatcher,
     pub workloads: Vec<Workload>,
+    /// The longest deadline of the settings in seconds.
+    pub longest_deadline: f64,
     /// In seconds, as in `Hosts`.
     pub dial_timeout: f64,
     pub idle_close: f64,
@@ -154,6 +157,7 @@
             log,
             dispatcher,
             workloads,
+            longest_deadline,
             dial_timeout,
             idle_close,
             dial_pacer,
@@ -189,7 +193,8 @@
             listener,
             pending_client: None,
             polled_at: clock.now(),
-            window_closed: false,
+            shutdown: None,
+            longest_deadline,
             accept_failure_log: LogLimiter::default(),
             long_iteration_log: LogLimiter::default(),
             clients: Clients::new(workloads, to_dispatcher),
@@ -199,7 +204,6 @@
             answers: answer_mailbox,
             control_messages: control_mailbox,
             members,
-            window_ends_at: f64::INFINITY,
             session_messages,
         })
     }
@@ -277,10 +281,8 @@
         let timeout = if self.has_work() {
             Some(Duration::ZERO)
         } else {
-            // Once the window has closed there is nothing left to wake up for: a deadline in the past would make
-            // the loop spin.
-            let window = if self.window_closed { f64::INFINITY } else { self.window_ends_at };
-            let mut due = self.dispatcher.due(self.context.clock.now()).min(window).min(self.hosts.due());
+            let mut due = self.dispatcher.due(self.context.clock.now()).min(self.hosts.due());
+            due = due.min(self.shutdown.as_ref().map_or(f64::INFINITY, Shutdown::due));
             due = due.min(self.members.as_ref().map_or(f64::INFINITY, |m| m.due()));
             due = due.min(self.context.timers.earliest().unwrap_or(f64::INFINITY));
             due = due.min(self.accept_due());
@@ -363,22 +365,49 @@
                 n => self.hosts.handle_timer((n - 3) / 2, at, &mut self.context),
             }
         }
-        if self.window_ends_at <= now && !self.window_closed {
-            // Everything that has connected by now is accepted, as far as there is room.
-            self.window_closed = true;
-            self.listener.force_accept();
-            self.accept();
-            self.clients.shut_down(&mut self.context);
+        while let Some(step) = self.shutdown.as_mut().and_then(|shutdown| shutdown.take_step(now)) {
+            self.shut_down(step);
+        }
+    }
+
+    fn shut_down(&mut self, step: ShutdownStep) {
+        match step {
+            ShutdownStep::StopReading => {
+                // Everything that has connected by now is accepted, as far as there is room.
+                self.listener.force_accept();
+                self.accept();
+                let statements = self.dispatcher.open_statements();
+                let clients = self.clients.shut_down(&mut self.context);
+                info!(self.context.log, "shutdown: no further commands are read"; "busy_clients" => clients,
+                    "statements" => statements, "listening" => self.listener.is_open());
+            }
+            ShutdownStep::RefuseUnanswered => {
+                self.listener.close();
+                if let Some(pending_client) = self.pending_client.take() {
+                    self.drop_pending_client(pending_client.refused);
+                }
+                let clients = self.clients.refuse_unanswered(&mut self.context);
+                warn!(self.context.log, "shutdown: what has no answer yet is refused"; "clients" => clients);
+            }
+            ShutdownStep::CloseAll => {
+                let clients = self.clients.close_all(&mut self.context);
+                warn!(self.context.log, "shutdown: all connections are closed"; "clients" => clients);
+            }
+        }
+    }
+
+    fn begin_shutdown(&mut self) {
+        if self.shutdown.is_none() {
+            let shutdown = Shutdown::begin(self.context.clock.now(), self.longest_deadline);
+            self.clients.limit_deadlines(shutdown.latest_deadline());
+            self.shutdown = Some(shutdown);
         }
     }
 
     fn handle_control_messages(&mut self) {
         while let Some(message) = self.control_messages.try_recv() {
             match message {
-                ControlMessage::End => {
-                    self.window_ends_at =
-                        self.window_ends_at.min(self.context.clock.now() + SHUTDOWN_WINDOW_S)
-                }
+                ControlMessage::End => self.begin_shutdown(),
                 ControlMessage::Keys(keys) => self.members.iter_mut().for_each(|m| m.rotate(keys.clone())),
             }
         }
@@ -468,7 +497,7 @@
                 Some(PendingClient { stream, waited_since, give_up_at: now + SETUP_TIMEOUT_S, refused })
             }
             AcceptResult::Empty => {
-                if self.window_closed {
+                if self.window_closed() {
                     self.listener.close();
                 }
                 None
@@ -539,17 +568,26 @@
             self.listener.pause(now);
             self.pending_client = Some(PendingClient { stream, waited_since, give_up_at, refused });
         } else {
-            match refused {
-                true => self.context.budget.release_refused(),
-                false => self.context.budget.release(Holder::ClientConnection),
-            }
-            self.context.counters.count_close(CloseReason::ClientSetupFailed);
+            self.drop_pending_client(refused);
             warn!(self.context.log, "client not served: {error}");
         }
     }
 
+    /// Counts a connection that was accepted and is closed without having been set up.
+    fn drop_pending_client(&mut self, refused: bool) {
+        match refused {
+            true => self.context.budget.release_refused(),
+            false => self.context.budget.release(Holder::ClientConnection),
+        }
+        self.context.counters.count_close(CloseReason::ClientSetupFailed);
+    }
+
+    fn window_closed(&self) -> bool {
+        self.shutdown.as_ref().is_some_and(Shutdown::window_closed)
+    }
+
     fn finished(&self) -> bool {
-        self.window_closed
+        self.window_closed()
             && !self.listener.is_open()
             && self.pending_client.is_none()
             && self.clients.is_empty()
@@ -564,7 +602,9 @@
             .is_some_and(|messages| messages.send(SessionMessage::End(end_sender)))
         {
             self.decide(true);
-            let _ = ended.recv(Some(SESSIONS_END_TIMEOUT));
+            let end_at = self.shutdown.as_ref().map_or(f64::INFINITY, Shutdown::end_at);
+            let timeout = (end_at - self.context.clock.now()).clamp(MIN_SESSIONS_END_S, MAX_SESSIONS_END_S);
+            let _ = ended.recv(Some(Duration::from_secs_f64(timeout)));
         }
         if let Some(members) = &mut self.members {
             members.leave(self.context.clock.now());
--- a/crates/sandstile-router/src/lib.rs
+++ b/crates/sandstile-router/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod threads;
 
 pub use sandstile_connections::{
-    budget, client_connection, close_reason, outcome, pool, sqlstate, statement, task, upstream_connection,
+    budget, client_connection, close_reason, outcome, pool, shutdown, sqlstate, statement, task,
+    upstream_connection,
 };
 pub use sandstile_pgwire as pg;
--- a/crates/sandstile-router/src/router.rs
+++ b/crates/sandstile-router/src/router.rs
@@ -196,6 +196,7 @@
         log: log.clone(),
         dispatcher,
         workloads: launch.workloads,
+        longest_deadline: launch.terms.workloads.iter().map(|w| w.timeout).fold(0.0, f64::max),
         dial_timeout: launch.dial_timeout,
         idle_close: launch.terms.idle_close,
         dial_pacer,
--- a/crates/sandstile-router/src/socket.rs
+++ b/crates/sandstile-router/src/socket.rs
@@ -179,6 +179,11 @@
         }
     }
 
+    /// Ends the sending side: the peer still gets everything that was written, and then learns of the end.
+    pub fn end_writing(&self) -> io::Result<()> {
+        self.stream.shutdown(Shutdown::Write)
+    }
+
     pub fn close(self, registry: &Registry) {
         let Socket { mut stream, .. } = self;
         let _ = registry.deregister(&mut stream);
