Keep no names of sessions: slots in a fixed number of bytes

Cause: the dispatcher remembered the names of the latest 4,096 sessions that wrote. The bound counted entries and not bytes, and the interner held each name twice, so clients could fill 512 MB. A second fault of the same bound: what it dropped was the record of a write whose outcome is unknown, so where hosts check no reads its session read from a replica that may lack the write.

Change: `SessionSlots` assigns each session to a slot by a seeded hash, within MAX_SESSION_BYTES together with what the decisions record for it. Sessions that share a slot wait for one another's writes; nothing is dropped. The counter session_slots_shared shows when that bites. Interner loses its limit: no names that clients choose are left in it. Its test of the limit, which asserted that the oldest name is dropped, is replaced by one of the slots, as strict: bytes, a session's slot, sharing reported.

--- a/crates/sandstile-dispatcher/src/counters.rs
+++ b/crates/sandstile-dispatcher/src/counters.rs
@@ -47,6 +47,8 @@
     pub stalls: Counter,
     /// Executions after the first of a statement.
     pub further_executions: Counter,
+    /// Writes in a slot in which another session wrote before: reads of both wait for the later of the two writes.
+    pub session_slots_shared: Counter,
     refusals: [Counter; FailureCause::ALL.len()],
     /// Statements refused without an execution, by the reason for which they had waited.
     unsent: [Counter; WaitReason::ALL.len()],
--- a/crates/sandstile-dispatcher/src/dispatcher.rs
+++ b/crates/sandstile-dispatcher/src/dispatcher.rs
@@ -7,6 +7,7 @@
 use crate::task::{Answer, HostTask, StatementPayload, TaskKind};
 use sandstile_deployment::host_list::HostList;
 use sandstile_deployment::interner::Interner;
+use sandstile_deployment::session_slots::SessionSlots;
 use sandstile_limits::{Limits, RetryAdmission};
 use sandstile_policy::policy::Instance;
 use sandstile_policy::terms::{Arrival, Decision, FailureCause, ReadRequirement};
@@ -33,7 +34,7 @@
     pub counters: Arc<DispatcherCounters>,
     hosts: Interner,
     groups: Interner,
-    sessions: Interner,
+    sessions: SessionSlots,
     list: HostList,
     sources: Vec<Box<dyn Source>>,
     commands: VecDeque<Command>,
@@ -72,13 +73,10 @@
 const MIN_RUN_INTERVAL: f64 = 0.001;
 /// Seconds between log events about statements refused without being sent, unless every step is logged.
 const UNSENT_LOG_INTERVAL: f64 = 0.25;
-/// Sessions that have written are remembered up to this number (about 0.5 MB of names), the most recent ones.
-/// Replicas may lag behind their writes for seconds. A reused index carries over the position of an older
-/// write, so at worst a read of the new session avoids a replica that lags behind that older write.
-const MAX_SESSIONS: usize = 1 << 12;
 
 impl Dispatcher {
-    pub fn new(policy: Instance, counters: Arc<DispatcherCounters>) -> Self {
+    /// `seed` is for assigning sessions to their slots.
+    pub fn new(policy: Instance, seed: u64, counters: Arc<DispatcherCounters>) -> Self {
         Dispatcher {
             policy,
             counters,
@@ -91,7 +89,7 @@
             trace_steps: false,
             hosts: Interner::default(),
             groups: Interner::default(),
-            sessions: Interner::with_limit(MAX_SESSIONS),
+            sessions: SessionSlots::new(seed),
             list: HostList::default(),
             sources: Vec::new(),
             commands: VecDeque::new(),
@@ -235,11 +233,7 @@
                 let arrival = Arrival {
                     workload: request.workload,
                     group,
-                    // A session that has written nothing needs no entry.
-                    session: request.session.and_then(|name| match request.writes {
-                        true => Some(self.sessions.intern(&name)),
-                        false => self.sessions.find(&name),
-                    }),
+                    session: request.session.map(|name| self.session_slot(&name, request.writes)),
                     time_left: request.deadline - now,
                     timeout: request.timeout,
                     // Negative if the clock of whoever issued the token runs ahead; the position is still
@@ -337,6 +331,17 @@
         }
     }
 
+    fn session_slot(&mut self, name: &str, writes: bool) -> usize {
+        if !writes {
+            return self.sessions.slot(name);
+        }
+        let write_slot = self.sessions.write_slot(name);
+        if write_slot.is_shared {
+            self.counters.session_slots_shared.add();
+        }
+        write_slot.slot
+    }
+
     /// Logs a step of a statement if steps are logged.
     fn trace(&mut self, step: impl FnOnce() -> LogEvent) {
         if self.trace_steps {
--- a/crates/sandstile-dispatcher/tests/dispatcher.rs
+++ b/crates/sandstile-dispatcher/tests/dispatcher.rs
@@ -112,7 +112,7 @@
     now: f64,
     requirements: &[Option<ReadRequirement>],
 ) -> (Dispatcher, Shared<DispatcherInput>, Shared<u64>) {
-    let mut dispatcher = Dispatcher::new(Instance::new(&terms(), 7, now), Arc::default());
+    let mut dispatcher = Dispatcher::new(Instance::new(&terms(), 7, now), 7, Arc::default());
     let (inputs, closed) = (Shared::default(), Shared::default());
     for (n, read_requirement) in requirements.iter().enumerate() {
         let inputs = if n == 0 { Arc::clone(&inputs) } else { Arc::default() };
@@ -336,7 +336,7 @@
 #[test]
 fn probes_are_left_to_other_routers_while_no_primary_is_known() {
     for peer_probes in [false, true] {
-        let mut dispatcher = Dispatcher::new(Instance::new(&terms(), 7, 1000.0), Arc::default());
+        let mut dispatcher = Dispatcher::new(Instance::new(&terms(), 7, 1000.0), 7, Arc::default());
         let inputs = Shared::default();
         inputs
             .lock()
@@ -369,3 +369,49 @@
         assert_eq!(dispatcher.counters.probes_left.get() > 3, peer_probes);
     }
 }
+
+/// Guards against a read that misses its session's own write because many sessions have written since: the write's
+/// outcome is unknown, and only its session's record says that a replica may lack it.
+#[test]
+fn a_session_is_remembered_however_many_others_write() {
+    const OTHER_SESSIONS: u64 = 20_000;
+    const REPLICA: usize = 1;
+    let (now, uncertain) = (1000.0, 1);
+    let terms = Terms { hosts_check_reads: false, ..terms() };
+    let mut dispatcher = Dispatcher::new(Instance::new(&terms, 7, now), 7, Arc::default());
+    let inputs = Shared::default();
+    inputs.lock().unwrap().push(DispatcherInput::HostList(update(1, &[("a", true), ("b", false)])));
+    let (read_requirement, closed, peer_probes) = (None, Shared::default(), false);
+    dispatcher.add(Box::new(TestSource { inputs, read_requirement, closed, peer_probes }));
+    dispatcher.poll_sources(now);
+    let mut play = |statement_id: u64, workload, session: String| {
+        let mut request = request(statement_id, &format!("i{statement_id}"), workload, now);
+        if let DispatcherMessage::StatementRequest(request) = &mut request {
+            request.session = Some(session);
+        }
+        dispatcher.handle(now, request);
+        let sent = (0..100).find_map(|n| {
+            dispatcher.decide_if_due(now + 0.01 * f64::from(n), true);
+            sent_executions(&mut dispatcher).pop()
+        });
+        let (host, statement_id, execution) = sent?;
+        let lost = statement_id == uncertain;
+        let mut outcome = Outcome::from(if lost { Ending::Failed } else { Ending::Completed });
+        outcome.host_report = HostReport { position: (!lost).then_some(now), primary: Some(host == 0) };
+        dispatcher.handle(now, DispatcherMessage::Ended { statement_id, execution, outcome });
+        dispatcher.decide_if_due(now, true);
+        Some(host)
+    };
+    play(uncertain, 1, "u".to_string());
+    // Both hosts answer reads of any age, so the replica is known to be up to date.
+    for n in 2..8 {
+        play(n, 0, String::new());
+    }
+    for n in 0..OTHER_SESSIONS {
+        play(10 + n, 1, format!("other {n}"));
+    }
+    let of_another = (0..4).map(|n| play(100_000 + n, 2, "v".to_string())).collect::<Vec<_>>();
+    assert!(of_another.contains(&Some(REPLICA)), "the replica serves sessions that it is known to serve");
+    let of_its_own = (0..4).map(|n| play(200_000 + n, 2, "u".to_string())).collect::<Vec<_>>();
+    assert!(!of_its_own.contains(&Some(REPLICA)), "only the primary surely has the write: {of_its_own:?}");
+}
--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -47,6 +47,8 @@
 /// Seconds for which a probe's claim to be primary keeps the other members from being probed; a failover
 /// takes longer.
 const PRIMARY_CLAIM_VALID_S: f64 = 1.0;
+/// Bytes that an instance holds for each session index up to the highest in use.
+pub const SESSION_BYTES: usize = size_of::<Session>();
 
 impl Host {
     fn eject(&mut self, now: f64, rotation_period: f64, failures: i32) {
--- a/crates/sandstile-router/src/counters.rs
+++ b/crates/sandstile-router/src/counters.rs
@@ -108,6 +108,7 @@
             ("found_by_look", &self.found_by_look),
             ("dials_repeated", &self.dials_repeated),
             ("further_executions", &self.dispatcher.further_executions),
+            ("session_slots_shared", &self.dispatcher.session_slots_shared),
             ("refused_for_room", &self.refused_for_room),
             ("drained", &self.drained),
             ("refused_at_shutdown", &self.refused_at_shutdown),
--- a/crates/sandstile-router/src/router.rs
+++ b/crates/sandstile-router/src/router.rs
@@ -92,7 +92,7 @@
     // right.
     let generation = (clock.now() * 1e6) as u64;
     let policy = Instance::new(&launch.terms, launch.seed, clock.now());
-    let mut dispatcher = Dispatcher::new(policy, counters.dispatcher.clone());
+    let mut dispatcher = Dispatcher::new(policy, launch.seed, counters.dispatcher.clone());
     dispatcher.trace_steps = log.is_debug_enabled();
     dispatcher.add(Box::new(MailboxSource::new(list_mailbox, DispatcherInput::HostList)));
     let mut session_messages = None;
--- a/crates/sandstile-router/tests/codecs.rs
+++ b/crates/sandstile-router/tests/codecs.rs
@@ -1,6 +1,7 @@
 //! Property tests of the codecs and of the mapping of outcomes: random bytes and splits, each from a fixed seed.
 use crossbeam_channel::RecvTimeoutError;
 use quickcheck::{Gen, QuickCheck, Testable};
+use sandstile_deployment::session_slots::{SessionSlots, WriteSlot, MAX_SESSION_BYTES, SLOT_BYTES};
 use sandstile_deployment::{host_list, interner::Interner, settings};
 use sandstile_policy::terms::{OutcomeClass, Readiness};
 use sandstile_router::budget::{Budget, Claim, Holder};
@@ -198,17 +199,33 @@
 }
 
 #[test]
-fn interned_names_keep_their_index_and_a_bounded_interner_drops_the_oldest() {
-    let mut names = Interner::with_limit(2);
-    assert_eq!(["a", "b", "a", "c", "b", "a"].map(|n| names.intern(n)), [0, 1, 0, 0, 1, 1]);
-    assert_eq!((names.find("b"), names.find("a"), names.name(0)), (None, Some(1), "c"));
+fn interned_names_keep_their_index_until_they_are_released() {
     let mut names = Interner::default();
-    assert_eq!(["a", "b", "c"].map(|n| names.intern(n)), [0, 1, 2]);
+    assert_eq!(["a", "b", "a", "c", "b", "a"].map(|n| names.intern(n)), [0, 1, 0, 2, 1, 0]);
+    assert_eq!((names.find("b"), names.find("d"), names.name(2)), (Some(1), None, "c"));
     names.release("b");
     names.release_index(0);
+    assert_eq!((names.find("b"), names.find("a")), (None, None));
     assert_eq!(["c", "d", "e", "f"].map(|n| names.intern(n)), [2, 0, 1, 3]);
 }
 
+/// Guards against session names whose number or length decides how much memory the router takes: the slots stay within
+/// their bytes, a session keeps its slot, and a shared one is reported.
+#[test]
+fn sessions_share_slots_within_a_fixed_number_of_bytes() {
+    let mut slots = SessionSlots::new(7);
+    let name = |n: usize| format!("{n}").repeat(1 + n % 50);
+    let assigned: Vec<WriteSlot> = (0..100_000).map(|n| slots.write_slot(&name(n))).collect();
+    let highest = assigned.iter().map(|write| write.slot).max().expect("slots");
+    assert!((highest + 1) * SLOT_BYTES <= MAX_SESSION_BYTES, "{highest}");
+    assert!(assigned.iter().enumerate().all(|(n, write)| slots.slot(&name(n)) == write.slot));
+    let shared = assigned.iter().filter(|write| write.is_shared).count();
+    assert!(!assigned[0].is_shared && shared > 100_000 - highest - 2, "{shared}");
+    let again = slots.write_slot(&name(99_999));
+    assert_eq!(again, WriteSlot { slot: assigned[99_999].slot, is_shared: false });
+    assert_ne!(SessionSlots::new(8).slot("u"), slots.slot("u"), "the seed decides");
+}
+
 #[test]
 fn nested_settings_are_flattened_to_dotted_paths() {
     let json = serde_json::json!({"a": {"b": [1.5, "x"], "c": []}, "classes": [{"name": "n o"}], "t": true, "n": null});
