Queue numbers for a recording, not the names that clients choose

Callers would see: with a recording (off in `run`) on a disk that is slow, a router that is killed for memory.

Change: the dispatcher's side of the recorder turns both names into the numbers that the file holds anyway. A queued arrival has a fixed size, and the limit is MAX_QUEUED_BYTES (320 KiB, about as many arrivals as before). What finds no room is counted in `unrecorded`, as before.

--- a/crates/sandstile-router/src/recorder.rs
+++ b/crates/sandstile-router/src/recorder.rs
@@ -15,42 +15,41 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-/// One arrival, as the dispatcher sees it.
-pub struct RecordedArrival {
-    /// Unix seconds.
-    pub arrived_at: f64,
-    pub workload: usize,
-    pub group: String,
-    pub session: Option<String>,
-    /// Seconds until the statement's deadline.
-    pub time_left: f64,
-    pub is_retry: bool,
-}
-
-/// The dispatcher's side of the recorder.
+/// The dispatcher's side of the recorder. Names become numbers here, so that a queued arrival takes the same few
+/// bytes whatever names its client chose.
 pub struct RecordingSource {
-    sender: MailboxSender<RecordedArrival>,
+    sender: MailboxSender<Arrival>,
+    header: Header,
+    started_at: f64,
     counters: Arc<Counters>,
 }
 
+impl RecordingSource {
+    fn arrival(&self, now: f64, request: &StatementRequest) -> Arrival {
+        let unnamed_group = self.header.groups.len() - 1;
+        let group = self.header.groups[..unnamed_group].binary_search(&request.group);
+        Arrival {
+            at_us: ((now - self.started_at).max(0.0) * 1e6) as u64,
+            workload: request.workload as u32,
+            group: group.unwrap_or(unnamed_group) as u32,
+            session: request.session.as_ref().map_or(0, |name| self.header.session(name)),
+            wait_ms: ((request.deadline - now) * 1e3) as u32,
+            is_retry: request.retry,
+        }
+    }
+}
+
 impl Source for RecordingSource {
     fn statement_arrived(&mut self, now: f64, request: &StatementRequest) {
-        let arrival = RecordedArrival {
-            arrived_at: now,
-            workload: request.workload,
-            group: request.group.clone(),
-            session: request.session.clone(),
-            time_left: request.deadline - now,
-            is_retry: request.retry,
-        };
-        if !self.sender.send(arrival) {
+        if !self.sender.send(self.arrival(now, request)) {
             self.counters.unrecorded.add();
         }
     }
 }
 
-/// Limit on the arrivals queued for the disk: most of a second at 10,000 arrivals a second.
-const MAX_QUEUED_ARRIVALS: usize = 8192;
+/// Limit on the bytes of arrivals queued for the disk: most of a second at 10,000 arrivals a second.
+pub const MAX_QUEUED_BYTES: usize = 320 * 1024;
+pub const MAX_QUEUED_ARRIVALS: usize = MAX_QUEUED_BYTES / size_of::<Arrival>();
 /// Interval of syncs, so that an interrupted recording can be read up to the last one.
 const SYNC_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -77,7 +76,7 @@
     let recorder = RecordingWriter::begin(out, &header).map_err(with_path)?;
     let (sender, mailbox) = bounded_mailbox(MAX_QUEUED_ARRIVALS);
     let (max_bytes, thread_log) = (config.max_bytes, log.clone());
-    let run = move || match write(recorder, &header, &mailbox, now, max_bytes) {
+    let run = move || match write(recorder, &mailbox, max_bytes) {
         Ok((written, true)) => info!(thread_log, "the recording is whole"; "arrivals" => written),
         Ok((written, false)) => {
             warn!(thread_log, "the recording has reached its size limit and ends"; "arrivals" => written)
@@ -86,7 +85,7 @@
     };
     let thread = threads::spawn_joinable("recorder", threads::THREAD_STACK_BYTES, run)?;
     info!(log, "recording"; "file" => %config.file.display());
-    Ok((RecordingSource { sender, counters: counters.clone() }, thread))
+    Ok((RecordingSource { sender, header, started_at: now, counters: counters.clone() }, thread))
 }
 
 /// Counts the bytes written.
@@ -111,25 +110,13 @@
 /// and `false` if the limit ended the recording.
 fn write(
     mut recorder: RecordingWriter<CountingWriter<BufWriter<File>>>,
-    header: &Header,
-    mailbox: &Mailbox<RecordedArrival>,
-    started_at: f64,
+    mailbox: &Mailbox<Arrival>,
     max_bytes: u64,
 ) -> io::Result<(u64, bool)> {
-    let unnamed_group = header.groups.len() - 1;
     loop {
         match mailbox.recv(Some(SYNC_INTERVAL)) {
             Ok(arrival) => {
-                let group =
-                    header.groups[..unnamed_group].binary_search(&arrival.group).unwrap_or(unnamed_group);
-                recorder.add(&Arrival {
-                    at_us: ((arrival.arrived_at - started_at).max(0.0) * 1e6) as u64,
-                    workload: arrival.workload as u32,
-                    group: group as u32,
-                    session: arrival.session.map_or(0, |name| header.session(&name)),
-                    wait_ms: (arrival.time_left * 1e3) as u32,
-                    is_retry: arrival.is_retry,
-                })?;
+                recorder.add(&arrival)?;
                 if recorder.out().written >= max_bytes {
                     let written = recorder.written;
                     recorder.end()?;
