Count a long statement's memory until its last execution ends

Callers would see: a router over its memory limit under clients that send long statements and leave.

It also held the names of session and group a second time, and the name of a group in no list at any length.

Change: the query that is forwarded is a type of its own and holds a reservation in the budget until it is dropped; names move to the dispatcher and are dropped there once they have their numbers; a group in no list loses its name. Counter refused_for_memory where the budget has no room.

Measured: `the_memory_of_a_statement_is_counted_until_...` fails on (0 bytes reserved after the client has left) and passes with the change.

--- a/crates/sandstile-connections/src/budget.rs
+++ b/crates/sandstile-connections/src/budget.rs
@@ -3,6 +3,8 @@
 //! is needed. Upstream connections are evicted first, because closing a client connection costs the client a
 //! new one; among client connections those that have not sent a statement yet come first.
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
+use std::sync::Arc;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Holder {
@@ -48,13 +50,27 @@
     upstream_connections: usize,
     clients: usize,
     refused: usize,
-    long_bytes: usize,
+    /// Shared with the reservations, which may outlive their connection.
+    long_bytes: Arc<AtomicUsize>,
     idle: BTreeMap<IdleKey, usize>,
     /// Number of idle client connections.
     idle_clients: usize,
     next_entry: u64,
 }
 
+/// Bytes reserved in the budget until this is dropped.
+#[derive(Debug)]
+pub struct Reservation {
+    bytes: usize,
+    long_bytes: Arc<AtomicUsize>,
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.long_bytes.fetch_sub(self.bytes, Relaxed);
+    }
+}
+
 impl Budget {
     /// `max_descriptors` in all, of which clients may hold `max_clients`, and `max_long_bytes` for long
     /// frames.
@@ -66,7 +82,7 @@
             upstream_connections: 0,
             clients: 0,
             refused: 0,
-            long_bytes: 0,
+            long_bytes: Arc::default(),
             idle: BTreeMap::new(),
             idle_clients: 0,
             next_entry: 0,
@@ -76,15 +92,20 @@
     /// Reserves memory for a long frame, if there is room. Clients and hosts can make any connection hold a
     /// long frame, but not all of them at once.
     pub fn reserve_bytes(&mut self, bytes: usize) -> bool {
-        let fits = self.long_bytes + bytes <= self.max_long_bytes;
+        let fits = self.long_bytes.load(Relaxed) + bytes <= self.max_long_bytes;
         if fits {
-            self.long_bytes += bytes;
+            self.long_bytes.fetch_add(bytes, Relaxed);
         }
         fits
     }
 
     pub fn release_bytes(&mut self, bytes: usize) {
-        self.long_bytes -= bytes;
+        self.long_bytes.fetch_sub(bytes, Relaxed);
+    }
+
+    /// Like `reserve_bytes`, for memory that is released by dropping the reservation.
+    pub fn reservation(&mut self, bytes: usize) -> Option<Reservation> {
+        self.reserve_bytes(bytes).then(|| Reservation { bytes, long_bytes: self.long_bytes.clone() })
     }
 
     /// The longest value that is accepted. A value is reserved twice, as it arrives and as it is forwarded,
@@ -100,7 +121,7 @@
 
     /// Upstream connections, client connections and bytes held.
     pub fn usage(&self) -> (usize, usize, usize) {
-        (self.upstream_connections, self.clients, self.long_bytes)
+        (self.upstream_connections, self.clients, self.long_bytes.load(Relaxed))
     }
 
     fn client_share_is_full(&self, holder: Holder) -> bool {
--- a/crates/sandstile-connections/src/client_connection.rs
+++ b/crates/sandstile-connections/src/client_connection.rs
@@ -22,6 +22,8 @@
 const READ_BYTES: usize = 4 * 1024;
 /// Limits one read of a long command, so that the expected bytes arrive in few reads.
 const MAX_READ_BYTES: usize = 64 * 1024;
+/// SQLSTATE and message where the budget has no memory for a long command.
+const NO_MEMORY: (&str, &str) = ("53200", "too many long commands at once");
 /// Bytes that tell the length of a message, and of the startup message.
 const FRAME_HEADER_BYTES: usize = 5;
 const STARTUP_HEADER_BYTES: usize = 4;
@@ -58,6 +60,8 @@
     AnswerTimeout,
     /// A command was refused because the router is ending.
     RefusedAtShutdown,
+    /// A command or an answer found no room in the memory for long ones.
+    NoMemory,
 }
 
 #[derive(Debug, PartialEq)]
@@ -572,12 +576,9 @@
         if self.buf.len() > READ_BYTES && self.reserved_bytes == 0 {
             let reserved_bytes = 2 * pg::MAX_FRAME_BYTES;
             if !client_context.budget.reserve_bytes(reserved_bytes) {
-                self.fail_connection(
-                    now,
-                    "53200",
-                    "too many long commands at once",
-                    client_context.client_events,
-                );
+                let (code, message) = NO_MEMORY;
+                self.fail_connection(now, code, message, client_context.client_events);
+                client_context.client_events.push(ClientEvent::NoMemory);
                 return None;
             }
             self.reserved_bytes = reserved_bytes;
@@ -620,7 +621,18 @@
                 self.refuse_for_shutdown(now, false, client_context.client_events)
             }
             Input::Query(text) => match statement::read(text, client_context.workloads) {
-                Ok(statement) => {
+                Ok(mut statement) => {
+                    // The statement may outlive this connection, so it reserves its memory itself. Only what is
+                    // still in the buffer belongs to the connection.
+                    if self.buf.is_empty() {
+                        client_context.budget.release_bytes(std::mem::take(&mut self.reserved_bytes));
+                    }
+                    if !statement.query.reserve(READ_BYTES, client_context.budget) {
+                        let (code, message) = NO_MEMORY;
+                        self.reject_statement(now, code, message, client_context.client_events);
+                        client_context.client_events.push(ClientEvent::NoMemory);
+                        return None;
+                    }
                     // The client waits from the statement's own last byte, however long the statements before
                     // it took.
                     let deadline = arrived_at + statement.timeout;
--- a/crates/sandstile-connections/src/statement.rs
+++ b/crates/sandstile-connections/src/statement.rs
@@ -1,15 +1,42 @@
 //! A client's statement: the few fields of its comment that routing decisions need, and the query that is
 //! forwarded.
+use crate::budget::{Budget, Reservation};
 use crate::task::StatementPayload;
 use sandstile_pgwire as pg;
 use std::ops::Range;
 
+/// A query as it is forwarded. It is kept until the statement's last execution ends, which may be after its client
+/// has left.
+#[derive(Debug)]
+pub struct ForwardedQuery {
+    text: Vec<u8>,
+    /// Where the digits of the field `d` are in `text`.
+    timeout_range: Range<usize>,
+    /// Memory for a long text and a copy of it that is being written.
+    reservation: Option<Reservation>,
+}
+
+impl ForwardedQuery {
+    /// Reserves the memory of a text that is longer than `unreserved_bytes`; `false` if there is no room.
+    pub fn reserve(&mut self, unreserved_bytes: usize, budget: &mut Budget) -> bool {
+        if self.text.len() > unreserved_bytes {
+            self.reservation = budget.reservation(2 * self.text.len());
+        }
+        self.text.len() <= unreserved_bytes || self.reservation.is_some()
+    }
+}
+
+/// Reservations don't count: they say nothing about the query.
+impl PartialEq for ForwardedQuery {
+    fn eq(&self, other: &ForwardedQuery) -> bool {
+        (&self.text, &self.timeout_range) == (&other.text, &other.timeout_range)
+    }
+}
+
 /// The fields that are read out of a query. Everything else is forwarded unchanged.
 #[derive(Debug, PartialEq)]
 pub struct Statement {
-    query: Vec<u8>,
-    /// Where the digits of the field `d` are in `query`.
-    timeout_range: Range<usize>,
+    pub query: ForwardedQuery,
     pub id: String,
     pub workload: usize,
     pub group: String,
@@ -103,8 +130,7 @@
         last_write_at: last_write_at.filter(|ms| *ms > 0).map(|ms| ms as f64 / 1000.0),
         retry,
         mark,
-        query,
-        timeout_range,
+        query: ForwardedQuery { text: query, timeout_range, reservation: None },
     })
 }
 
@@ -155,14 +181,13 @@
     Some(&text[start..start + end])
 }
 
-impl StatementPayload for Statement {
+impl StatementPayload for ForwardedQuery {
     /// The Query message for a database host. Only the value of `d` is replaced, by the time for which this
     /// router will wait.
     fn message(&self, timeout: f64) -> Vec<u8> {
         let ms = ((timeout * 1000.0).floor().max(1.0) as u64).to_string();
-        let (before, after) =
-            (&self.query[..self.timeout_range.start], &self.query[self.timeout_range.end..]);
-        let mut out = Vec::with_capacity(self.query.len() + 16);
+        let (before, after) = (&self.text[..self.timeout_range.start], &self.text[self.timeout_range.end..]);
+        let mut out = Vec::with_capacity(self.text.len() + 16);
         pg::write_frame(&mut out, b'Q', &[before, ms.as_bytes(), after, b"\0"]);
         out
     }
--- a/crates/sandstile-connections/tests/client_connections.rs
+++ b/crates/sandstile-connections/tests/client_connections.rs
@@ -490,3 +490,23 @@
     assert_eq!(harness.receive(&burst[position..position + 400], &mut written), None);
     assert_eq!(decode_frames(&written).1.last().map(String::as_str), Some("57P03"));
 }
+
+/// Guards against long statements that no budget counts once their clients have left: their executions may still be
+/// running, and hold them.
+#[test]
+fn the_memory_of_a_statement_is_counted_until_the_statement_is_dropped() {
+    let (mut harness, mut written) = (Harness::new(), Vec::new());
+    harness.receive(&pg::startup_message(), &mut written);
+    let mut command = Vec::new();
+    let name = "k".repeat(64 * 1024);
+    pg::query(&mut command, format!("/* id=s,c=look,d=500,cluster=3 */ SELECT '{name}'").as_bytes());
+    let Some(ClientAction::Submit { statement, .. }) = harness.receive(&command, &mut written) else {
+        panic!("expected a statement")
+    };
+    harness.connection.submitted(1);
+    assert_eq!(harness.connection.closed(), Some(ClientAction::Abandon(1)));
+    harness.connection.release(&mut harness.budget);
+    assert!(harness.budget.usage().2 >= command.len(), "{:?}", harness.budget.usage());
+    drop(statement);
+    assert_eq!(harness.budget.usage(), (0, 0, 0));
+}
--- a/crates/sandstile-dispatcher/src/dispatcher.rs
+++ b/crates/sandstile-dispatcher/src/dispatcher.rs
@@ -190,15 +190,13 @@
 
     pub fn handle(&mut self, now: f64, message: DispatcherMessage) {
         match message {
-            DispatcherMessage::StatementRequest(request) => {
+            DispatcherMessage::StatementRequest(mut request) => {
                 if !self.open_ids.insert(request.id.clone()) {
                     return self.answer_request(&request, Answer::Unusable);
                 }
                 self.counters.taken.add();
+                let group = self.known_group(&mut request);
                 self.sources.iter_mut().for_each(|s| s.statement_arrived(now, &request));
-                // Groups that are in no host list share one group without hosts. Otherwise clients could fill
-                // the memory with group names.
-                let group = self.groups.find(&request.group).unwrap_or_else(|| self.groups.intern(""));
                 if let Some((limits, max_delay)) = &mut self.limits {
                     if limits.admit(now, request.workload, group, request.retry) == RetryAdmission::TurnAway {
                         // The policy never sees it. Nothing was sent, so a retry is harmless.
@@ -331,6 +329,15 @@
         }
     }
 
+    /// The request's group. Groups that are in no host list share one group without hosts and without a name.
+    /// Otherwise clients could fill the memory with group names.
+    fn known_group(&mut self, request: &mut StatementRequest) -> usize {
+        self.groups.find(&request.group).unwrap_or_else(|| {
+            request.group = String::new();
+            self.groups.intern("")
+        })
+    }
+
     fn session_slot(&mut self, name: &str, writes: bool) -> usize {
         if !writes {
             return self.sessions.slot(name);
--- a/crates/sandstile-router/src/clients.rs
+++ b/crates/sandstile-router/src/clients.rs
@@ -454,20 +454,21 @@
         }
         debug!(context.log, "asked"; "client" => slot.number, "statement" => self.statements, "id" => &statement.id,
             "reads" => slot.reads, "time_left_s" => format!("{:.3}", deadline - now));
+        // Only the query and the id are kept while the statement is open: clients choose the length of all names.
         self.dispatcher_sender.send(DispatcherMessage::StatementRequest(StatementRequest {
             statement_id: self.statements,
             client_connection: key,
-            id: statement.id.clone(),
+            id: statement.id,
             workload: statement.workload,
-            group: statement.group.clone(),
-            session: statement.session.clone(),
+            group: statement.group,
+            session: statement.session,
             writes: statement.writes,
             deadline: deadline.min(self.latest_deadline),
             timeout: statement.timeout,
             last_write_at: statement.last_write_at,
             retry: statement.retry,
-            mark: statement.mark.clone(),
-            payload: Arc::new(statement),
+            mark: statement.mark,
+            payload: Arc::new(statement.query),
         }));
         Step::Progress
     }
@@ -479,6 +480,7 @@
                 ClientEvent::EmptyQuery => context.counters.empty_queries.add(),
                 ClientEvent::AnswerTimeout => context.counters.forsaken.add(),
                 ClientEvent::RefusedAtShutdown => context.counters.refused_at_shutdown.add(),
+                ClientEvent::NoMemory => context.counters.refused_for_memory.add(),
                 ClientEvent::BadInput(message) => {
                     context.counters.bad_input.add();
                     debug!(context.log, "bad input: {message}");
--- a/crates/sandstile-router/src/counters.rs
+++ b/crates/sandstile-router/src/counters.rs
@@ -45,6 +45,8 @@
     pub accept_errors: Counter,
     /// Statements refused on connections for which no descriptor was left.
     pub refused_for_room: Counter,
+    /// Commands and answers for which the memory for long ones had no room.
+    pub refused_for_memory: Counter,
     /// Connections that were busy when the serving window of the shutdown closed, and commands that were read and
     /// refused because the shutdown had no time left.
     pub drained: Counter,
@@ -110,6 +112,7 @@
             ("further_executions", &self.dispatcher.further_executions),
             ("session_slots_shared", &self.dispatcher.session_slots_shared),
             ("refused_for_room", &self.refused_for_room),
+            ("refused_for_memory", &self.refused_for_memory),
             ("drained", &self.drained),
             ("refused_at_shutdown", &self.refused_at_shutdown),
             ("longest_turn_ms", &self.longest_turn_ms),
--- a/crates/sandstile-router/tests/codecs.rs
+++ b/crates/sandstile-router/tests/codecs.rs
@@ -87,7 +87,7 @@
         let timeout = f64::from(timeout) / 1000.0 + 0.0004;
         let ms = ((timeout * 1000.0) as u64).max(1);
         pg::write_frame(&mut expected, b'Q', &[&with(&ms.to_string()), b"\0"]);
-        statement.message(timeout) == expected
+        statement.query.message(timeout) == expected
             && statement.workload == 1
             && statement.group == "7"
             && statement.session.as_deref() == Some("k9")
