Count the memory of long answers until their clients have read them

Callers would see: a router over its memory limit under clients that ask for long values and don't read them.

Cause: the memory of a long value was reserved while it arrived from the host and not while it waited for its client, which decides how long that takes.

Change: an answer of more than 4 KiB holds a reservation until it is written. Where the budget has no room its client gets 57014, as the statement has run, and refused_for_memory counts it.

Measured: the new test of the state machine passes; without the change it has nothing to call and does not compile.

--- a/crates/sandstile-connections/src/client_connection.rs
+++ b/crates/sandstile-connections/src/client_connection.rs
@@ -1,7 +1,7 @@
 //! One client connection as a state machine without I/O. It parses the received bytes into commands, asks the
 //! caller to submit each statement to the dispatcher, and encodes the answers. One statement is open at a
 //! time; pipelined commands wait, most of them still in the socket.
-use crate::budget::{Budget, Holder};
+use crate::budget::{Budget, Holder, Reservation};
 use crate::close_reason::CloseReason;
 use crate::statement::{self, Statement, Workload};
 use crate::task::Answer;
@@ -110,6 +110,8 @@
     /// Bytes reserved in the budget while `buf` is long.
     reserved_bytes: usize,
     output: Vec<u8>,
+    /// Memory for a long `output`, which is held for as long as the client takes to read it.
+    output_reservation: Option<Reservation>,
     written: usize,
     startup_complete: bool,
     holder: Holder,
@@ -183,6 +185,7 @@
             buf: Vec::new(),
             reserved_bytes: 0,
             output: Vec::new(),
+            output_reservation: None,
             written: 0,
             startup_complete: false,
             holder: Holder::NewClientConnection,
@@ -368,6 +371,23 @@
         self.start_writing(deadline + ANSWER_GRACE_S, false);
     }
 
+    /// Reserves memory for an answer of which nothing is written yet. Where there is no room for a long one, its
+    /// client learns only that its statement may have run.
+    pub fn reserve_answer(&mut self, budget: &mut Budget, client_events: &mut Vec<ClientEvent>) {
+        if !matches!(self.state, State::Writing { .. }) || self.output.len() <= READ_BYTES {
+            return;
+        }
+        self.output_reservation = budget.reservation(self.output.len());
+        if self.output_reservation.is_none() {
+            self.output = encode_answer(Answer::Aborted);
+            client_events.push(ClientEvent::NoMemory);
+        }
+    }
+
+    fn drop_output(&mut self) {
+        (self.output, self.output_reservation, self.written) = (Vec::new(), None, 0);
+    }
+
     /// Advances as far as possible. Call it after receiving or writing bytes, after an answer, and at `due`.
     /// Hand in the bytes that have arrived first, or a command may be judged late only because this machine
     /// was slow to read it.
@@ -379,7 +399,7 @@
                     None => continue,
                 },
                 State::Writing { close_after, .. } if self.written == self.output.len() => {
-                    (self.output, self.written) = (Vec::new(), 0);
+                    self.drop_output();
                     if close_after {
                         self.state = State::Ended;
                         continue;
@@ -391,7 +411,7 @@
                 }
                 State::Writing { deadline, .. } if now >= deadline => {
                     client_context.client_events.push(ClientEvent::AnswerTimeout);
-                    (self.output, self.written) = (Vec::new(), 0);
+                    self.drop_output();
                     self.state = State::AnswerTimeout { deadline: now + IDLE_TIMEOUT_S };
                 }
                 State::AnswerTimeout { deadline } if now >= deadline => {
--- a/crates/sandstile-connections/tests/client_connections.rs
+++ b/crates/sandstile-connections/tests/client_connections.rs
@@ -510,3 +510,29 @@
     drop(statement);
     assert_eq!(harness.budget.usage(), (0, 0, 0));
 }
+
+/// Guards against answers that no budget counts while their clients don't read them: a long one is reserved until it is
+/// written, and one that finds no room is not kept.
+#[test]
+fn an_answer_that_its_client_does_not_read_is_counted() {
+    let (mut harness, mut written) = (Harness::new(), Vec::new());
+    harness.receive(&pg::startup_message(), &mut written);
+    let rows = vec![b'x'; 64 * 1024];
+    for (statement_id, has_room) in [(1, true), (2, false)] {
+        harness.receive(&statement(statement_id as usize), &mut written);
+        harness.connection.submitted(statement_id);
+        let answer = Answer::Completed(rows.clone(), None);
+        let blocked = if has_room { 0 } else { 8 * pg::MAX_FRAME_BYTES };
+        assert!(harness.budget.reserve_bytes(blocked));
+        harness.connection.answer(harness.now, statement_id, answer, &mut harness.client_events);
+        harness.connection.reserve_answer(&mut harness.budget, &mut harness.client_events);
+        let expected = if has_room { harness.connection.pending_output().len() } else { blocked };
+        assert_eq!((harness.budget.usage().2, expected > 64 * 1024), (expected, true));
+        assert_eq!(harness.connection.pending_output().len() > 64 * 1024, has_room);
+        written.clear();
+        harness.run_until_action(&mut written);
+        assert_eq!(harness.budget.usage().2, blocked);
+        harness.budget.release_bytes(blocked);
+    }
+    assert_eq!(decode_frames(&written).1, ["57014"]);
+}
--- a/crates/sandstile-router/src/clients.rs
+++ b/crates/sandstile-router/src/clients.rs
@@ -291,6 +291,7 @@
                 final_answer.answer,
                 &mut self.client_events,
             );
+            slot.client_connection.reserve_answer(&mut context.budget, &mut self.client_events);
             self.run(final_answer.client_connection, context);
         }
     }
