Have the reload test wait until the router has read each bad file

`a_reload_follows_the_new_discovery_and_a_bad_file_changes_nothing` was red by its own fault: it replaced both bad files before the router had read either, so SIGHUPs merged and no bad file was ever read.

The test now follows the router's log and waits for the line of each bad file before it writes the next one. It is stricter: two lines that say that the former configuration stays, and one that the good file was read; before, one line sufficed and nothing was counted.

--- a/crates/sandstile-router/tests/program.rs
+++ b/crates/sandstile-router/tests/program.rs
@@ -425,13 +425,16 @@
     let primary = Host::scripted(true, &[HostReply::Slow(300, b"slow")]);
     let (old, replica) = (DiscoveryAgent::start(), Host::start(false));
     let text = config(old.address, &known(&primary, &[]));
-    let router = Router::start(&text);
+    let mut router = Router::start(&text);
+    let log = router.follow_log();
     old.watch().begin();
     let mut client = router.client();
     client.send(&query(&write(1500)));
     wait_for("the write", || primary.count() == 1);
-    for invalid in ["{\"name\":", &text.replace(&old.address.to_string(), "nowhere")] {
+    for (n, invalid) in ["{\"name\":", &text.replace(&old.address.to_string(), "nowhere")].iter().enumerate()
+    {
         router.reload(invalid);
+        wait_for("a look at the bad file", || log.count("the former configuration stays") == n + 1);
     }
     let new = DiscoveryAgent::start();
     router.reload(&text.replace(&old.address.to_string(), &new.address.to_string()));
@@ -442,8 +445,9 @@
     assert_eq!(value(&client.answer()), b"slow");
     wait_for("the new list", || client.ask(&read(800)).value.as_deref() == Some(b"replica"));
     assert_eq!(value(&client.ask(&write(800))), b"primary");
-    let (ok, log) = router.end();
-    assert!(ok && log.contains("the former configuration stays"), "{log}");
+    let (ok, log) = router.end_with_log(log);
+    let kept = log.matches("the former configuration stays").count();
+    assert!(ok && (kept, log.matches("configuration read again").count()) == (2, 1), "{log}");
 }
 
 /// Hosts are replaced under new names, as releases do all the time: a host that has left is removed with its
--- a/crates/sandstile-router/tests/test_doubles/mod.rs
+++ b/crates/sandstile-router/tests/test_doubles/mod.rs
@@ -2,7 +2,7 @@
 //! the program itself.
 use sandstile_router::pg;
 use std::collections::VecDeque;
-use std::io::{Read, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
@@ -353,13 +353,46 @@
         client
     }
 
+    /// Reads what the router prints from now on while it runs.
+    pub fn follow_log(&mut self) -> Log {
+        let output = BufReader::new(self.child.stderr.take().expect("a pipe"));
+        let text = Arc::<Mutex<String>>::default();
+        let read_text = text.clone();
+        let reader = thread::spawn(move || {
+            for line in output.lines().map_while(Result::ok) {
+                *read_text.lock().expect("a log") += &(line + "\n");
+            }
+        });
+        Log { text, reader }
+    }
+
     /// Ends the router as operators do, and yields whether it succeeded and what it printed.
     pub fn end(mut self) -> (bool, String) {
+        let log = self.follow_log();
+        self.end_with_log(log)
+    }
+
+    /// Like `end`, for a router whose log is followed.
+    pub fn end_with_log(mut self, log: Log) -> (bool, String) {
         self.signal("TERM");
-        let out = self.child.stderr.take().expect("a pipe");
-        let read = thread::spawn(move || std::io::read_to_string(out).expect("text"));
         let ok = self.child.wait().expect("an end").success();
-        (ok, read.join().expect("a reader"))
+        log.reader.join().expect("a reader");
+        let text = std::mem::take(&mut *log.text.lock().expect("a log"));
+        (ok, text)
+    }
+}
+
+/// What a router has printed so far.
+pub struct Log {
+    text: Arc<Mutex<String>>,
+    reader: thread::JoinHandle<()>,
+}
+
+impl Log {
+    /// How many times this text was printed.
+    #[allow(dead_code)]
+    pub fn count(&self, text: &str) -> usize {
+        self.text.lock().expect("a log").matches(text).count()
     }
 }
 
