Move one client connection out of clients.rs, and count lingers that expire

What concerns one connection (its socket, its reads and writes, its close) is now `client_slot.rs`; `clients` schedules. No behaviour changes but for a counter: linger_expired shows where a client does not close its side in time.

--- a/crates/sandstile-router/src/clients.rs
+++ b/crates/sandstile-router/src/clients.rs
@@ -1,11 +1,12 @@
 //! The clients' connections: their sockets, each with its state machine of `sandstile-connections`.
-use crate::budget::{Holder, IdleKey};
+use crate::budget::Holder;
 use crate::client_connection::{ClientAction, ClientConnection, ClientContext, ClientEvent};
+use crate::client_slot::ClientSlot;
 use crate::close_reason::CloseReason;
 use crate::log_limiter::LogLimiter;
 use crate::loop_context::{LoopContext, MAX_STEPS_PER_TURN};
 use crate::mailbox::MailboxSender;
-use crate::socket::{Socket, Transfer};
+use crate::socket::Socket;
 use crate::statement::{Statement, Workload};
 use mio::event::Event;
 use mio::net::TcpStream;
@@ -16,39 +17,6 @@
 use std::io;
 use std::sync::Arc;
 
-struct ClientSlot {
-    /// Sequence number of the connection in this process, which identifies it in the log.
-    number: u64,
-    accepted_at: f64,
-    /// Reads that returned bytes.
-    reads: u64,
-    /// Why the router closes the connection, where the state machine did not decide it.
-    close_reason: Option<CloseReason>,
-    /// The error number that a read or a write failed with.
-    error: Option<i32>,
-    client_connection: ClientConnection,
-    socket: Socket,
-    queued: bool,
-    /// When its timer is due.
-    timer_due: f64,
-    /// Its key in the budget's idle list, and the idle period that the key was made for.
-    idle_key: Option<(IdleKey, u64)>,
-    /// The current idle period, and when it began.
-    idle_state: Option<((Holder, u64), f64)>,
-    /// Asked to close: it does so as soon as it is idle, after a final read that found nothing more or the last
-    /// one that it may do.
-    close_requested: bool,
-    /// A final read is under way, or has found nothing.
-    final_read_done: bool,
-    final_reads_left: u32,
-    /// Its sending side is closed, and it waits until this time for the client to close its own.
-    lingers_until: Option<f64>,
-    /// The last read failed for lack of memory: the socket may hold unread bytes.
-    read_failed: bool,
-    /// There is no descriptor to serve it: its statement is refused and it is closed.
-    refused: bool,
-}
-
 /// How one step of a connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Step {
@@ -61,88 +29,8 @@
     Ended,
 }
 
-/// The connection has ended or broken.
-struct Lost;
-
-impl ClientSlot {
-    fn is_idle_new_client(&self) -> bool {
-        self.idle_state.is_some_and(|((holder, _), _)| holder == Holder::NewClientConnection)
-    }
-
-    /// Asks the connection to close. What the client has sent by now is still read and answered.
-    fn request_close(&mut self, reason: CloseReason) {
-        (self.close_requested, self.close_reason) = (true, Some(reason));
-        self.final_reads_left = FINAL_READS;
-        self.client_connection.limit_to_one_read();
-        self.socket.force_read();
-    }
-
-    /// Reads once more before the connection closes.
-    fn read_finally(&mut self) {
-        self.final_reads_left -= 1;
-        self.client_connection.limit_to_one_read();
-        self.socket.force_read();
-    }
-
-    /// Writes what the socket takes; `true` if it took anything.
-    fn write(&mut self, now: f64) -> Result<bool, Lost> {
-        match self.socket.write(self.client_connection.pending_output()) {
-            Transfer::Bytes(written) => {
-                self.client_connection.wrote(written);
-                self.socket.record_progress(now);
-                return Ok(true);
-            }
-            Transfer::OutOfMemory => self.socket.record_progress(now),
-            Transfer::Broken(error) => return Err(self.broken(error)),
-            Transfer::Ended | Transfer::NotReady => {}
-        }
-        Ok(false)
-    }
-
-    /// Reads as much as the connection wants; `true` if anything had arrived.
-    fn read(&mut self, now: f64, context: &mut LoopContext) -> Result<bool, Lost> {
-        let wanted_bytes = self.client_connection.wanted_bytes().min(context.scratch.len());
-        if self.socket.readable() && wanted_bytes > 0 {
-            self.read_failed = false;
-        }
-        match self.socket.read(&mut context.scratch[..wanted_bytes]) {
-            Transfer::Bytes(received) => {
-                self.reads += 1;
-                self.final_read_done = false;
-                if self.socket.is_unannounced() {
-                    context.counters.found_by_look.add();
-                }
-                self.socket.record_progress(now);
-                let bytes = &context.scratch[..received];
-                self.client_connection.receive_since(context.events_since.min(now), now, bytes);
-                return Ok(true);
-            }
-            Transfer::Ended => return Err(Lost),
-            Transfer::Broken(error) => return Err(self.broken(error)),
-            Transfer::OutOfMemory => {
-                self.read_failed = true;
-                self.socket.record_progress(now);
-            }
-            // After a read that failed for lack of memory the socket may hold bytes.
-            Transfer::NotReady if wanted_bytes > 0 && !self.read_failed => {
-                self.client_connection.read_would_block(now)
-            }
-            Transfer::NotReady => {}
-        }
-        Ok(false)
-    }
-
-    fn broken(&mut self, error: Option<i32>) -> Lost {
-        (self.error, self.close_reason) = (error, Some(CloseReason::ClientBroken));
-        Lost
-    }
-}
-
 /// Seconds for which a connection has to be idle before it may be closed to make room for another.
 const MIN_IDLE_BEFORE_EVICTION_S: f64 = 0.1;
-/// Reads for further commands that a connection may do once it is idle and asked to close. A client that always
-/// has another command on the way would otherwise keep it open.
-const FINAL_READS: u32 = 1;
 /// Seconds for which a connection that closes over unread bytes waits for its client to close. Closing at once
 /// would reset it, and the reset can overtake answers.
 const LINGER_S: f64 = 0.25;
@@ -222,25 +110,8 @@
         if number == 1 {
             info!(context.log, "first client accepted");
         }
-        entry.insert(ClientSlot {
-            number,
-            accepted_at: now,
-            reads: 0,
-            close_reason: None,
-            error: None,
-            client_connection: ClientConnection::waiting_since(waited_since, now),
-            socket,
-            queued: false,
-            timer_due: f64::INFINITY,
-            idle_key: None,
-            idle_state: None,
-            close_requested: false,
-            final_read_done: false,
-            final_reads_left: 0,
-            lingers_until: None,
-            read_failed: false,
-            refused,
-        });
+        let client_connection = ClientConnection::waiting_since(waited_since, now);
+        entry.insert(ClientSlot::new(number, now, client_connection, socket, refused));
         if self.shutting_down {
             self.slots[key].request_close(CloseReason::ClientDismissed);
         }
@@ -327,7 +198,7 @@
         for key in self.keys() {
             self.request_close(key, context);
         }
-        (0..self.slots.len()).for_each(|_| context.counters.drained.add());
+        context.counters.drained.set(self.slots.len() as u64);
         self.slots.len()
     }
 
@@ -349,8 +220,9 @@
         let keys = self.keys();
         for key in &keys {
             let slot = &mut self.slots[*key];
-            if slot.lingers_until.is_none() {
-                slot.close_reason = Some(CloseReason::ClientCutOff);
+            match slot.lingers_until {
+                Some(_) => context.counters.linger_expired.add(),
+                None => slot.close_reason = Some(CloseReason::ClientCutOff),
             }
             report_abandoned(slot.client_connection.closed(), &self.dispatcher_sender);
             self.close(*key, context);
@@ -569,7 +441,11 @@
 
     fn run_lingering(&mut self, key: usize, lingers_until: f64, context: &mut LoopContext) {
         let slot = &mut self.slots[key];
-        if slot.socket.read_closed() || context.clock.now() >= lingers_until {
+        let expired = context.clock.now() >= lingers_until;
+        if expired {
+            context.counters.linger_expired.add();
+        }
+        if expired || slot.socket.read_closed() {
             return self.close(key, context);
         }
         set_timer(slot, key, lingers_until, context);
--- a/crates/sandstile-router/src/counters.rs
+++ b/crates/sandstile-router/src/counters.rs
@@ -51,6 +51,8 @@
     /// refused because the shutdown had no time left.
     pub drained: Counter,
     pub refused_at_shutdown: Counter,
+    /// Connections closed over unread bytes whose client had not closed its side in time.
+    pub linger_expired: Counter,
     /// The longest iteration of the event loop, the longest time that a connection waited to be accepted (an upper
     /// bound), and the longest time that an upstream connection waited for a descriptor, in milliseconds.
     pub longest_turn_ms: Counter,
@@ -115,6 +117,7 @@
             ("refused_for_memory", &self.refused_for_memory),
             ("drained", &self.drained),
             ("refused_at_shutdown", &self.refused_at_shutdown),
+            ("linger_expired", &self.linger_expired),
             ("longest_turn_ms", &self.longest_turn_ms),
             ("longest_accept_wait_ms", &self.longest_accept_wait_ms),
             ("longest_dial_wait_ms", &self.longest_dial_wait_ms),
--- a/crates/sandstile-router/src/lib.rs
+++ b/crates/sandstile-router/src/lib.rs
@@ -2,6 +2,7 @@
 //! runs the clients' connections (`clients`), the dispatcher of the decisions (`sandstile-dispatcher`) and the
 //! database hosts (`hosts`). The protocol logic of each connection is in the state machines of
 //! `sandstile-connections`, which use neither sockets nor clocks.
+pub mod client_slot;
 pub mod clients;
 pub mod clock;
 pub mod control;
