--- a/crates/sandstile-soak/src/acceptor.rs
+++ b/crates/sandstile-soak/src/acceptor.rs
@@ -4,7 +4,7 @@
 use mio::{Events, Interest, Poll, Token};
 use std::io;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The longest time between two checks of which hosts are down.
 const FAULT_CHECK_INTERVAL: Duration = Duration::from_millis(5);
@@ -26,12 +26,18 @@
         }
         thread::spawn(move || {
             let mut events = Events::with_capacity(256);
+            let mut next_check = Instant::now();
             while !is_over() {
-                if acceptor.poll.poll(&mut events, Some(FAULT_CHECK_INTERVAL)).is_err() {
+                let until_check = next_check.saturating_duration_since(Instant::now());
+                if acceptor.poll.poll(&mut events, Some(until_check)).is_err() {
                     continue;
                 }
                 events.iter().for_each(|event| acceptor.accept(event.token().0));
-                acceptor.follow_faults();
+                // Not after each accept: a check of thousands of hosts takes longer than many accepts.
+                if Instant::now() >= next_check {
+                    acceptor.follow_faults();
+                    next_check = Instant::now() + FAULT_CHECK_INTERVAL;
+                }
             }
         });
         Ok(())
--- a/crates/sandstile-soak/src/host.rs
+++ b/crates/sandstile-soak/src/host.rs
@@ -2,6 +2,7 @@
 //! `acceptor` listens for all hosts of a run and hands over their connections.
 use crate::plan::Plan;
 use crate::record::{Arrival, Recorder};
+use crate::workers;
 use sandstile_pgwire as pg;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Read, Write};
@@ -79,10 +80,10 @@
         self.0.primary.store(primary, SeqCst);
     }
 
-    /// Serves an accepted connection on a new thread.
+    /// Serves an accepted connection on a thread of its own.
     pub fn serve_connection(&self, stream: TcpStream) {
         let host = self.clone();
-        thread::spawn(move || {
+        workers::run(move || {
             let _ = host.serve(&stream);
             let _ = stream.shutdown(Shutdown::Both);
         });
--- a/crates/sandstile-soak/src/lib.rs
+++ b/crates/sandstile-soak/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod process;
 pub mod record;
 pub mod run;
+pub mod workers;
