--- a/review/stand-2/stand.rs
+++ b/review/stand-2/stand.rs
@@ -18,6 +18,9 @@
 pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
+/// The numbers of these two differ between some platforms; these are those of Linux on x86-64 and arm64.
+pub const SIGCONT: i32 = 18;
+pub const SIGSTOP: i32 = 19;
 
 /// Unix time in milliseconds.
 pub fn now_ms() -> f64 {
@@ -189,6 +192,8 @@
     pub is_primary: AtomicBool,
     /// It turns away whatever is new.
     pub draining: AtomicBool,
+    /// It takes statements and answers none.
+    pub hangs: AtomicBool,
     pub since_ms: f64,
     pub log: Arc<GroupLog>,
     /// The replica's lag at this moment in milliseconds.
@@ -224,6 +229,7 @@
             address: listener.local_addr().unwrap(),
             is_primary: AtomicBool::new(is_primary),
             draining: AtomicBool::new(false),
+            hangs: AtomicBool::new(false),
             since_ms: 0.0,
             log: log.clone(),
             lag_ms: Box::new(|| 10.0),
@@ -303,6 +309,9 @@
             let sql = String::from_utf8_lossy(&body[..body.len().saturating_sub(1)]).into_owned();
             let mut out = Vec::new();
             if sql == "SHOW stats" {
+                while self.hangs.load(SeqCst) && !self.stopped.load(SeqCst) {
+                    sleep_ms(5.0);
+                }
                 let primary = u8::from(self.is_primary.load(SeqCst));
                 row(&mut out, format!("x0={:.3},x1={primary}", self.position_ms() / 1e3).as_bytes());
                 self.report(&mut out, self.position_ms());
@@ -320,6 +329,9 @@
                 position_ms,
                 sql: sql.clone(),
             });
+            while self.hangs.load(SeqCst) && !self.stopped.load(SeqCst) {
+                sleep_ms(5.0);
+            }
             let class = field(&sql, "c").unwrap_or("");
             if self.draining.load(SeqCst) {
                 self.report(&mut out, position_ms);
