--- a/review/stand-2/stand.rs
+++ b/review/stand-2/stand.rs
@@ -215,9 +215,17 @@
     TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| unable(&format!("listen: {e}")))
 }
 
-/// A free port on loopback.
+/// A free port on loopback, below the range from which connections usually get theirs: a router that is down for a while
+/// keeps its address.
 pub fn free_address() -> SocketAddr {
-    listen().local_addr().unwrap()
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    for _ in 0..12_000 {
+        let port = 20_000 + (u64::from(std::process::id()) * 37 + NEXT.fetch_add(1, SeqCst)) % 12_000;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port as u16)) {
+            return listener.local_addr().unwrap();
+        }
+    }
+    unable("no free port")
 }
 
 impl Host {
@@ -524,7 +532,7 @@
         RUNNING.lock().unwrap().push(child.id());
         self.child = Some(child);
         let until = Instant::now() + Duration::from_secs(20);
-        while Instant::now() < until {
+        while Instant::now() < until && !self.has_ended() {
             if let Ok(mut connection) = Connection::open(self.address) {
                 if connection.ask("", 2000.0).is_ok() {
                     return;
@@ -532,8 +540,8 @@
             }
             sleep_ms(20.0);
         }
-        self.signal(SIGKILL);
-        unable("the router did not become ready");
+        let log = std::fs::read_to_string(self.folder.join(format!("{}.log", self.name))).unwrap_or_default();
+        unable(&format!("the router did not become ready: {}", log.lines().last().unwrap_or("no log")));
     }
 
     pub fn signal(&self, signal: i32) {
