Review: end the routers of a case that is cut off by its time limit

Need: run.sh has to end all processes also where the case is ended before its time. The routers' process ids stand in the temporary folder for that.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -8,5 +8,7 @@
 folder=$(mktemp -d) || exit 2
 timeout -k 2 115 "$program" "review/$number" "$folder"
 code=$?
+# After a time-out the routers are still there.
+case $code in 124 | 137) kill -9 $(tail -n 2 "$folder/pids") 2>/dev/null ;; esac
 rm -rf "$folder"
 case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
--- a/review/stand-2/stand.rs
+++ b/review/stand-2/stand.rs
@@ -530,6 +530,9 @@
             .spawn()
             .unwrap_or_else(|e| unable(&format!("router: {e}")));
         RUNNING.lock().unwrap().push(child.id());
+        // For `run.sh`, should this program be ended before its time.
+        let pids = std::fs::OpenOptions::new().create(true).append(true).open(self.folder.join("pids"));
+        let _ = pids.and_then(|mut file| writeln!(file, "{}", child.id()));
         self.child = Some(child);
         let until = Instant::now() + Duration::from_secs(20);
         while Instant::now() < until && !self.has_ended() {
