Check a statement that waited for a connection again before its first byte

Cause: a decision was carried out whenever a connection came up, and nothing asked whether it still held. A connection that waits for the pacing of dials or for a descriptor had no timer, so the wait had no bound.

Change: right before the first byte of what has waited, the decisions are asked again (policy/recheck.rs): host draining, gone, cold without credit, no longer primary, data too old, client gone, time over. What may not begin ends as Outdated, counts as not sent and is decided anew. A list that names a host as draining has its waiting tasks checked at once, and dials that nobody needs any more are dropped. Tasks whose connection takes no byte are checked again too. Each connection that waits for its dial has a timer.

Related: a queued dial was matched by the slot's key alone, and a slot that was used again could be dialled at another host's address; dials have numbers now.

--- a/crates/sandstile-connections/src/pool.rs
+++ b/crates/sandstile-connections/src/pool.rs
@@ -1,6 +1,7 @@
 //! The connection pool of one database host: idle and busy connections, and the tasks that wait for a dial. A
-//! dial is not bound to the task that caused it: whichever connection becomes free first takes the task that
-//! has waited longest.
+//! dial is not bound to the task that caused it: whichever connection becomes free first serves the task that
+//! has waited longest. A task that has waited is placed anew, once the caller has checked that it may still
+//! begin.
 use crate::outcome::Ending;
 use crate::task::HostTask;
 use std::collections::{BTreeMap, VecDeque};
@@ -21,7 +22,7 @@
 /// What happens to a connection that has become free.
 #[derive(Debug)]
 pub enum NextUse {
-    Assign(HostTask),
+    /// It is idle. Tasks that wait can begin: see `take_startable`.
     Idle,
     /// The host has another address by now, so the connection is of no further use.
     Moved,
@@ -123,19 +124,37 @@
         }
     }
 
-    /// Gives a free connection the task that has waited longest, or makes it idle.
     fn free(&mut self, connection: usize, address_number: u64, now: f64) -> NextUse {
         if address_number != self.address_number {
             return NextUse::Moved;
         }
-        if let Some((_, task)) = self.waiting.pop_front() {
-            self.busy.insert(connection, (address_number, task.execution_id()));
-            return NextUse::Assign(task);
-        }
         self.idle.push((connection, now));
         NextUse::Idle
     }
 
+    /// Whether a waiting task can be placed anew: a connection is idle, or the one meant for it has gone.
+    pub fn has_startable(&self) -> bool {
+        !self.waiting.is_empty() && (!self.idle.is_empty() || self.dials.len() < self.waiting.len())
+    }
+
+    /// The task that has waited longest, if it can be placed anew. The caller checks that it may still begin, and
+    /// then passes it to `begin`.
+    pub fn take_startable(&mut self) -> Option<HostTask> {
+        if !self.has_startable() {
+            return None;
+        }
+        self.waiting.pop_front().map(|(_, task)| task)
+    }
+
+    /// Removes and returns the waiting tasks that `may_wait` rejects.
+    pub fn remove_waiting(&mut self, mut may_wait: impl FnMut(&HostTask) -> bool) -> Vec<HostTask> {
+        let waiting = std::mem::take(&mut self.waiting);
+        let (kept, removed): (VecDeque<_>, VecDeque<_>) =
+            waiting.into_iter().partition(|(_, task)| may_wait(task));
+        self.waiting = kept;
+        removed.into_iter().map(|(_, task)| task).collect()
+    }
+
     /// A dial failed. If there are now fewer dials than waiting tasks, returns the task that fails with it: its
     /// own one, or the oldest if another connection has taken that.
     pub fn dial_failed(&mut self, connection: usize) -> Option<HostTask> {
@@ -163,6 +182,11 @@
         idle.chain(self.busy.keys().copied()).chain(self.dials.keys().copied())
     }
 
+    /// Dials that no waiting task needs, out of those given.
+    pub fn surplus_dials(&self, dials: impl Iterator<Item = usize>) -> Vec<usize> {
+        dials.take(self.dials.len().saturating_sub(self.waiting.len())).collect()
+    }
+
     /// Number of waiting tasks.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
--- a/crates/sandstile-connections/src/upstream_connection.rs
+++ b/crates/sandstile-connections/src/upstream_connection.rs
@@ -242,20 +242,35 @@
             let outcome = Ending::WithdrawnUnsent.into();
             return Some(Event::Done { task, outcome, reusable: self.idle() });
         }
-        let message = match &task.kind {
-            TaskKind::Statement { payload, .. } => payload.message(task.deadline - now),
-            TaskKind::Probe => {
-                let mut output = Vec::new();
-                pg::query(&mut output, b"SHOW stats");
-                output
-            }
-        };
-        self.start_writing(message);
+        self.start_writing(message(&task, now));
         let answer = Answer::default();
         self.state = State::Busy(Box::new(Busy { task, answer, continuation_deadline: f64::INFINITY }));
         None
     }
 
+    /// Whether it has a task of which no byte has been written.
+    pub fn is_unstarted(&self) -> bool {
+        matches!(self.state, State::Busy(_)) && self.written == 0 && !self.output.is_empty()
+    }
+
+    /// Encodes the message of an unstarted task anew, for the time that is left at `now`.
+    pub fn restart(&mut self, now: f64) {
+        if let State::Busy(busy) = &self.state {
+            let message = message(&busy.task, now);
+            self.start_writing(message);
+        }
+    }
+
+    /// Takes back a task of which no byte has been written; the connection is idle again.
+    pub fn withdraw_unstarted(&mut self, ending: Ending) -> Option<Event> {
+        if !self.is_unstarted() {
+            return None;
+        }
+        self.start_writing(Vec::new());
+        let State::Busy(busy) = std::mem::replace(&mut self.state, State::Idle) else { return None };
+        Some(Event::Done { task: busy.task, outcome: ending.into(), reusable: true })
+    }
+
     pub fn receive(&mut self, now: f64, bytes: &[u8], budget: &mut Budget) -> Option<Event> {
         match &mut self.state {
             State::StartingUp { .. } => {
@@ -405,6 +420,18 @@
     }
 }
 
+/// The message of a task that begins at `now`.
+fn message(task: &HostTask, now: f64) -> Vec<u8> {
+    match &task.kind {
+        TaskKind::Statement { payload, .. } => payload.message(task.deadline - now),
+        TaskKind::Probe => {
+            let mut output = Vec::new();
+            pg::query(&mut output, b"SHOW stats");
+            output
+        }
+    }
+}
+
 /// What a frame during the startup means: ready, failed, or nothing yet.
 fn startup_outcome(tag: u8, body: &[u8]) -> Result<Option<Result<(), Ending>>, BadFrame> {
     Ok(match tag {
--- a/crates/sandstile-dispatcher/src/dispatcher.rs
+++ b/crates/sandstile-dispatcher/src/dispatcher.rs
@@ -1,7 +1,9 @@
 //! Passes messages and other inputs to the routing policy, turns its decisions into commands and final
 //! answers, and reports when the policy wants to run again. It uses no sockets and knows no protocol.
 use crate::counters::DispatcherCounters;
-use crate::messages::{Command, DispatcherMessage, FinalAnswer, HostListUpdate, LogEvent, StatementRequest};
+use crate::messages::{
+    Command, DispatcherMessage, FinalAnswer, HostListUpdate, LogEvent, StartStep, StatementRequest,
+};
 use crate::outcome::Ending;
 use crate::source::{DispatcherInput, Source};
 use crate::task::{Answer, HostTask, StatementPayload, TaskKind};
@@ -10,7 +12,7 @@
 use sandstile_deployment::session_slots::SessionSlots;
 use sandstile_limits::{Limits, RetryAdmission};
 use sandstile_policy::policy::Instance;
-use sandstile_policy::terms::{Arrival, Decision, FailureCause, ReadRequirement};
+use sandstile_policy::terms::{Arrival, Decision, FailureCause, ReadRequirement, Readiness};
 use sandstile_restart_pacing::{Admission, AdmissionRamp, StallDetector};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -137,8 +139,8 @@
 
     /// Runs the policy if input was received or if it is due. Returns `false` if there was nothing to do.
     pub fn decide_if_due(&mut self, now: f64, received: bool) -> bool {
-        if self.stall.as_ref().is_some_and(|s| s.blocks_decisions(now)) {
-            // What is known dates from before the stall: wait for the host list first.
+        if self.blocks_starts(now) {
+            // Waits for the host list first.
             return received;
         }
         if received || self.due(now) <= now {
@@ -161,6 +163,27 @@
         }
     }
 
+    /// Whether nothing may begin now: what is known dates from before a stall.
+    pub fn blocks_starts(&self, now: f64) -> bool {
+        self.stall.as_ref().is_some_and(|stall| stall.blocks_decisions(now))
+    }
+
+    /// Whether a task that waits for a connection may still go to this host. A task that may not is to be reported
+    /// as `Outdated`. To be asked for `StartStep::Begin` right before the first byte is written.
+    pub fn may_start(&mut self, now: f64, host: usize, task: &HostTask, step: StartStep) -> bool {
+        let Some((statement_id, execution)) = task.execution_id() else {
+            return self.policy.may_start_probe(host);
+        };
+        let is_awaited =
+            self.open.get(&statement_id).is_some_and(|statement| statement.client_connection.is_some());
+        let allowed =
+            is_awaited && now < task.deadline && self.policy.may_start(now, statement_id, execution);
+        if allowed && step == StartStep::Begin {
+            self.policy.execution_started(statement_id, execution);
+        }
+        allowed
+    }
+
     /// To be called in each iteration of the event loop: a call that comes far too late shows that this
     /// process stalled.
     pub fn check_for_stall(&mut self, now: f64) {
@@ -266,6 +289,9 @@
                     self.cancel_unsent(statement_id);
                 }
             }
+            DispatcherMessage::Waits { statement_id, execution } => {
+                self.policy.execution_waits(statement_id, execution)
+            }
             DispatcherMessage::Ended { statement_id, execution, mut outcome } => {
                 let Some(open) = self.open.get_mut(&statement_id) else { return };
                 if let (Some(term), Some(&host)) = (outcome.term, open.hosts.get(execution)) {
@@ -408,6 +434,8 @@
         }
         let list = self.list.merge(update.is_snapshot, &update.entries, &mut self.hosts, &mut self.groups);
         self.policy.update_hosts(now, &list);
+        let departing = list.iter().filter(|listed| listed.readiness != Readiness::Active);
+        self.commands.extend(departing.map(|listed| Command::RecheckWaiting(listed.host)));
         self.remove_departed();
     }
 
--- a/crates/sandstile-dispatcher/src/lib.rs
+++ b/crates/sandstile-dispatcher/src/lib.rs
@@ -12,7 +12,9 @@
 
 pub use counters::{Counter, DispatcherCounters};
 pub use dispatcher::Dispatcher;
-pub use messages::{Command, DispatcherMessage, FinalAnswer, HostListUpdate, LogEvent, StatementRequest};
+pub use messages::{
+    Command, DispatcherMessage, FinalAnswer, HostListUpdate, LogEvent, StartStep, StatementRequest,
+};
 pub use outcome::{Ending, Outcome};
 pub use source::{DispatcherInput, Source};
 pub use task::{Answer, HostTask, StatementPayload, TaskKind};
--- a/crates/sandstile-dispatcher/src/messages.rs
+++ b/crates/sandstile-dispatcher/src/messages.rs
@@ -32,8 +32,29 @@
 pub enum DispatcherMessage {
     StatementRequest(StatementRequest),
     ClientGone(u64),
-    Ended { statement_id: u64, execution: usize, outcome: Outcome },
-    Probed { host: usize, outcome: Outcome },
+    /// The execution waits for a connection to its host: nothing of it has been sent.
+    Waits {
+        statement_id: u64,
+        execution: usize,
+    },
+    Ended {
+        statement_id: u64,
+        execution: usize,
+        outcome: Outcome,
+    },
+    Probed {
+        host: usize,
+        outcome: Outcome,
+    },
+}
+
+/// What a task that has waited for a connection is checked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartStep {
+    /// It goes on waiting.
+    Wait,
+    /// Its first byte is about to be written.
+    Begin,
 }
 
 /// A change of the host list, or a snapshot of the whole list.
@@ -78,6 +99,8 @@
         statement_id: u64,
         execution: usize,
     },
+    /// What is known of this host has changed: the tasks that wait for a connection to it are checked again.
+    RecheckWaiting(usize),
     /// The estimated number of routers that share the hosts, which dial pacing depends on.
     RouterCount(f64),
 }
--- a/crates/sandstile-dispatcher/src/outcome.rs
+++ b/crates/sandstile-dispatcher/src/outcome.rs
@@ -27,6 +27,9 @@
     DialTurnedAway,
     /// The deadline passed or the statement was cancelled before anything was written.
     WithdrawnUnsent,
+    /// It waited for a connection, and by the time there was one it was no longer to go to this host: the host
+    /// drains, restarted or lost its role, its data is too old, or nobody waits for the answer.
+    Outdated,
     /// The connection broke before the last byte was written.
     BrokenUnwritten,
     /// Fully written on a new connection, which then broke or closed without a byte of an answer.
@@ -55,7 +58,7 @@
     Moved,
 }
 
-pub const ALL: [Ending; 24] = {
+pub const ALL: [Ending; 25] = {
     use Ending::*;
     [
         Completed,
@@ -70,6 +73,7 @@
         DialBroken,
         DialTurnedAway,
         WithdrawnUnsent,
+        Outdated,
         BrokenUnwritten,
         Broken,
         Crossed,
@@ -99,7 +103,9 @@
             NoAddress | DialRefused | DialUnreachable | DialTimedOut | DialBroken | BrokenUnwritten => {
                 OutcomeClass::ConnectFailed
             }
-            NoRoom | WithdrawnUnsent | IdleEnded | IdleExpired | IdleEvicted | Moved => OutcomeClass::NotSent,
+            NoRoom | WithdrawnUnsent | Outdated | IdleEnded | IdleExpired | IdleEvicted | Moved => {
+                OutcomeClass::NotSent
+            }
             Broken => OutcomeClass::Reset,
             Crossed | CutShort | Garbled | Unreadable => OutcomeClass::UnusableAnswer,
             TimedOut => OutcomeClass::TimedOut,
--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -1,7 +1,8 @@
 //! The routing decisions of one sandstile instance, without I/O. The embedding program passes events in
 //! through `update_hosts`, `statement_arrived`, `execution_ended`, `probe_ended`, `client_gone` and
 //! `advance_time`, which only update what is known. It then calls `decide` until it returns nothing, and
-//! `advance_time` again no later than `wake_at`. The interface types are in `terms.rs`.
+//! `advance_time` again no later than `wake_at`. An execution that could not begin at once is checked again by
+//! `may_start` (`recheck`). The interface types are in `terms.rs`.
 //!
 //! The design's rules (DBFarm's change numbers, round-robin over replicas, the check of a read's consistency
 //! class by the database host) decide the ordinary path. Six mechanisms add to it:
@@ -22,6 +23,7 @@
 
 mod host_updates;
 mod pacing;
+mod recheck;
 mod slow_start;
 
 use crate::state::*;
@@ -282,6 +284,7 @@
         };
         execution.ended_at = Some(now);
         execution.may_have_run = !matches!(outcome, Full | ConnectFailed | NotSent | WrongHost);
+        execution.not_sent = outcome == NotSent;
         let (host_index, sent_at, duration, group, may_have_run) = (
             execution.host,
             execution.sent_at,
@@ -595,7 +598,9 @@
         let no_further_execution = match () {
             () if is_running => None,
             () if statement.errors >= 2 => Some(FailureCause::ErrorsRepeated),
-            () if statement.executions.len() >= self.max_executions => Some(FailureCause::ExecutionsSpent),
+            () if statement.counted_executions() >= self.max_executions => {
+                Some(FailureCause::ExecutionsSpent)
+            }
             () if now >= workload.repeat_deadline(statement) - self.answer_margin => {
                 Some(FailureCause::RepeatWindowOver)
             }
@@ -729,6 +734,7 @@
             sent_at: now,
             ended_at: None,
             may_have_run: true,
+            not_sent: false,
             cancel_settled,
         };
         statement.executions.push(execution);
@@ -764,9 +770,16 @@
                 && !host.seen_draining)
     }
 
-    /// Checks the rules for the chosen host: its readiness, its slow start, and the effect of executions that
-    /// may have run.
+    /// Checks the rules for a host that may be chosen, its slow start included.
     fn is_allowed(&self, statement: &Statement, host_index: usize) -> bool {
+        let host = &self.hosts[host_index];
+        let warm = self.capacity_share(host) >= 1.0 || host.credit >= 1.0;
+        warm && self.keeps_rules(statement, host_index)
+    }
+
+    /// Checks the rules for a host apart from its slow start: its readiness, the data that it certainly has, and
+    /// the effect of executions that may have run.
+    fn keeps_rules(&self, statement: &Statement, host_index: usize) -> bool {
         let (host, workload) = (&self.hosts[host_index], &self.workloads[statement.workload]);
         let may_follow = |e: &Execution| match workload.effect {
             _ if !e.may_have_run || e.ended_at.is_none() => !e.may_have_run,
@@ -776,7 +789,6 @@
             _ => true,
         };
         let before_repeat_deadline = self.now < workload.repeat_deadline(statement) - self.answer_margin;
-        let warm = self.capacity_share(host) >= 1.0 || host.credit >= 1.0;
         // Where hosts don't check reads, only a host that the list or an answer names as primary is sure to
         // have current data.
         let has_current_data = self.terms.hosts_check_reads
@@ -790,10 +802,32 @@
             && before_repeat_deadline
             && host.group == statement.group
             && self.is_sendable(host)
-            && warm
             && statement.executions.iter().all(may_follow)
     }
 
+    /// The position that a host must be known to have reached, where hosts don't check reads.
+    fn least_position(&self, statement: &Statement) -> f64 {
+        let workload = &self.workloads[statement.workload];
+        let session_writes =
+            statement.session.and_then(|i| self.sessions.get(i)).copied().unwrap_or_default();
+        match workload.consistency {
+            Consistency::Bounded => self.now - workload.max_age,
+            // A write that takes longer than usual may have lost its answer, and its position is unknown:
+            // only the primary is safe.
+            Consistency::Session
+                if !self.terms.hosts_check_reads
+                    && session_writes.writes_in_flight > 0
+                    && self.now > session_writes.answer_expected_by =>
+            {
+                f64::INFINITY
+            }
+            Consistency::Session if !self.terms.hosts_check_reads => {
+                statement.required_position.max(session_writes.written_position)
+            }
+            _ => statement.required_position,
+        }
+    }
+
     fn choose_host(&mut self, statement_id: u64) -> Option<usize> {
         let now = self.now;
         let statement = &self.statements[&statement_id];
@@ -816,7 +850,7 @@
                         && self.is_allowed(statement, primary_index))
                     .then_some(primary_index);
                 }
-            } else if statement.executions.len() < (self.max_executions / 2).max(1) {
+            } else if statement.counted_executions() < (self.max_executions / 2).max(1) {
                 // An error from a process that is no member would leave a write that may have run.
                 let is_member = |host: &Host| host.role_reported || !self.roleless_answer_seen;
                 let may_be_primary =
@@ -833,27 +867,10 @@
             self.groups_to_probe.insert(statement.group);
             return None;
         }
-        let session_writes =
-            statement.session.and_then(|i| self.sessions.get(i)).copied().unwrap_or_default();
-        let least_position = match workload.consistency {
-            Consistency::Bounded => now - workload.max_age,
-            // A write that takes longer than usual may have lost its answer, and its position is unknown:
-            // only the primary is safe.
-            Consistency::Session
-                if !self.terms.hosts_check_reads
-                    && session_writes.writes_in_flight > 0
-                    && now > session_writes.answer_expected_by =>
-            {
-                f64::INFINITY
-            }
-            Consistency::Session if !self.terms.hosts_check_reads => {
-                statement.required_position.max(session_writes.written_position)
-            }
-            _ => statement.required_position,
-        };
+        let least_position = self.least_position(statement);
         let host_checks_position = self.terms.hosts_check_reads && !statement.requires_known_position;
         let (member_count, last_execution) =
-            (group.members.len(), statement.executions.len() + 1 >= self.max_executions);
+            (group.members.len(), statement.counted_executions() + 1 >= self.max_executions);
         let (mut best_lagging, mut best_position, mut any_full, mut position_unknown, mut any_up_to_date) =
             (None, 0.0, false, false, false);
         // While hosts refuse connections, a host that answered recently most likely still has an open
--- a/crates/sandstile-policy/src/policy/slow_start.rs
+++ b/crates/sandstile-policy/src/policy/slow_start.rs
@@ -24,6 +24,7 @@
         if warm_at <= self.now {
             return;
         }
+        self.hosts[index].marked_cold_at = self.now;
         self.cold_hosts.warm_at.push(Reverse((warm_at.to_bits(), index)));
         if self.hosts[index].cold_index.is_none() {
             self.hosts[index].cold_index = Some(self.cold_hosts.hosts.len());
--- a/crates/sandstile-policy/src/state.rs
+++ b/crates/sandstile-policy/src/state.rs
@@ -17,6 +17,8 @@
     pub sent_at: f64,
     pub ended_at: Option<f64>,
     pub may_have_run: bool,
+    /// It ended before anything went to its host, for a reason of the embedding program.
+    pub not_sent: bool,
     /// A cancel was already sent, or cancels are not allowed.
     pub cancel_settled: bool,
 }
@@ -46,6 +48,13 @@
     pub is_later_attempt: bool,
 }
 
+impl Statement {
+    /// The executions that count against the maximum per statement.
+    pub fn counted_executions(&self) -> usize {
+        self.executions.iter().filter(|execution| !execution.not_sent).count()
+    }
+}
+
 impl Host {
     pub fn unknown() -> Host {
         Host { slowdown: 1.0, min_slowdown: 1.0, ..Host::default() }
@@ -59,6 +68,8 @@
     pub listed_readiness: Readiness,
     pub seen_draining: bool,
     pub started_at: f64,
+    /// When its last start was learnt of; sends decided before that are not paid from its credit.
+    pub marked_cold_at: f64,
     /// The start time in the latest list entry, and whether the host was listed before.
     pub listed_start: f64,
     pub was_listed: bool,
--- a/crates/sandstile-policy/tests/rules.rs
+++ b/crates/sandstile-policy/tests/rules.rs
@@ -921,3 +921,161 @@
     }
     assert!(probes(&world) > before, "the primary is probed");
 }
+
+/// An execution that could not begin at once and what has changed since it was decided.
+struct LateStart {
+    world: World,
+    statement_id: u64,
+    host: usize,
+}
+
+/// A statement of this workload that has been decided, with terms by these flags; the replicas' positions are known.
+fn late_start(flags: u16, workload: usize) -> LateStart {
+    late_start_with_seed(flags, workload, 7)
+}
+
+fn late_start_with_seed(flags: u16, workload: usize, seed: u64) -> LateStart {
+    let mut world = World::new(terms(flags), seed);
+    world.serve(2, OutcomeClass::Completed, Some(true));
+    for _ in 0..8 {
+        world.serve(4, OutcomeClass::Completed, Some(false));
+    }
+    let statement_id = world.arrive(workload, 1.0);
+    world.advance(0.005);
+    let Some(Decision::Send { statement_id: sent, host, .. }) = world.decisions.last().cloned() else {
+        panic!("{:?}", world.decisions.last())
+    };
+    assert_eq!(sent, statement_id);
+    LateStart { world, statement_id, host }
+}
+
+impl LateStart {
+    fn may_start(&mut self) -> bool {
+        self.world.policy.may_start(self.world.now, self.statement_id, 0)
+    }
+
+    /// The list names this host with another state.
+    fn list(&mut self, host: usize, change: impl FnOnce(&mut ListedHost)) {
+        change(&mut self.world.host_list[host]);
+        let listed = self.world.host_list[host].clone();
+        self.world.policy.update_hosts(self.world.now, &[listed]);
+    }
+}
+
+const CHECKED_READS: u16 = 0b1110_0011;
+const UNCHECKED_READS: u16 = 0b1100_0011;
+const BOUNDED: usize = 0;
+const WRITE: usize = 2;
+
+/// Guards against an execution that begins late although its host drains, is gone or restarted, or nobody waits.
+#[test]
+fn an_execution_that_had_to_wait_is_checked_against_the_list_and_its_client() {
+    let mut unchanged = late_start(CHECKED_READS, BOUNDED);
+    assert!(unchanged.may_start() && unchanged.may_start(), "a check has no effect of its own");
+    for readiness in [Readiness::Draining, Readiness::Gone] {
+        let mut late = late_start(CHECKED_READS, BOUNDED);
+        late.list(late.host, |listed| listed.readiness = readiness);
+        assert!(!late.may_start(), "{readiness:?}");
+    }
+    let mut elsewhere = late_start(CHECKED_READS, BOUNDED);
+    let other = (elsewhere.host + 1) % HOST_COUNT;
+    elsewhere.list(other, |listed| listed.readiness = Readiness::Draining);
+    assert!(elsewhere.may_start(), "another host drains");
+    let mut gone = late_start(CHECKED_READS, BOUNDED);
+    gone.world.policy.client_gone(gone.world.now, gone.statement_id);
+    assert!(!gone.may_start(), "the client has left");
+    let mut over = late_start(CHECKED_READS, BOUNDED);
+    over.world.now += 1.0;
+    assert!(!over.may_start(), "its time is over");
+}
+
+/// Guards against late starts that push over a host which has restarted since they were decided: only as many begin as
+/// there is credit for.
+#[test]
+fn late_starts_at_a_host_that_turned_cold_are_paid_from_its_credit() {
+    let mut started = 0;
+    let routers = 200;
+    for seed in 0..routers {
+        let mut late = late_start_with_seed(CHECKED_READS, BOUNDED, seed);
+        late.world.now += 0.01;
+        let now = late.world.now;
+        late.list(late.host, |listed| listed.started_at = now);
+        let may_start = late.may_start();
+        started += usize::from(may_start);
+        if may_start {
+            late.world.policy.execution_started(late.statement_id, 0);
+        }
+        assert!(!late.may_start(), "one credit pays for one start");
+    }
+    assert!(
+        (1..routers as usize / 2).contains(&started),
+        "{started} of {routers} began at a host that had just restarted"
+    );
+}
+
+/// Guards against writes that begin late at a host which is not the primary any more.
+#[test]
+fn a_write_that_had_to_wait_does_not_go_to_a_former_primary() {
+    let mut unchanged = late_start(CHECKED_READS, WRITE);
+    assert!(unchanged.host == 2 && unchanged.may_start());
+    let mut replaced = late_start(CHECKED_READS, WRITE);
+    replaced.world.now += 0.01;
+    let read = replaced.world.arrive(4, 1.0);
+    replaced.world.advance(0.005);
+    replaced.world.end_execution(read, 0, OutcomeClass::Completed, Some(true), 0.0);
+    assert!(!replaced.may_start(), "another member answered as the primary");
+}
+
+/// Guards against reads of bounded age that begin late at a host whose position was recent enough only when they were
+/// decided, where hosts check no reads.
+#[test]
+fn a_read_that_had_to_wait_does_not_go_to_a_host_whose_data_is_too_old_by_then() {
+    let mut late = late_start(UNCHECKED_READS, BOUNDED);
+    assert!(late.host != 2 && late.may_start());
+    late.world.now += 0.6;
+    let age = late.world.now - late.world.known_positions[late.host];
+    let max_age = late.world.terms.workloads[BOUNDED].max_age;
+    assert_eq!(late.may_start(), age <= max_age, "{age} s old, {max_age} s allowed");
+    late.world.now += 0.35;
+    assert!(!late.may_start());
+}
+
+/// Guards against statements that run out of executions because they waited for connections that never came up.
+#[test]
+fn executions_that_were_never_sent_do_not_count_against_the_maximum() {
+    let mut world = World::new(terms(CHECKED_READS), 7);
+    let write = world.arrive(WRITE, 1.0);
+    for execution in 0..2 * world.terms.max_executions {
+        world.advance(0.02);
+        world.end_execution(write, execution, OutcomeClass::NotSent, None, 0.0);
+    }
+    world.advance(0.02);
+    let sends = |d: &&Decision| matches!(d, Decision::Send { statement_id, .. } if *statement_id == write);
+    assert_eq!(world.decisions.iter().filter(sends).count(), 2 * world.terms.max_executions + 1);
+}
+
+/// Guards against writes that are aborted as if they might have run although they only waited for a connection.
+#[test]
+fn a_write_that_waited_for_a_connection_for_all_of_its_time_is_rejected() {
+    for (waits, starts) in [(true, false), (true, true), (false, false)] {
+        let mut world = World::new(terms(CHECKED_READS), 7);
+        let write = world.arrive(WRITE, 1.0);
+        world.advance(0.005);
+        if waits {
+            world.policy.execution_waits(write, 0);
+        }
+        if starts {
+            assert!(world.policy.may_start(world.now, write, 0));
+            world.policy.execution_started(write, 0);
+        }
+        for _ in 0..40 {
+            world.now += 0.025;
+            world.policy.advance_time(world.now);
+            world.decisions.extend(std::iter::from_fn(|| world.policy.decide()));
+        }
+        let is_final = |d: &&Decision| matches!(d, Decision::Reject { .. } | Decision::Abort { .. });
+        let answer = world.decisions.iter().find(is_final).expect("a final answer");
+        let rejected = matches!(answer, Decision::Reject { .. });
+        assert_eq!(rejected, waits && !starts, "waits: {waits}, starts: {starts}: {answer:?}");
+    }
+}
--- a/crates/sandstile-router/src/event_loop.rs
+++ b/crates/sandstile-router/src/event_loop.rs
@@ -21,7 +21,7 @@
 use crate::statement::Workload;
 use mio::net::TcpStream;
 use mio::{Events, Poll, Token};
-use sandstile_dispatcher::{Dispatcher, DispatcherMessage, FinalAnswer, LogEvent};
+use sandstile_dispatcher::{Dispatcher, DispatcherMessage, FinalAnswer, HostTask, LogEvent, StartStep};
 use sandstile_restart_pacing::DialPacer;
 use sandstile_timers::TimerWheel;
 use slog::{debug, info, warn, Logger};
@@ -271,6 +271,7 @@
         let has_datagrams = self.members.as_ref().is_some_and(|m| m.may_have_datagrams());
         has_messages
             || has_datagrams
+            || self.can_start_waiting()
             || !self.context.queue.is_empty()
             || !self.control_messages.is_empty()
             || self.can_accept()
@@ -326,11 +327,28 @@
         worked
     }
 
+    /// Starts what has waited for a connection, as far as it may still begin; `false` where there was nothing to do.
+    fn start_waiting(&mut self) -> bool {
+        if !self.can_start_waiting() {
+            return false;
+        }
+        let (dispatcher, clock) = (&mut self.dispatcher, self.context.clock);
+        let may_start = &mut |host: usize, task: &HostTask, step: StartStep| {
+            dispatcher.may_start(clock.now(), host, task, step)
+        };
+        self.hosts.start_waiting(may_start, &mut self.context)
+    }
+
+    fn can_start_waiting(&self) -> bool {
+        self.hosts.has_startable() && !self.dispatcher.blocks_starts(self.context.clock.now())
+    }
+
     /// Runs dispatcher, hosts and clients in turn until nothing is left to do. Commands are handled before answers,
     /// or a dial that succeeds just then could still write a statement that has been answered.
     fn process(&mut self) {
         for round in 0..MAX_ROUNDS {
             let mut worked = self.decide(round == 0);
+            worked |= self.start_waiting();
             while let Some(command) = self.dispatcher.next_command() {
                 self.hosts.handle_command(command, &mut self.context);
                 worked = true;
--- a/crates/sandstile-router/src/hosts.rs
+++ b/crates/sandstile-router/src/hosts.rs
@@ -13,11 +13,11 @@
 use crate::upstream_connection::{Event, UpstreamConnection};
 use mio::net::TcpStream;
 use mio::Token;
-use sandstile_dispatcher::{Command, DispatcherMessage};
+use sandstile_dispatcher::{Command, DispatcherMessage, StartStep};
 use sandstile_restart_pacing::{DialDecision, DialOutcome, DialPacer};
 use slab::Slab;
 use slog::{debug, info, o, Logger};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -32,6 +32,8 @@
 
 struct ConnectionSlot {
     host: usize,
+    /// Sequence number of the dial: a slot's key is used again.
+    dial_number: u64,
     connection: UpstreamConnection,
     socket: Option<Socket>,
     queued: bool,
@@ -42,6 +44,8 @@
     requested_at: f64,
     /// It has been delayed by the dial pacing and counted for that.
     delayed: bool,
+    /// Its task was checked just now and may begin.
+    may_start: bool,
     /// Until when its dial is retried, once a dial has failed with a local error of this machine.
     local_retry_until: Option<f64>,
 }
@@ -56,14 +60,42 @@
     }
 }
 
+/// A connection that has not been dialled yet.
+#[derive(Clone, Copy)]
+struct PendingDial {
+    key: usize,
+    dial_number: u64,
+    address: SocketAddr,
+}
+
+impl PendingDial {
+    /// Whether its connection still waits: it may have timed out, and its key may be another one's by now.
+    fn is_waiting(&self, slots: &Slab<ConnectionSlot>) -> bool {
+        slots.get(self.key).is_some_and(|slot| {
+            slot.dial_number == self.dial_number && slot.socket.is_none() && !slot.connection.dialling()
+        })
+    }
+}
+
+/// Whether a task that waits for a connection to this host may still take this step.
+pub type StartCheck<'a> = &'a mut dyn FnMut(usize, &HostTask, StartStep) -> bool;
+
 pub struct Hosts {
     hosts: Vec<Option<Host>>,
     slots: Slab<ConnectionSlot>,
     dispatcher_sender: MailboxSender<DispatcherMessage>,
     counters: Arc<Counters>,
     log: Logger,
-    /// Connections that wait for a descriptor, with the address to dial.
-    pending_dials: VecDeque<(usize, SocketAddr)>,
+    /// Connections that wait for a descriptor or for the dial pacing.
+    pending_dials: VecDeque<PendingDial>,
+    /// Dials requested so far; the next dial's number follows from it.
+    dials: u64,
+    /// Hosts at which a waiting task may be able to begin.
+    startable_hosts: BTreeSet<usize>,
+    /// Hosts whose waiting tasks have to be checked, as what is known of the host has changed.
+    changed_hosts: BTreeSet<usize>,
+    /// Connections that could write the first byte of their task only later than it was decided.
+    unstarted: Vec<usize>,
     /// Events of upstream connections that have not been handled yet.
     events: VecDeque<(usize, Event)>,
     /// Paces dials, where the local configuration file turns that on.
@@ -116,6 +148,10 @@
             counters,
             log,
             pending_dials: VecDeque::new(),
+            dials: 0,
+            startable_hosts: BTreeSet::new(),
+            changed_hosts: BTreeSet::new(),
+            unstarted: Vec::new(),
             events: VecDeque::new(),
             dial_pacer: None,
             next_dial_at: f64::INFINITY,
@@ -154,6 +190,7 @@
             Command::CancelUnsent { host, statement_id, execution } => {
                 self.cancel(host, (statement_id, execution), false, context)
             }
+            Command::RecheckWaiting(host) => drop(self.changed_hosts.insert(host)),
             Command::RouterCount(n) => {
                 if let Some(dial_pacer) = &mut self.dial_pacer {
                     dial_pacer.set_router_count(n);
@@ -196,31 +233,32 @@
     }
 
     /// Adds one more connection to be dialled.
-    fn request_dial(&mut self, host: usize, address: SocketAddr, context: &LoopContext) {
+    fn request_dial(&mut self, host: usize, address: SocketAddr, context: &mut LoopContext) {
         self.counters.dialled.add();
-        let connection = UpstreamConnection::new(context.clock.now() + self.dial_timeout, self.dial_timeout);
-        let (timer_due, idle_key, dial_started_at, delayed) = (f64::INFINITY, None, None, false);
-        let requested_at = context.clock.now();
-        let (socket, queued, local_retry_until) = (None, false, None);
-        let slot = ConnectionSlot {
+        self.dials += 1;
+        let (requested_at, dial_number) = (context.clock.now(), self.dials);
+        let key = self.slots.insert(ConnectionSlot {
             host,
-            connection,
-            socket,
-            queued,
-            timer_due,
-            idle_key,
-            dial_started_at,
+            dial_number,
+            connection: UpstreamConnection::new(requested_at + self.dial_timeout, self.dial_timeout),
+            socket: None,
+            queued: false,
+            timer_due: f64::INFINITY,
+            idle_key: None,
+            dial_started_at: None,
             requested_at,
-            delayed,
-            local_retry_until,
-        };
-        let key = self.slots.insert(slot);
+            delayed: false,
+            may_start: false,
+            local_retry_until: None,
+        });
         self.host(host).pool.dial_started(key);
-        self.pending_dials.push_back((key, address));
+        self.pending_dials.push_back(PendingDial { key, dial_number, address });
+        self.schedule_timer(key, context);
     }
 
     /// A task takes an idle connection if one is still usable, or waits for a dial.
     fn start_task(&mut self, host: usize, mut task: HostTask, context: &mut LoopContext) {
+        let execution_id = task.execution_id();
         loop {
             match self.host(host).pool.begin(task) {
                 Placement::Assign(key, assigned) => {
@@ -234,8 +272,10 @@
                     task = assigned;
                 }
                 Placement::Dial(address) => {
-                    self.request_dial(host, address, context);
-                    return;
+                    if let Some((statement_id, execution)) = execution_id {
+                        self.dispatcher_sender.send(DispatcherMessage::Waits { statement_id, execution });
+                    }
+                    return self.request_dial(host, address, context);
                 }
                 Placement::End(task, ending) => return self.report(host, task, ending.into(), context),
             }
@@ -260,7 +300,93 @@
         if let Some(event) = self.slots[key].connection.begin(context.clock.now(), task) {
             self.events.push_back((key, event));
         }
+        self.run_checked(key, context);
+    }
+
+    /// Runs a connection whose task was decided or checked just now.
+    fn run_checked(&mut self, key: usize, context: &mut LoopContext) {
+        self.slots[key].may_start = true;
         self.run(key, context);
+        if let Some(slot) = self.slots.get_mut(key) {
+            slot.may_start = false;
+        }
+    }
+
+    /// Whether `start_waiting` has something to do.
+    pub fn has_startable(&self) -> bool {
+        !self.startable_hosts.is_empty() || !self.changed_hosts.is_empty() || !self.unstarted.is_empty()
+    }
+
+    /// Starts the tasks that have waited for a connection, each only if `may_start` allows it now; the others end
+    /// as `Outdated`. `false` where there was nothing to do.
+    pub fn start_waiting(&mut self, may_start: StartCheck, context: &mut LoopContext) -> bool {
+        let had_work = self.has_startable();
+        while let Some(host) = self.changed_hosts.pop_first() {
+            self.recheck_waiting(host, may_start, context);
+        }
+        while let Some(key) = self.unstarted.pop() {
+            self.start_late(key, may_start, context);
+        }
+        self.process_events(context);
+        while let Some(host) = self.startable_hosts.pop_first() {
+            while let Some(task) = self.take_startable(host) {
+                if may_start(host, &task, StartStep::Begin) {
+                    self.start_task(host, task, context);
+                } else {
+                    self.report(host, task, Ending::Outdated.into(), context);
+                }
+            }
+        }
+        self.process_events(context);
+        had_work
+    }
+
+    fn take_startable(&mut self, host: usize) -> Option<HostTask> {
+        self.hosts.get_mut(host)?.as_mut()?.pool.take_startable()
+    }
+
+    /// Ends the tasks that wait for a connection to this host and may no longer begin, and drops the dials that
+    /// have not begun and that nobody needs any more.
+    fn recheck_waiting(&mut self, host: usize, may_start: StartCheck, context: &mut LoopContext) {
+        let Some(entry) = self.hosts.get_mut(host).and_then(Option::as_mut) else { return };
+        let outdated = entry.pool.remove_waiting(|task| may_start(host, task, StartStep::Wait));
+        if outdated.is_empty() {
+            return;
+        }
+        for task in outdated {
+            self.report(host, task, Ending::Outdated.into(), context);
+        }
+        let (slots, pending_dials) = (&self.slots, &self.pending_dials);
+        let waits_here = |dial: &&PendingDial| {
+            dial.is_waiting(slots) && slots.get(dial.key).is_some_and(|s| s.host == host)
+        };
+        let waiting_dials = pending_dials.iter().filter(waits_here).map(|dial| dial.key);
+        let pool = &self.hosts[host].as_ref().expect("the host was just found").pool;
+        for key in pool.surplus_dials(waiting_dials) {
+            self.host(host).pool.dial_failed(key);
+            self.close(key, context);
+        }
+    }
+
+    /// Writes a task of which no byte could be written when it was assigned, or takes it back.
+    fn start_late(&mut self, key: usize, may_start: StartCheck, context: &mut LoopContext) {
+        let Some(slot) = self.slots.get_mut(key).filter(|slot| slot.connection.is_unstarted()) else {
+            return;
+        };
+        let allowed = slot.connection.task().is_some_and(|task| may_start(slot.host, task, StartStep::Begin));
+        if allowed {
+            slot.connection.restart(context.clock.now());
+            return self.run_checked(key, context);
+        }
+        let event = slot.connection.withdraw_unstarted(Ending::Outdated);
+        self.events.extend(event.map(|event| (key, event)));
+    }
+
+    /// Remembers that a task may be able to begin at this host.
+    fn mark_startable(&mut self, host: usize) {
+        if self.host(host).pool.has_startable() {
+            self.startable_hosts.insert(host);
+        }
     }
 
     /// Cancels an execution that waits for a connection, and, if `sent` is set, also one that is in progress.
@@ -290,16 +416,14 @@
 
     /// Brings the next connection that may be dialled to the front of the queue; `false` where there is none.
     pub fn next_dial_ready(&mut self, now: f64) -> bool {
-        // The connection may have timed out, and its key may belong to another one by now.
-        let still_waiting = |slot: &ConnectionSlot| slot.socket.is_none() && !slot.connection.dialling();
         self.next_dial_at = f64::INFINITY;
         if now < self.paused_until {
             self.next_dial_at = if self.pending_dials.is_empty() { f64::INFINITY } else { self.paused_until };
             return false;
         }
         let Some(dial_pacer) = &mut self.dial_pacer else {
-            while let Some((key, _)) = self.pending_dials.front() {
-                if self.slots.get(*key).is_some_and(still_waiting) {
+            while let Some(dial) = self.pending_dials.front() {
+                if dial.is_waiting(&self.slots) {
                     return true;
                 }
                 self.pending_dials.pop_front();
@@ -307,9 +431,9 @@
             return false;
         };
         let slots = &mut self.slots;
-        self.pending_dials.retain(|(key, _)| slots.get(*key).is_some_and(still_waiting));
+        self.pending_dials.retain(|dial| dial.is_waiting(slots));
         for index in 0..self.pending_dials.len() {
-            let Some(slot) = slots.get_mut(self.pending_dials[index].0) else { continue };
+            let Some(slot) = slots.get_mut(self.pending_dials[index].key) else { continue };
             let decision = dial_pacer.decide(now, slot.host);
             if decision != DialDecision::Now && !std::mem::replace(&mut slot.delayed, true) {
                 self.counters.dials_held.add();
@@ -347,7 +471,8 @@
 
     /// Starts the next dial; its descriptor is already counted in the budget.
     pub fn dial(&mut self, context: &mut LoopContext) -> DialResult {
-        let Some((key, address)) = self.pending_dials.pop_front() else { return DialResult::Failed };
+        let Some(pending_dial) = self.pending_dials.pop_front() else { return DialResult::Failed };
+        let PendingDial { key, address, .. } = pending_dial;
         let connected = TcpStream::connect(address).and_then(|stream| {
             // Without TCP_NODELAY statements may be sent a little later.
             let _ = stream.set_nodelay(true);
@@ -358,7 +483,7 @@
         self.counters.longest_dial_wait_ms.record_max_ms(now - slot.requested_at);
         if let Some(e) = connected.as_ref().err().filter(|e| is_local_error(e)) {
             if now < *slot.local_retry_until.get_or_insert(now + LOCAL_RETRY_TIMEOUT_S) {
-                return self.dial_again(key, address, e, context);
+                return self.dial_again(pending_dial, e, context);
             }
         }
         if let Some(dial_pacer) = &mut self.dial_pacer {
@@ -389,16 +514,15 @@
     /// on the first one.
     fn dial_again(
         &mut self,
-        key: usize,
-        address: SocketAddr,
+        dial: PendingDial,
         error: &std::io::Error,
         context: &mut LoopContext,
     ) -> DialResult {
         context.budget.release(Holder::UpstreamConnection);
         context.counters.dials_repeated.add();
-        let host = self.slots[key].host;
+        let host = self.slots[dial.key].host;
         debug!(self.host(host).log, "dialled again after a local error: {error}");
-        self.pending_dials.push_front((key, address));
+        self.pending_dials.push_front(dial);
         self.paused_until = context.clock.now() + LOCAL_RETRY_PAUSE_S;
         match classify_accept_error(error) {
             AcceptFailure::DescriptorsSpent => DialResult::DescriptorsSpent,
@@ -495,6 +619,7 @@
         slot.connection.close_idle();
         let host = slot.host;
         self.host(host).pool.idle_closed(key);
+        self.mark_startable(host);
         self.counters.count_ending(ending);
         self.close(key, context);
     }
@@ -533,6 +658,12 @@
                     Err(ending) => slot.connection.failed(ending),
                 };
             }
+            if slot.connection.is_unstarted() && !slot.may_start {
+                if socket.writable() {
+                    self.unstarted.push(key);
+                }
+                break;
+            }
             let mut progressed = false;
             match socket.write(slot.connection.pending_output()) {
                 Transfer::Bytes(written) => {
@@ -601,6 +732,7 @@
                 Event::Failed(ending) => self.dial_failed(host, key, ending, context),
                 Event::IdleClosed(ending) => {
                     self.host(host).pool.idle_closed(key);
+                    self.mark_startable(host);
                     self.counters.count_ending(ending);
                     self.close(key, context);
                 }
@@ -636,8 +768,8 @@
         context: &mut LoopContext,
     ) {
         match next_use {
-            NextUse::Assign(task) => self.assign(key, task, context),
             NextUse::Idle => {
+                self.mark_startable(host);
                 self.slots[key].idle_key = Some(context.budget.mark_idle(Holder::UpstreamConnection, key));
                 self.schedule_host_timer(host, context);
             }
