Run no id twice, and write nothing more of a statement whose client has left

What callers saw: a client left while its statement was open, came again with the same id, and the statement ran a second time. And a statement that was half written when its client left was completed later, so that its host began it then, where the settings allow no cancelling.

Cause: an id was remembered only while its statement was open (Dispatcher::open_ids), which ends with the execution that the leaving client's close cancels. Command::CancelUnsent looked only at tasks that wait for a connection; one whose last byte had not been written counted as sent.

Such an id gets 42710 and is not run; one that has not run (refused, never sent) may come again. A task that is not completely written ends with its client: the upstream connection is closed, and nothing is read or written on it before that.

--- a/crates/sandstile-connections/src/client_connection.rs
+++ b/crates/sandstile-connections/src/client_connection.rs
@@ -363,7 +363,12 @@
             _ => return,
         };
         if answer == Answer::Unusable {
-            return self.reject_statement(now, "42710", "the id of an open statement", client_events);
+            return self.reject_statement(
+                now,
+                "42710",
+                "the id of a statement that is open or has run",
+                client_events,
+            );
         }
         self.output = encode_answer(answer);
         self.answered += 1;
--- a/crates/sandstile-dispatcher/src/counters.rs
+++ b/crates/sandstile-dispatcher/src/counters.rs
@@ -49,6 +49,8 @@
     pub further_executions: Counter,
     /// Writes in a slot in which another session wrote before: reads of both wait for the later of the two writes.
     pub session_slots_shared: Counter,
+    /// Times that ids of statements which may have run were forgotten early, because so many came.
+    pub ids_forgotten_early: Counter,
     refusals: [Counter; FailureCause::ALL.len()],
     /// Statements refused without an execution, by the reason for which they had waited.
     unsent: [Counter; WaitReason::ALL.len()],
--- a/crates/sandstile-dispatcher/src/dispatcher.rs
+++ b/crates/sandstile-dispatcher/src/dispatcher.rs
@@ -5,6 +5,7 @@
     Command, DispatcherMessage, FinalAnswer, HostListUpdate, LogEvent, StartStep, StatementRequest,
 };
 use crate::outcome::Ending;
+use crate::recent_ids::RecentIds;
 use crate::source::{DispatcherInput, Source};
 use crate::task::{Answer, HostTask, StatementPayload, TaskKind};
 use sandstile_deployment::host_list::HostList;
@@ -27,6 +28,8 @@
     client_connection: Option<usize>,
     /// The database host of each execution.
     hosts: Vec<usize>,
+    /// An execution has ended that may have run.
+    may_have_run: bool,
     workload: usize,
     retry: bool,
 }
@@ -54,6 +57,8 @@
     open: BTreeMap<u64, OpenStatement>,
     /// The client-supplied ids of the open statements.
     open_ids: BTreeSet<String>,
+    /// The ids of statements that may have run and are not open any more.
+    recent_ids: RecentIds,
     /// Rejections and aborts of the current round. They are handed out after the round's cancellations;
     /// otherwise a connection that becomes ready in between could still write a statement that has been
     /// answered.
@@ -77,7 +82,7 @@
 const UNSENT_LOG_INTERVAL: f64 = 0.25;
 
 impl Dispatcher {
-    /// `seed` is for assigning sessions to their slots.
+    /// `seed` is for assigning sessions to their slots, and for the hashes of ids.
     pub fn new(policy: Instance, seed: u64, counters: Arc<DispatcherCounters>) -> Self {
         Dispatcher {
             policy,
@@ -99,6 +104,7 @@
             log_events: Vec::new(),
             open: BTreeMap::new(),
             open_ids: BTreeSet::new(),
+            recent_ids: RecentIds::new(seed),
             round_refusals: Vec::new(),
             probes: BTreeMap::new(),
             finish_candidates: Vec::new(),
@@ -214,7 +220,8 @@
     pub fn handle(&mut self, now: f64, message: DispatcherMessage) {
         match message {
             DispatcherMessage::StatementRequest(mut request) => {
-                if !self.open_ids.insert(request.id.clone()) {
+                let has_run = self.recent_ids.contains(now, &request.id);
+                if has_run || !self.open_ids.insert(request.id.clone()) {
                     return self.answer_request(&request, Answer::Unusable);
                 }
                 self.counters.taken.add();
@@ -270,6 +277,7 @@
                     payload: request.payload,
                     client_connection: Some(request.client_connection),
                     hosts: Vec::new(),
+                    may_have_run: false,
                     workload: request.workload,
                     retry: request.retry,
                 };
@@ -294,6 +302,7 @@
             }
             DispatcherMessage::Ended { statement_id, execution, mut outcome } => {
                 let Some(open) = self.open.get_mut(&statement_id) else { return };
+                open.may_have_run |= outcome.ending.outcome_class().may_have_run();
                 if let (Some(term), Some(&host)) = (outcome.term, open.hosts.get(execution)) {
                     if !self.policy.record_term(host, term) {
                         // The host follows an older term than its group, so its position says nothing.
@@ -531,6 +540,9 @@
             if !self.policy.is_tracked(statement_id) {
                 if let Some(open) = self.open.remove(&statement_id) {
                     self.open_ids.remove(&open.id);
+                    if open.may_have_run && self.recent_ids.insert(now, &open.id) {
+                        self.counters.ids_forgotten_early.add();
+                    }
                     self.sources.iter_mut().for_each(|s| s.statement_closed(statement_id));
                 }
             }
--- a/crates/sandstile-dispatcher/src/lib.rs
+++ b/crates/sandstile-dispatcher/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod dispatcher;
 pub mod messages;
 pub mod outcome;
+pub mod recent_ids;
 pub mod source;
 pub mod task;
 
--- a/crates/sandstile-dispatcher/src/task.rs
+++ b/crates/sandstile-dispatcher/src/task.rs
@@ -16,8 +16,8 @@
     /// A retry is harmless, best after this many seconds if above 0.
     Rejected(f64),
     Aborted,
-    /// The statement's id is already that of an open statement. One of the two clients misuses it, and hosts
-    /// that remove duplicates would take both for one.
+    /// The statement's id is already that of a statement which is open or may have run. One of the two clients
+    /// misuses it: hosts that remove duplicates would take both for one, and others would run it twice.
     Unusable,
 }
 
--- a/crates/sandstile-dispatcher/tests/dispatcher.rs
+++ b/crates/sandstile-dispatcher/tests/dispatcher.rs
@@ -415,3 +415,19 @@
     let of_its_own = (0..4).map(|n| play(200_000 + n, 2, "u".to_string())).collect::<Vec<_>>();
     assert!(!of_its_own.contains(&Some(REPLICA)), "only the primary surely has the write: {of_its_own:?}");
 }
+
+/// Guards against ids that are forgotten while they may still come again, and against memory that grows with every id.
+#[test]
+fn ids_that_may_have_run_are_remembered_within_a_bound_of_time_and_number() {
+    use sandstile_dispatcher::recent_ids::{RecentIds, MAX_GENERATION_IDS, MIN_REMEMBERED_S};
+    let mut ids = RecentIds::new(7);
+    assert!(!ids.contains(100.0, "a") && !ids.insert(100.0, "a"));
+    assert!(ids.contains(100.0 + MIN_REMEMBERED_S - 0.1, "a"));
+    assert!(!ids.insert(100.0 + MIN_REMEMBERED_S - 0.1, "b"));
+    assert!(ids.contains(100.0 + 2.0 * MIN_REMEMBERED_S - 0.2, "b"));
+    assert!(!ids.contains(100.0 + 4.0 * MIN_REMEMBERED_S, "b") && ids.is_empty(), "nothing is kept for ever");
+    let now = 1_000.0;
+    let forgotten_early = (0..5 * MAX_GENERATION_IDS).filter(|n| ids.insert(now, &n.to_string())).count();
+    assert!(ids.len() <= 2 * MAX_GENERATION_IDS && forgotten_early > 0);
+    assert!(ids.contains(now, &(5 * MAX_GENERATION_IDS - 1).to_string()), "the latest are kept");
+}
--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -283,7 +283,7 @@
             return;
         };
         execution.ended_at = Some(now);
-        execution.may_have_run = !matches!(outcome, Full | ConnectFailed | NotSent | WrongHost);
+        execution.may_have_run = outcome.may_have_run();
         execution.not_sent = outcome == NotSent;
         let (host_index, sent_at, duration, group, may_have_run) = (
             execution.host,
--- a/crates/sandstile-policy/src/terms.rs
+++ b/crates/sandstile-policy/src/terms.rs
@@ -138,6 +138,14 @@
     WrongHost,
 }
 
+impl OutcomeClass {
+    /// Whether an execution that ended like this may have had its effect.
+    pub fn may_have_run(self) -> bool {
+        use OutcomeClass::*;
+        !matches!(self, Full | ConnectFailed | NotSent | WrongHost)
+    }
+}
+
 /// What an answer or a probe reports about its database host. The position is a time on the instance's clock.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct HostReport {
--- a/crates/sandstile-router/src/counters.rs
+++ b/crates/sandstile-router/src/counters.rs
@@ -113,6 +113,7 @@
             ("dials_repeated", &self.dials_repeated),
             ("further_executions", &self.dispatcher.further_executions),
             ("session_slots_shared", &self.dispatcher.session_slots_shared),
+            ("ids_forgotten_early", &self.dispatcher.ids_forgotten_early),
             ("refused_for_room", &self.refused_for_room),
             ("refused_for_memory", &self.refused_for_memory),
             ("drained", &self.drained),
--- a/crates/sandstile-router/src/hosts.rs
+++ b/crates/sandstile-router/src/hosts.rs
@@ -389,7 +389,8 @@
         }
     }
 
-    /// Cancels an execution that waits for a connection, and, if `sent` is set, also one that is in progress.
+    /// Cancels an execution that is not completely written yet, and, if `include_sent` is set, also one that is in
+    /// progress.
     fn cancel(
         &mut self,
         host: usize,
@@ -399,18 +400,26 @@
     ) {
         match self.host(host).pool.find(execution_id) {
             Lookup::Waiting(task) => self.report(host, task, Ending::WithdrawnUnsent.into(), context),
-            Lookup::Running(key) if include_sent => {
-                // An answer that has arrived by now counts: otherwise nobody would know whether the statement ran.
-                if let Some(socket) = &mut self.slots[key].socket {
-                    socket.force_read();
+            Lookup::Running(key) => {
+                let Some(slot) = self.slots.get_mut(key) else { return };
+                let is_written = slot.connection.pending_output().is_empty();
+                if is_written && !include_sent {
+                    return;
+                }
+                if is_written {
+                    // An answer that has arrived by now counts: otherwise nobody would know whether the statement
+                    // ran.
+                    if let Some(socket) = &mut slot.socket {
+                        socket.force_read();
+                    }
+                    self.run(key, context);
                 }
-                self.run(key, context);
                 let Some(slot) = self.slots.get_mut(key) else { return };
                 if let Some(event) = slot.connection.withdraw(execution_id, &mut context.budget) {
                     self.events.push_back((key, event));
                 }
             }
-            Lookup::Running(_) | Lookup::NotFound => {}
+            Lookup::NotFound => {}
         }
     }
 
--- a/crates/sandstile-router/tests/test_doubles/mod.rs
+++ b/crates/sandstile-router/tests/test_doubles/mod.rs
@@ -60,6 +60,8 @@
     pub startups_to_answer: Option<usize>,
     /// Startups are answered once this is cleared.
     pub startups_held: bool,
+    /// Nothing is read behind a startup until this is cleared.
+    pub reads_held: bool,
 }
 
 pub struct Host {
@@ -135,11 +137,12 @@
     poll: mio::Poll,
 }
 
-struct TestPayload;
+/// A statement with so many bytes of blanks in it.
+struct TestPayload(usize);
 
 impl StatementPayload for TestPayload {
     fn message(&self, _: f64) -> Vec<u8> {
-        query("SELECT 1")
+        query(&format!("SELECT {}1", " ".repeat(self.0)))
     }
 }
 
@@ -170,7 +173,13 @@
 
     /// Sends a statement to host 0.
     pub fn start(&mut self, statement_id: u64) {
-        let kind = TaskKind::Statement { statement_id, execution: 0, payload: Arc::new(TestPayload) };
+        self.start_long(statement_id, 0);
+    }
+
+    /// Sends a statement of at least so many bytes to host 0.
+    pub fn start_long(&mut self, statement_id: u64, bytes: usize) {
+        let payload = Arc::new(TestPayload(bytes));
+        let kind = TaskKind::Statement { statement_id, execution: 0, payload };
         let task = HostTask { kind, deadline: self.context.clock.now() + 5.0 };
         self.hosts.handle_command(CommandToHosts::Start(0, task), &mut self.context);
     }
@@ -219,6 +228,9 @@
 ) -> std::io::Result<()> {
     let (mut buf, mut bytes, mut startup_done) = (Vec::new(), [0; 4096], false);
     loop {
+        while startup_done && script.lock().expect("script").reads_held {
+            thread::sleep(Duration::from_millis(1));
+        }
         let got = stream.read(&mut bytes)?;
         if got == 0 {
             return Ok(());
