Drop scheduled checks of statements that are over

The test fails without the change. Reads whose late answers are worth nothing were not affected, as their checks come early.

Change: once the checks are more than four for each open statement (and 1,024), those that no statement refers to any more are dropped. The cost is constant for each check.

--- a/crates/sandstile-policy/src/policy.rs
+++ b/crates/sandstile-policy/src/policy.rs
@@ -49,6 +49,9 @@
 /// Seconds for which a probe's claim to be primary keeps the other members from being probed; a failover
 /// takes longer.
 const PRIMARY_CLAIM_VALID_S: f64 = 1.0;
+/// Scheduled checks for each open statement, and in all, beyond which outdated ones are dropped.
+const CHECKS_PER_STATEMENT: usize = 4;
+const MIN_CHECKS_TO_DROP: usize = 1024;
 /// Bytes that an instance holds for each session index up to the highest in use.
 pub const SESSION_BYTES: usize = size_of::<Session>();
 
@@ -636,7 +639,7 @@
         // often anyway.
         if statement.next_check_at <= now || next_check_at < statement.next_check_at {
             statement.next_check_at = next_check_at;
-            self.scheduled_checks.push(Reverse((next_check_at.to_bits(), statement_id)));
+            self.schedule_check(next_check_at, statement_id);
         }
         if is_running {
             return None;
@@ -656,6 +659,24 @@
         None
     }
 
+    /// Schedules a check. Checks of statements that are over are dropped once they outnumber the others: clients choose
+    /// how far ahead a check is.
+    fn schedule_check(&mut self, at: f64, statement_id: u64) {
+        self.scheduled_checks.push(Reverse((at.to_bits(), statement_id)));
+        if self.scheduled_checks.len() > MIN_CHECKS_TO_DROP.max(CHECKS_PER_STATEMENT * self.statements.len())
+        {
+            let statements = &self.statements;
+            self.scheduled_checks.retain(|Reverse((time, statement_id))| {
+                statements.get(statement_id).is_some_and(|s| s.next_check_at.to_bits() == *time)
+            });
+        }
+    }
+
+    /// The number of scheduled checks, those of statements that are over included.
+    pub fn scheduled_check_count(&self) -> usize {
+        self.scheduled_checks.len()
+    }
+
     /// Why no host was chosen for this statement just now.
     fn current_wait_reason(&self, statement_id: u64) -> WaitReason {
         let statement = &self.statements[&statement_id];
--- a/crates/sandstile-policy/tests/rules.rs
+++ b/crates/sandstile-policy/tests/rules.rs
@@ -1079,3 +1079,23 @@
         assert_eq!(rejected, waits && !starts, "waits: {waits}, starts: {starts}: {answer:?}");
     }
 }
+
+/// Guards against memory that grows with every statement whose client allows it a long time, long after it is answered.
+#[test]
+fn checks_of_answered_statements_are_not_kept_for_as_long_as_their_clients_would_have_waited() {
+    let day = 86_400.0;
+    let mut world = World::new(terms(CHECKED_READS), 7);
+    let patient = world.arrive(BOUNDED, 30.0);
+    world.advance(0.001);
+    for _ in 0..20_000 {
+        let statement_id = world.arrive(WRITE, day);
+        world.advance(0.0001);
+        world.end_execution(statement_id, 0, OutcomeClass::Completed, Some(true), 0.0);
+        world.advance(0.0001);
+        world.statements.remove(&statement_id);
+    }
+    let checks = world.policy.scheduled_check_count();
+    assert!(checks <= 1100, "{checks} checks for one open statement");
+    // The check of the one that is open was not dropped.
+    assert!(world.policy.is_tracked(patient) && world.policy.wake_at().is_some());
+}
