Count what clients make a router hold while it arrives, and bound each turn

Causes, each with its test, which fails without its part of the change: - The comment's fields were collected with a copy of each name: 3 MB for one statement of 140 KiB. Only the seven names that are read are kept now, without a copy. - An unfinished command reserved 288 KiB from its 4,097th byte on. It reserves twice what has arrived, in steps of 16 KiB, and the buffer grows in the same steps. One that finds no room is dropped at once. - Long names beside a statement, and answers of up to 128 KiB while they arrive from hosts, counted nowhere. - The number of connections followed the descriptors alone, whatever the memory limit. A turn ends at 64 KiB now, and the queue yields after 20 ms.

--- a/crates/sandstile-connections/src/budget.rs
+++ b/crates/sandstile-connections/src/budget.rs
@@ -71,6 +71,33 @@
     }
 }
 
+/// What a connection holds at the most without a reservation: its buffers of some KiB, and its state.
+pub const CONNECTION_BYTES: usize = 24 * 1024;
+
+/// The numbers of connections and bytes that the limits of a process allow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shares {
+    /// Client and upstream connections together.
+    pub connections: usize,
+    pub clients: usize,
+    /// For all that is reserved: long commands, statements and answers.
+    pub long_bytes: usize,
+}
+
+impl Shares {
+    /// Half of the memory, `memory` in bytes, is for what is reserved and a third for the connections' small buffers;
+    /// the rest is the process itself. Clients use at most a third of the descriptors for statements, each with an
+    /// upstream connection beside it, and some more may connect and disconnect. `own_descriptors` are not for
+    /// connections.
+    pub fn new(descriptors: usize, own_descriptors: usize, memory: usize, longest_frame: usize) -> Shares {
+        let unreserved = own_descriptors + MAX_REFUSED_CONNECTIONS;
+        let by_memory = memory / 3 / CONNECTION_BYTES;
+        let connections = descriptors.saturating_sub(unreserved).min(by_memory).max(4);
+        let clients = (descriptors / 3 + own_descriptors).min(connections / 2).max(2);
+        Shares { connections, clients, long_bytes: (memory / 2).max(4 * longest_frame) }
+    }
+}
+
 impl Budget {
     /// `max_descriptors` in all, of which clients may hold `max_clients`, and `max_long_bytes` for long
     /// frames.
--- a/crates/sandstile-connections/src/client_connection.rs
+++ b/crates/sandstile-connections/src/client_connection.rs
@@ -22,6 +22,8 @@
 const READ_BYTES: usize = 4 * 1024;
 /// Limits one read of a long command, so that the expected bytes arrive in few reads.
 const MAX_READ_BYTES: usize = 64 * 1024;
+/// A long buffer grows, and its memory is reserved, in steps of this many bytes.
+const BUFFER_STEP_BYTES: usize = 16 * 1024;
 /// SQLSTATE and message where the budget has no memory for a long command.
 const NO_MEMORY: (&str, &str) = ("53200", "too many long commands at once");
 /// Bytes that tell the length of a message, and of the startup message.
@@ -269,6 +271,7 @@
         // It is unknown when bytes that waited in the socket arrived, so the earliest possible time counts:
         // the client may have been waiting since then.
         self.received_at = self.unread_since.unwrap_or(earliest);
+        self.grow_buffer(bytes.len());
         self.buf.extend_from_slice(bytes);
         if self.startup_complete {
             self.record_arrivals();
@@ -281,6 +284,26 @@
         self.end_last_read(self.received_at);
     }
 
+    /// Makes room for more bytes. A long buffer grows in steps, so that it never takes twice what it holds.
+    fn grow_buffer(&mut self, bytes: usize) {
+        let needed = self.buf.len() + bytes;
+        if needed > READ_BYTES && needed > self.buf.capacity() {
+            self.buf.reserve_exact(needed.next_multiple_of(BUFFER_STEP_BYTES) - self.buf.len());
+        }
+    }
+
+    /// Reserves the memory of a long buffer and of a copy of it. `false` if there is no room.
+    fn reserve_buffer(&mut self, budget: &mut Budget) -> bool {
+        if self.buf.len() <= READ_BYTES {
+            return true;
+        }
+        let needed = 2 * self.buf.len().next_multiple_of(BUFFER_STEP_BYTES);
+        let missing = needed.saturating_sub(self.reserved_bytes);
+        let has_room = missing == 0 || budget.reserve_bytes(missing);
+        self.reserved_bytes += if has_room { missing } else { 0 };
+        has_room
+    }
+
     /// What arrives after `since` stays in the socket for now.
     fn end_last_read(&mut self, since: f64) {
         if self.read_limit == ReadLimit::OneRead {
@@ -598,15 +621,12 @@
             }
             Ok(None) => {}
         }
-        if self.buf.len() > READ_BYTES && self.reserved_bytes == 0 {
-            let reserved_bytes = 2 * pg::MAX_FRAME_BYTES;
-            if !client_context.budget.reserve_bytes(reserved_bytes) {
-                let (code, message) = NO_MEMORY;
-                self.fail_connection(now, code, message, client_context.client_events);
-                client_context.client_events.push(ClientEvent::NoMemory);
-                return None;
-            }
-            self.reserved_bytes = reserved_bytes;
+        if !self.reserve_buffer(client_context.budget) {
+            let (code, message) = NO_MEMORY;
+            self.fail_connection(now, code, message, client_context.client_events);
+            client_context.client_events.push(ClientEvent::NoMemory);
+            self.buf = Vec::new();
+            return None;
         }
         if timed_out && self.buf.is_empty() {
             client_context.client_events.push(ClientEvent::IdleTimeout);
@@ -652,7 +672,7 @@
                     if self.buf.is_empty() {
                         client_context.budget.release_bytes(std::mem::take(&mut self.reserved_bytes));
                     }
-                    if !statement.query.reserve(READ_BYTES, client_context.budget) {
+                    if !statement.reserve(READ_BYTES, client_context.budget) {
                         let (code, message) = NO_MEMORY;
                         self.reject_statement(now, code, message, client_context.client_events);
                         client_context.client_events.push(ClientEvent::NoMemory);
--- a/crates/sandstile-connections/src/statement.rs
+++ b/crates/sandstile-connections/src/statement.rs
@@ -16,13 +16,17 @@
     reservation: Option<Reservation>,
 }
 
-impl ForwardedQuery {
-    /// Reserves the memory of a text that is longer than `unreserved_bytes`; `false` if there is no room.
+impl Statement {
+    /// Reserves the memory of a statement whose text is longer than `unreserved_bytes`: the text, a copy of it that is
+    /// being written, and the names in it. `false` if there is no room.
     pub fn reserve(&mut self, unreserved_bytes: usize, budget: &mut Budget) -> bool {
-        if self.text.len() > unreserved_bytes {
-            self.reservation = budget.reservation(2 * self.text.len());
+        let text_bytes = self.query.text.len();
+        if text_bytes <= unreserved_bytes {
+            return true;
         }
-        self.text.len() <= unreserved_bytes || self.reservation.is_some()
+        let name_bytes = self.group.len() + self.session.as_ref().map_or(0, String::len);
+        self.query.reservation = budget.reservation(2 * text_bytes + name_bytes);
+        self.query.reservation.is_some()
     }
 }
 
@@ -98,7 +102,7 @@
         return Err(StatementError::NoComment);
     }
     let (fields, comment_end) = parse_fields(&query, start + 2)?;
-    let find = |name: &str| fields.iter().find(|(n, _)| n == name).map(|(_, position)| position.clone());
+    let find = |name: &str| fields.find(name);
     let text = |position: Range<usize>| std::str::from_utf8(&query[position]).unwrap_or("");
     let id =
         find("id").map(text).filter(|id| (1..=MAX_ID_BYTES).contains(&id.len())).ok_or(StatementError::Id)?;
@@ -140,12 +144,31 @@
     text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse().ok()).flatten()
 }
 
-type Fields = Vec<(String, Range<usize>)>;
+/// The fields of a comment that are read; all others are skipped.
+const FIELD_NAMES: [&str; 7] = ["id", "c", "d", "cluster", "after", "r", "mark"];
 
-/// The names and the positions of the values of all fields up to the end of the comment, and the position
-/// behind the comment.
+/// The positions of the values of the fields that are read, in the order of `FIELD_NAMES`. Its size doesn't depend on
+/// how many fields a client sends.
+#[derive(Default)]
+struct Fields([Option<Range<usize>>; FIELD_NAMES.len()]);
+
+impl Fields {
+    /// Of several fields with the same name, the first one counts.
+    fn add(&mut self, name: &str, position: Range<usize>) {
+        if let Some(index) = FIELD_NAMES.iter().position(|known| *known == name) {
+            self.0[index].get_or_insert(position);
+        }
+    }
+
+    fn find(&self, name: &str) -> Option<Range<usize>> {
+        let index = FIELD_NAMES.iter().position(|known| *known == name)?;
+        self.0[index].clone()
+    }
+}
+
+/// The fields up to the end of the comment, and the position behind the comment.
 fn parse_fields(query: &[u8], mut position: usize) -> Result<(Fields, usize), StatementError> {
-    let mut fields = Vec::new();
+    let mut fields = Fields::default();
     let position_of = |from: usize, stop: &dyn Fn(u8) -> bool| {
         query[from..].iter().position(|b| stop(*b)).map(|n| from + n).ok_or(StatementError::Comment)
     };
@@ -170,7 +193,7 @@
                 equals + 1..position
             }
         };
-        fields.push((name.to_string(), value));
+        fields.add(name, value);
     }
 }
 
--- a/crates/sandstile-connections/src/upstream_connection.rs
+++ b/crates/sandstile-connections/src/upstream_connection.rs
@@ -43,8 +43,7 @@
         let unread = &self.buf[start..];
         pg::check_plausible(unread, budget.max_value_bytes())?;
         let end = pg::frame_end(unread, usize::MAX)?;
-        if let Some(length) = end.filter(|end| *end > 2 * pg::TYPICAL_VALUE_BYTES && self.reserved_bytes == 0)
-        {
+        if let Some(length) = end.filter(|end| *end > READ_BYTES && self.reserved_bytes == 0) {
             if !budget.reserve_bytes(2 * length) {
                 return Err(BadFrame("no room in the memory budget"));
             }
--- a/crates/sandstile-connections/tests/client_connections.rs
+++ b/crates/sandstile-connections/tests/client_connections.rs
@@ -536,3 +536,89 @@
     }
     assert_eq!(decode_frames(&written).1, ["57014"]);
 }
+
+/// Guards against a few bytes of many unfinished commands using up the memory for long ones: what is reserved follows
+/// what has arrived.
+#[test]
+fn unfinished_commands_reserve_no_more_than_has_arrived() {
+    const UNFINISHED: usize = 100;
+    let mut budget = Budget::new(2 * UNFINISHED, UNFINISHED, 32 * pg::MAX_FRAME_BYTES);
+    let (workloads, mut client_events) = (workloads(), Vec::new());
+    let mut startup = vec![0; pg::MAX_STARTUP_BYTES];
+    startup[..4].copy_from_slice(&(pg::MAX_STARTUP_BYTES as u32).to_be_bytes());
+    let now = 1_700_000_000.0;
+    let mut unfinished: Vec<ClientConnection> = (0..UNFINISHED).map(|_| ClientConnection::new(now)).collect();
+    for connection in &mut unfinished {
+        connection.receive(now, &startup[..4096]);
+        connection.receive(now, &startup[4096..4200]);
+        let mut client_context =
+            ClientContext { budget: &mut budget, workloads: &workloads, client_events: &mut client_events };
+        connection.advance(now, &mut client_context);
+        assert!(connection.pending_output().is_empty(), "refused: {client_events:?}");
+    }
+    let reserved = budget.usage().2;
+    assert!(reserved >= UNFINISHED * 4200, "{reserved} bytes are counted");
+    assert!(
+        budget.reserve_bytes(2 * pg::MAX_FRAME_BYTES),
+        "{reserved} bytes leave no room for a whole command"
+    );
+}
+
+/// Guards against a buffer that holds more than is counted while a long command arrives, and against a refusal that
+/// keeps what it refused.
+#[test]
+fn a_long_command_is_counted_while_it_arrives_and_dropped_where_it_finds_no_room() {
+    let (mut harness, mut written) = (Harness::new(), Vec::new());
+    harness.receive(&pg::startup_message(), &mut written);
+    let mut command = Vec::new();
+    pg::query(&mut command, &[b' '; 140 * 1024]);
+    let mut received = 0;
+    while received < 64 * 1024 {
+        let end = received + harness.connection.wanted_bytes().min(4096);
+        harness.receive(&command[received..end], &mut written);
+        received = end;
+        let usage = harness.budget.usage().2;
+        assert!(received <= 4096 || usage >= 2 * received, "{usage} bytes counted for {received}");
+        assert!(usage <= 2 * (received + 16 * 1024), "{usage} bytes counted for {received}");
+    }
+    let (_, _, used) = harness.budget.usage();
+    assert!(harness.budget.reserve_bytes(8 * pg::MAX_FRAME_BYTES - used));
+    harness.receive(&command[received..received + 32 * 1024], &mut written);
+    let (code, _) = decode_frames(&written);
+    assert!(harness.client_events.contains(&ClientEvent::NoMemory), "{code}");
+    assert_eq!(harness.connection.unanswered_bytes(), 0, "a refused command is not kept");
+}
+
+/// Guards against long names that are held beside the statement and not counted.
+#[test]
+fn the_names_of_a_statement_are_counted_with_it() {
+    let (mut harness, mut written) = (Harness::new(), Vec::new());
+    harness.workloads[0].sessions = true;
+    harness.receive(&pg::startup_message(), &mut written);
+    let (name, group) = ("k".repeat(40_000), "g".repeat(30_000));
+    let mut command = Vec::new();
+    pg::query(&mut command, format!("/* id=s,c=look,d=500,cluster={group} */ SELECT '{name}'").as_bytes());
+    let Some(ClientAction::Submit { statement, .. }) = harness.receive(&command, &mut written) else {
+        panic!("expected a statement")
+    };
+    let counted = harness.budget.usage().2;
+    assert!(counted >= 2 * (command.len() - 6) + name.len() + group.len(), "{counted}");
+    drop(statement);
+}
+
+/// Guards against more connections than fit into the memory limit with what each of them may hold uncounted.
+#[test]
+fn the_number_of_connections_follows_the_memory_limit() {
+    use sandstile_connections::budget::{Shares, CONNECTION_BYTES};
+    const MIB: usize = 1024 * 1024;
+    for (descriptors, memory) in
+        [(1024, 192 * MIB), (65_536, 192 * MIB), (1024, 16 * MIB), (100_000, 2048 * MIB)]
+    {
+        let shares = Shares::new(descriptors, 16, memory, pg::MAX_FRAME_BYTES);
+        let held = shares.connections * CONNECTION_BYTES + shares.long_bytes;
+        assert!(held <= memory * 5 / 6, "{shares:?} of {memory} bytes");
+        assert!(shares.clients <= shares.connections / 2 && shares.connections < descriptors, "{shares:?}");
+    }
+    let usual = Shares::new(1024, 16, 192 * MIB, pg::MAX_FRAME_BYTES);
+    assert_eq!((usual.connections, usual.clients), (1004, 357), "descriptors bind here, not memory");
+}
--- a/crates/sandstile-connections/tests/upstream_connections.rs
+++ b/crates/sandstile-connections/tests/upstream_connections.rs
@@ -94,6 +94,20 @@
     }
 }
 
+/// Guards against answers that many hosts begin and don't finish, and that no budget counts.
+#[test]
+fn an_answer_is_counted_while_it_arrives() {
+    let (mut budget, now) = (budget(), 100.0);
+    let response = answer(&[7; 60_000]);
+    let mut connection = ready_connection(now, &mut budget);
+    assert!(connection.begin(now, task(1, now + 1.0)).is_none());
+    connection.wrote(connection.pending_output().len());
+    assert!(connection.receive(now, &response[..30_000], &mut budget).is_none());
+    assert!(budget.usage().2 >= 2 * 30_000, "{:?}", budget.usage());
+    connection.release(&mut budget);
+    assert_eq!(budget.usage(), (0, 0, 0));
+}
+
 /// Random orders of everything that can happen to an upstream connection with a task.
 #[test]
 fn a_task_ends_once_and_may_have_run_if_it_was_written_completely() {
--- a/crates/sandstile-router/src/client_slot.rs
+++ b/crates/sandstile-router/src/client_slot.rs
@@ -17,6 +17,8 @@
     pub accepted_at: f64,
     /// Reads that returned bytes.
     pub reads: u64,
+    /// Bytes read in the current turn.
+    pub turn_bytes: usize,
     /// Why the router closes the connection, where the state machine did not decide it.
     pub close_reason: Option<CloseReason>,
     /// The error number that a read or a write failed with.
@@ -60,6 +62,7 @@
             number,
             accepted_at,
             reads: 0,
+            turn_bytes: 0,
             close_reason: None,
             error: None,
             client_connection,
@@ -120,6 +123,7 @@
         match self.socket.read(&mut context.scratch[..wanted_bytes]) {
             Transfer::Bytes(received) => {
                 self.reads += 1;
+                self.turn_bytes += received;
                 self.final_read_done = false;
                 if self.socket.is_unannounced() {
                     context.counters.found_by_look.add();
--- a/crates/sandstile-router/src/clients.rs
+++ b/crates/sandstile-router/src/clients.rs
@@ -4,7 +4,7 @@
 use crate::client_slot::ClientSlot;
 use crate::close_reason::CloseReason;
 use crate::log_limiter::LogLimiter;
-use crate::loop_context::{LoopContext, MAX_STEPS_PER_TURN};
+use crate::loop_context::{LoopContext, MAX_BYTES_PER_TURN, MAX_STEPS_PER_TURN};
 use crate::mailbox::MailboxSender;
 use crate::socket::Socket;
 use crate::statement::{Statement, Workload};
@@ -236,11 +236,14 @@
         if let Some(lingers_until) = slot.lingers_until {
             return self.run_lingering(key, lingers_until, context);
         }
+        slot.turn_bytes = 0;
         let mut more_work = true;
         for _ in 0..MAX_STEPS_PER_TURN {
             let step = self.step(key, context);
             more_work = step != Step::Waiting;
-            if matches!(step, Step::Waiting | Step::Ended) || self.slots[key].client_connection.ended() {
+            let slot = &self.slots[key];
+            let ended = step == Step::Ended || slot.client_connection.ended();
+            if step == Step::Waiting || ended || slot.turn_bytes >= MAX_BYTES_PER_TURN {
                 break;
             }
         }
@@ -487,8 +490,7 @@
 /// Sets the connection's timer, unless it is due earlier anyway.
 fn set_timer(slot: &mut ClientSlot, key: usize, due: f64, context: &mut LoopContext) {
     if due < slot.timer_due {
-        slot.timer_due = due;
-        context.timers.push(due, token(key));
+        slot.timer_due = context.set_timer(due, token(key));
     }
 }
 
--- a/crates/sandstile-router/src/event_loop.rs
+++ b/crates/sandstile-router/src/event_loop.rs
@@ -42,6 +42,9 @@
 const FAILURES_TO_EVICT: u32 = 4;
 /// Seconds for which the setup of an accepted connection is retried.
 const SETUP_TIMEOUT_S: f64 = 2.0;
+/// Seconds for which queued connections are served before events, decisions and timers have their turn: news such as
+/// the end of a client must not wait for a crowd.
+const MAX_QUEUE_S: f64 = 0.02;
 /// An iteration that takes at least this many seconds is logged: a tenth of the shortest time that
 /// clients wait.
 const LONG_ITERATION_S: f64 = 0.05;
@@ -239,7 +242,11 @@
                 members.run_once(&self.context);
             }
             // A connection with more work to do goes to the back of the queue.
+            let queue_ends_at = self.context.clock.now() + MAX_QUEUE_S;
             for _ in 0..self.context.queue.len() {
+                if self.context.clock.now() >= queue_ends_at {
+                    break;
+                }
                 match self.context.queue.pop_front() {
                     Some(Token(n)) if n % 2 == 0 => self.clients.run_queued((n - 2) / 2, &mut self.context),
                     Some(Token(n)) => self.hosts.run_queued((n - 3) / 2, &mut self.context),
--- a/crates/sandstile-router/src/hosts.rs
+++ b/crates/sandstile-router/src/hosts.rs
@@ -608,8 +608,7 @@
         let entry = self.host(host);
         let due = entry.pool.oldest_idle().map_or(f64::INFINITY, |(_, since)| since + limit);
         if due < entry.timer_due {
-            entry.timer_due = due;
-            context.timers.push(due, Token(HOST_TIMER_TOKENS + host));
+            entry.timer_due = context.set_timer(due, Token(HOST_TIMER_TOKENS + host));
         }
     }
 
@@ -617,8 +616,7 @@
         let slot = &mut self.slots[key];
         let due = slot.connection.due().min(slot.recheck_due());
         if due < slot.timer_due {
-            slot.timer_due = due;
-            context.timers.push(due, token(key));
+            slot.timer_due = context.set_timer(due, token(key));
         }
     }
 
--- a/crates/sandstile-router/src/router.rs
+++ b/crates/sandstile-router/src/router.rs
@@ -1,5 +1,5 @@
 //! Creates the actors of one router and shuts them down in order.
-use crate::budget::{Budget, MAX_REFUSED_CONNECTIONS};
+use crate::budget::{Budget, Shares};
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::discovery::{self, DiscoveryAgent, Watcher};
@@ -57,11 +57,8 @@
     signal_requests: &mut SignalRequests,
 ) -> Result<(), String> {
     let clock = Clock::anchor();
-    let max_connections = launch.sockets.saturating_sub(OWN_DESCRIPTORS + MAX_REFUSED_CONNECTIONS).max(4);
-    // Clients use at most a third of the descriptors for statements, each with an upstream connection beside it;
-    // some more may connect and disconnect. Half of the memory is for long frames.
-    let max_clients = (launch.sockets / 3 + OWN_DESCRIPTORS).min(max_connections / 2).max(2);
-    let budget = Budget::new(max_connections, max_clients, (launch.memory / 2).max(4 * pg::MAX_FRAME_BYTES));
+    let shares = Shares::new(launch.sockets, OWN_DESCRIPTORS, launch.memory, pg::MAX_FRAME_BYTES);
+    let budget = Budget::new(shares.connections, shares.clients, shares.long_bytes);
     let mailboxes = errno::retry_transient(Mailboxes::open).map_err(|e| format!("readiness: {e}"))?;
     let loop_sender = mailboxes.control_messages.clone();
     let (list_sender, list_mailbox) = mailboxes.source_mailbox::<HostListUpdate>();
@@ -204,8 +201,8 @@
         session_messages: session_messages.clone(),
     };
     let event_loop = EventLoop::new(mailboxes, router_parts, listener).map_err(|e| format!("listen: {e}"))?;
-    info!(log, "serving"; "name" => launch.name, "listen" => %launch.listen, "clients" => max_clients,
-        "descriptors" => max_connections);
+    info!(log, "serving"; "name" => launch.name, "listen" => %launch.listen, "clients" => shares.clients,
+        "descriptors" => shares.connections);
     let stop_handle = signal_requests.stop_handle();
     let run_loop = move || {
         let loop_result = event_loop.run();
--- a/crates/sandstile-router/tests/test_doubles/mod.rs
+++ b/crates/sandstile-router/tests/test_doubles/mod.rs
@@ -173,15 +173,22 @@
 
     /// Sends a statement to host 0.
     pub fn start(&mut self, statement_id: u64) {
-        self.start_long(statement_id, 0);
+        self.start_payload(statement_id, self.context.clock.now() + 5.0, TestPayload(0));
     }
 
     /// Sends a statement of at least so many bytes to host 0.
     pub fn start_long(&mut self, statement_id: u64, bytes: usize) {
-        let payload = Arc::new(TestPayload(bytes));
-        let kind = TaskKind::Statement { statement_id, execution: 0, payload };
-        let task = HostTask { kind, deadline: self.context.clock.now() + 5.0 };
-        self.hosts.handle_command(CommandToHosts::Start(0, task), &mut self.context);
+        self.start_payload(statement_id, self.context.clock.now() + 5.0, TestPayload(bytes));
+    }
+
+    /// Sends a statement to host 0 whose client waits until `deadline`.
+    pub fn start_until(&mut self, statement_id: u64, deadline: f64) {
+        self.start_payload(statement_id, deadline, TestPayload(0));
+    }
+
+    fn start_payload(&mut self, statement_id: u64, deadline: f64, payload: TestPayload) {
+        let kind = TaskKind::Statement { statement_id, execution: 0, payload: Arc::new(payload) };
+        self.hosts.handle_command(CommandToHosts::Start(0, HostTask { kind, deadline }), &mut self.context);
     }
 
     /// Begins the dials that may begin.
