--- a/crates/sandstile-router/src/event_loop.rs
+++ b/crates/sandstile-router/src/event_loop.rs
@@ -173,7 +173,7 @@
         let (timers, queue) = (TimerWheel::starting_at(clock.now()), VecDeque::new());
         let mut hosts =
             Hosts::new(to_dispatcher.clone(), counters.clone(), log.clone(), dial_timeout, idle_close);
-        hosts.dial_pacer = dial_pacer;
+        hosts.set_dial_pacer(dial_pacer);
         let mut members = members.map(Box::new);
         if let Some(members) = &mut members {
             members.register(&registry)?;
--- a/crates/sandstile-router/src/hosts.rs
+++ b/crates/sandstile-router/src/hosts.rs
@@ -1,7 +1,8 @@
 //! The database hosts: a pool of upstream connections for each host, and for each connection its socket and state
 //! machine.
-use crate::budget::{Holder, IdleKey};
+use crate::budget::Holder;
 use crate::counters::Counters;
+use crate::dial_queue::{DialQueue, PendingDial};
 use crate::dialling::{dial_ending, is_up};
 use crate::errno::{classify_accept_error, is_local_error, AcceptFailure};
 use crate::loop_context::{LoopContext, MAX_STEPS_PER_TURN};
@@ -10,11 +11,12 @@
 use crate::pool::{Lookup, NextUse, Placement, Pool};
 use crate::socket::{Socket, Transfer};
 use crate::task::{HostTask, TaskKind};
-use crate::upstream_connection::{Event, UpstreamConnection};
+use crate::upstream_connection::Event;
+use crate::upstream_slot::UpstreamSlot;
 use mio::net::TcpStream;
 use mio::Token;
 use sandstile_dispatcher::{Command, DispatcherMessage, StartStep};
-use sandstile_restart_pacing::{DialDecision, DialOutcome, DialPacer};
+use sandstile_restart_pacing::{DialOutcome, DialPacer};
 use slab::Slab;
 use slog::{debug, info, o, Logger};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -30,66 +32,16 @@
     timer_due: f64,
 }
 
-struct ConnectionSlot {
-    host: usize,
-    /// Sequence number of the dial: a slot's key is used again.
-    dial_number: u64,
-    connection: UpstreamConnection,
-    socket: Option<Socket>,
-    queued: bool,
-    timer_due: f64,
-    idle_key: Option<IdleKey>,
-    /// When its dial began, while the dial is under way and dials are paced.
-    dial_started_at: Option<f64>,
-    requested_at: f64,
-    /// It has been delayed by the dial pacing and counted for that.
-    delayed: bool,
-    /// Its task was checked just now and may begin.
-    may_start: bool,
-    /// Until when its dial is retried, once a dial has failed with a local error of this machine.
-    local_retry_until: Option<f64>,
-}
-
-impl ConnectionSlot {
-    /// When the socket is rechecked without an event. Idle connections are not: they are checked before use.
-    fn recheck_due(&self) -> f64 {
-        match &self.socket {
-            Some(socket) if !self.connection.idle() => socket.recheck_due(),
-            _ => f64::INFINITY,
-        }
-    }
-}
-
-/// A connection that has not been dialled yet.
-#[derive(Clone, Copy)]
-struct PendingDial {
-    key: usize,
-    dial_number: u64,
-    address: SocketAddr,
-}
-
-impl PendingDial {
-    /// Whether its connection still waits: it may have timed out, and its key may be another one's by now.
-    fn is_waiting(&self, slots: &Slab<ConnectionSlot>) -> bool {
-        slots.get(self.key).is_some_and(|slot| {
-            slot.dial_number == self.dial_number && slot.socket.is_none() && !slot.connection.dialling()
-        })
-    }
-}
-
 /// Whether a task that waits for a connection to this host may still take this step.
 pub type StartCheck<'a> = &'a mut dyn FnMut(usize, &HostTask, StartStep) -> bool;
 
 pub struct Hosts {
     hosts: Vec<Option<Host>>,
-    slots: Slab<ConnectionSlot>,
+    slots: Slab<UpstreamSlot>,
     dispatcher_sender: MailboxSender<DispatcherMessage>,
     counters: Arc<Counters>,
     log: Logger,
-    /// Connections that wait for a descriptor or for the dial pacing.
-    pending_dials: VecDeque<PendingDial>,
-    /// Dials requested so far; the next dial's number follows from it.
-    dials: u64,
+    dial_queue: DialQueue,
     /// Hosts at which a waiting task may be able to begin.
     startable_hosts: BTreeSet<usize>,
     /// Hosts whose waiting tasks have to be checked, as what is known of the host has changed.
@@ -98,12 +50,6 @@
     unstarted: Vec<usize>,
     /// Events of upstream connections that have not been handled yet.
     events: VecDeque<(usize, Event)>,
-    /// Paces dials, where the local configuration file turns that on.
-    pub dial_pacer: Option<DialPacer>,
-    /// When the next delayed dial may begin; infinite where there is none.
-    next_dial_at: f64,
-    /// No dial begins before this time: the last one failed with a local error of this machine.
-    paused_until: f64,
     /// Seconds for a connection to be established, or between parts of an answer: the maximum that the network of
     /// this deployment needs.
     dial_timeout: f64,
@@ -147,15 +93,11 @@
             dispatcher_sender,
             counters,
             log,
-            pending_dials: VecDeque::new(),
-            dials: 0,
+            dial_queue: DialQueue::default(),
             startable_hosts: BTreeSet::new(),
             changed_hosts: BTreeSet::new(),
             unstarted: Vec::new(),
             events: VecDeque::new(),
-            dial_pacer: None,
-            next_dial_at: f64::INFINITY,
-            paused_until: f64::NEG_INFINITY,
             dial_timeout,
             idle_limit: idle_close * 0.75,
         }
@@ -174,8 +116,8 @@
                 connections.into_iter().for_each(|key| self.close(key, context));
                 self.hosts[host] = None;
                 self.counters.hosts.decrement();
-                if let Some(dial_pacer) = &mut self.dial_pacer {
-                    dial_pacer.forget(host);
+                if let Some(pacer) = &mut self.dial_queue.pacer {
+                    pacer.forget(host);
                 }
             }
             Command::Start(host, task) => self.start_task(host, task, context),
@@ -192,8 +134,8 @@
             }
             Command::RecheckWaiting(host) => drop(self.changed_hosts.insert(host)),
             Command::RouterCount(n) => {
-                if let Some(dial_pacer) = &mut self.dial_pacer {
-                    dial_pacer.set_router_count(n);
+                if let Some(pacer) = &mut self.dial_queue.pacer {
+                    pacer.set_router_count(n);
                 }
             }
         }
@@ -227,7 +169,7 @@
             self.counters.count_ending(Ending::Moved);
             self.close(key, context);
         }
-        for _ in 0..self.dial_pacer.as_ref().map_or(0, DialPacer::initial_dials) {
+        for _ in 0..self.dial_queue.pacer.as_ref().map_or(0, DialPacer::initial_dials) {
             self.request_dial(host, address, context);
         }
     }
@@ -235,24 +177,11 @@
     /// Adds one more connection to be dialled.
     fn request_dial(&mut self, host: usize, address: SocketAddr, context: &mut LoopContext) {
         self.counters.dialled.add();
-        self.dials += 1;
-        let (requested_at, dial_number) = (context.clock.now(), self.dials);
-        let key = self.slots.insert(ConnectionSlot {
-            host,
-            dial_number,
-            connection: UpstreamConnection::new(requested_at + self.dial_timeout, self.dial_timeout),
-            socket: None,
-            queued: false,
-            timer_due: f64::INFINITY,
-            idle_key: None,
-            dial_started_at: None,
-            requested_at,
-            delayed: false,
-            may_start: false,
-            local_retry_until: None,
-        });
+        let dial_number = self.dial_queue.next_number();
+        let slot = UpstreamSlot::new(host, dial_number, context.clock.now(), self.dial_timeout);
+        let key = self.slots.insert(slot);
         self.host(host).pool.dial_started(key);
-        self.pending_dials.push_back(PendingDial { key, dial_number, address });
+        self.dial_queue.push(PendingDial { key, dial_number, address });
         self.schedule_timer(key, context);
     }
 
@@ -356,11 +285,7 @@
         for task in outdated {
             self.report(host, task, Ending::Outdated.into(), context);
         }
-        let (slots, pending_dials) = (&self.slots, &self.pending_dials);
-        let waits_here = |dial: &&PendingDial| {
-            dial.is_waiting(slots) && slots.get(dial.key).is_some_and(|s| s.host == host)
-        };
-        let waiting_dials = pending_dials.iter().filter(waits_here).map(|dial| dial.key);
+        let waiting_dials = self.dial_queue.waiting_at(host, &self.slots);
         let pool = &self.hosts[host].as_ref().expect("the host was just found").pool;
         for key in pool.surplus_dials(waiting_dials) {
             self.host(host).pool.dial_failed(key);
@@ -425,62 +350,37 @@
 
     /// Brings the next connection that may be dialled to the front of the queue; `false` where there is none.
     pub fn next_dial_ready(&mut self, now: f64) -> bool {
-        self.next_dial_at = f64::INFINITY;
-        if now < self.paused_until {
-            self.next_dial_at = if self.pending_dials.is_empty() { f64::INFINITY } else { self.paused_until };
-            return false;
-        }
-        let Some(dial_pacer) = &mut self.dial_pacer else {
-            while let Some(dial) = self.pending_dials.front() {
-                if dial.is_waiting(&self.slots) {
-                    return true;
-                }
-                self.pending_dials.pop_front();
-            }
-            return false;
-        };
-        let slots = &mut self.slots;
-        self.pending_dials.retain(|dial| dial.is_waiting(slots));
-        for index in 0..self.pending_dials.len() {
-            let Some(slot) = slots.get_mut(self.pending_dials[index].key) else { continue };
-            let decision = dial_pacer.decide(now, slot.host);
-            if decision != DialDecision::Now && !std::mem::replace(&mut slot.delayed, true) {
-                self.counters.dials_held.add();
-            }
-            match decision {
-                DialDecision::Now => {
-                    self.pending_dials.swap(0, index);
-                    return true;
-                }
-                DialDecision::At(time) => self.next_dial_at = self.next_dial_at.min(time),
-                DialDecision::AfterCurrent => {}
-            }
-        }
-        false
+        self.dial_queue.next_ready(now, &mut self.slots, &self.counters)
     }
 
     /// When a delayed dial may begin.
     pub fn due(&self) -> f64 {
-        self.next_dial_at
+        self.dial_queue.due()
+    }
+
+    /// Paces dials from now on.
+    pub fn set_dial_pacer(&mut self, dial_pacer: Option<DialPacer>) {
+        self.dial_queue.pacer = dial_pacer;
     }
 
     /// Tells the dial pacing that a dial has succeeded or failed.
     fn dial_ended(&mut self, key: usize, failed: Option<Ending>, now: f64) {
         let Some(slot) = self.slots.get_mut(key) else { return };
-        if let (Some(dial_pacer), Some(dial_started_at)) = (&mut self.dial_pacer, slot.dial_started_at.take())
-        {
-            let outcome = match failed {
-                None => DialOutcome::Connected(now - dial_started_at),
-                Some(Ending::DialTimedOut) => DialOutcome::TimedOut,
-                Some(_) => DialOutcome::Refused,
-            };
-            dial_pacer.dial_ended(now, slot.host, outcome);
-        }
+        let (Some(pacer), Some(started_at)) = (&mut self.dial_queue.pacer, slot.dial_started_at.take())
+        else {
+            return;
+        };
+        let outcome = match failed {
+            None => DialOutcome::Connected(now - started_at),
+            Some(Ending::DialTimedOut) => DialOutcome::TimedOut,
+            Some(_) => DialOutcome::Refused,
+        };
+        pacer.dial_ended(now, slot.host, outcome);
     }
 
     /// Starts the next dial; its descriptor is already counted in the budget.
     pub fn dial(&mut self, context: &mut LoopContext) -> DialResult {
-        let Some(pending_dial) = self.pending_dials.pop_front() else { return DialResult::Failed };
+        let Some(pending_dial) = self.dial_queue.pop() else { return DialResult::Failed };
         let PendingDial { key, address, .. } = pending_dial;
         let connected = TcpStream::connect(address).and_then(|stream| {
             // Without TCP_NODELAY statements may be sent a little later.
@@ -495,10 +395,10 @@
                 return self.dial_again(pending_dial, e, context);
             }
         }
-        if let Some(dial_pacer) = &mut self.dial_pacer {
+        if let Some(pacer) = &mut self.dial_queue.pacer {
             slot.connection.dial_started_with_deadline(now + self.dial_timeout);
             slot.dial_started_at = Some(now);
-            dial_pacer.dial_started(now, slot.host);
+            pacer.dial_started(now, slot.host);
         } else {
             slot.connection.dial_started();
         }
@@ -531,8 +431,7 @@
         context.counters.dials_repeated.add();
         let host = self.slots[dial.key].host;
         debug!(self.host(host).log, "dialled again after a local error: {error}");
-        self.pending_dials.push_front(dial);
-        self.paused_until = context.clock.now() + LOCAL_RETRY_PAUSE_S;
+        self.dial_queue.push_again(dial, context.clock.now() + LOCAL_RETRY_PAUSE_S);
         match classify_accept_error(error) {
             AcceptFailure::DescriptorsSpent => DialResult::DescriptorsSpent,
             _ => DialResult::Failed,
--- a/crates/sandstile-router/src/lib.rs
+++ b/crates/sandstile-router/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod control;
 pub mod control_client;
 pub mod counters;
+pub mod dial_queue;
 pub mod dialling;
 pub mod discovery;
 pub mod errno;
@@ -34,6 +35,7 @@
 pub mod signals;
 pub mod socket;
 pub mod threads;
+pub mod upstream_slot;
 
 pub use sandstile_connections::{
     budget, client_connection, close_reason, outcome, pool, shutdown, sqlstate, statement, task,
