Emulator: record an event once the sockets show it

Cause: the emulator sent the records of a batch to the trace before it carried out the batch's outputs (listen, stop listening, reset). Whoever waits for a record then races with the socket.

Tests and checks are as they were.

--- a/crates/sandstile-emulator/src/emulator.rs
+++ b/crates/sandstile-emulator/src/emulator.rs
@@ -196,6 +196,8 @@
     script: Script,
     clock: Clock,
     trace: Sender<Record>,
+    /// Records whose effects on the sockets are still to come: whoever reads a record may rely on them.
+    unsent_records: Vec<Record>,
     notifications: Sender<Notification>,
     poll: Poll,
     waker: Arc<Waker>,
@@ -282,6 +284,7 @@
             script: script.clone(),
             clock,
             trace,
+            unsent_records: Vec::new(),
             notifications,
             poll,
             waker,
@@ -469,8 +472,14 @@
         }
     }
 
-    fn record(&self, t: f64, what: EmulatorEvent) {
-        let _ = self.trace.send(Record { t, what: TraceEvent::Emulator(what) });
+    fn record(&mut self, t: f64, what: EmulatorEvent) {
+        self.unsent_records.push(Record { t, what: TraceEvent::Emulator(what) });
+    }
+
+    fn send_records(&mut self) {
+        for record in self.unsent_records.drain(..) {
+            let _ = self.trace.send(record);
+        }
     }
 
     fn run(&mut self, commands: &Receiver<Command>) -> io::Result<Summary> {
@@ -505,6 +514,7 @@
     }
 
     fn summary(&mut self) -> io::Result<Summary> {
+        self.send_records();
         let missed =
             self.cue_scheduler.iter().flat_map(|d| d.missed_cues()).map(|c| c.name.clone()).collect();
         let relay = self.relay.take().map(Relay::stop).transpose()?;
@@ -547,7 +557,7 @@
             while let Some((t, event)) = self.fleet.next_event() {
                 progressed = true;
                 self.report_to_cue_scheduler(now, &event);
-                let _ = self.trace.send(Record { t, what: TraceEvent::Fleet(event) });
+                self.unsent_records.push(Record { t, what: TraceEvent::Fleet(event) });
             }
             while let Some(index) = self.cue_ends.iter().position(|(at, _)| *at <= now) {
                 let (_, cue) = self.cue_ends.swap_remove(index);
@@ -575,9 +585,11 @@
                 outputs.push(output);
             }
             if outputs.is_empty() {
+                self.send_records();
                 return Ok(());
             }
             self.apply_outputs(outputs)?;
+            self.send_records();
         }
     }
 
