--- a/crates/sandstile-router/tests/shutdown.rs
+++ b/crates/sandstile-router/tests/shutdown.rs
@@ -95,7 +95,7 @@
     patient.send(&query(&write(DAY_MS)));
     wait_for("the write", || primary.count() == 1);
     unread.stream.set_nonblocking(true).expect("a socket");
-    let flood = query(&read(DAY_MS)).repeat(400);
+    let flood: Vec<u8> = (0..400).flat_map(|_| query(&read(DAY_MS))).collect();
     let _ = unread.stream.write(&flood);
     wait_for("answers that fill the socket", || {
         let before = replica.count();
