Flood test: give each command of the client that never reads an id of its own

The test sent one text, and so one id, 200 times: since only the first got its long answer, and the socket of the client that never reads did not fill any more. The test had passed all the same, but checked less; now it checks what it did before.

--- a/crates/sandstile-router/tests/program.rs
+++ b/crates/sandstile-router/tests/program.rs
@@ -628,7 +628,7 @@
     // A client that never reads and one that sends a byte at a time delay nobody.
     let mut stuck = router.client();
     replica.script.lock().expect("script").replies.extend(vec![HostReply::Row(long); 200]);
-    stuck.send(&query(&read(1500)).repeat(200));
+    stuck.send(&(0..200).flat_map(|_| query(&read(1500))).collect::<Vec<u8>>());
     let mut dribble = router.client();
     dribble.send(&query(&read(1500))[..9]);
     assert_eq!(value(&router.client().ask(&write(800))), b"primary");
